--- /dev/null
+++ b/src/chivedoor/balancer/__init__.py
@@ -0,0 +1,1 @@
+"""The complete decision path of one balancer, free of I/O and clock."""
--- /dev/null
+++ b/src/chivedoor/balancer/actions.py
@@ -0,0 +1,65 @@
+"""What a balancer decides to do with a packet."""
+
+import dataclasses
+import enum
+
+from chivedoor import ids
+from chivedoor.dataplane import encapsulation
+
+
+class RoutingDrop(enum.Enum):
+    """Why a well-formed packet was not passed on."""
+
+    NO_SERVICE = "no_service"
+    NO_ENDPOINT = "no_endpoint"
+    UNRESOLVED = "unresolved"
+    TOO_MANY_HOPS = "too_many_hops"
+    STALE_RESET = "stale_reset"
+    STALE_ANSWER = "stale_answer"
+    DUPLICATE_REQUEST = "duplicate_request"
+    UNCERTAIN = "uncertain"
+    NOT_OWNER = "not_owner"
+    NOT_ALIVE = "not_alive"
+    DOCUMENT_TOO_OLD = "document_too_old"
+    RATE_EXCEEDED = "rate_exceeded"
+
+
+class Refusal(enum.Enum):
+    """Why a new flow was refused before anything was forwarded."""
+
+    NO_TARGET = "no_target"
+    TARGETS_FULL = "targets_full"
+
+
+@dataclasses.dataclass(slots=True)
+class Deliver:
+    """Hands a packet to the fabric."""
+
+    data: bytes | bytearray
+
+
+@dataclasses.dataclass(slots=True)
+class Forward:
+    """Sends a packet to another balancer."""
+
+    member: ids.VmId
+    header: encapsulation.Header
+    data: bytes | bytearray
+
+
+@dataclasses.dataclass(slots=True)
+class Drop:
+    """Discards a packet."""
+
+    reason: enum.Enum
+
+
+@dataclasses.dataclass(slots=True)
+class Refuse:
+    """Sends a refusal back to the caller; nothing was forwarded."""
+
+    reason: Refusal
+    data: bytes | bytearray
+
+
+Action = Deliver | Forward | Drop | Refuse
--- /dev/null
+++ b/src/chivedoor/balancer/balancer.py
@@ -0,0 +1,269 @@
+"""One balancer: packets in, actions out."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+from typing import Any
+
+from chivedoor import ids
+from chivedoor.admission import duplicates
+from chivedoor.balancer import actions
+from chivedoor.balancer import context as contexts
+from chivedoor.balancer import receiver as receivers
+from chivedoor.balancer import resolver as resolvers
+from chivedoor.balancer import targets as owned_targets
+from chivedoor.configuration import document as documents
+from chivedoor.dataplane import encapsulation
+from chivedoor.dataplane import exceptions as packet_errors
+from chivedoor.dataplane import packet as packets
+from chivedoor.flows import owner as owners
+from chivedoor.flows import refresh
+from chivedoor.membership import members as memberships
+from chivedoor.routing import directory as directories
+from chivedoor.routing import hashing
+
+_ForwardKind = encapsulation.ForwardKind
+_REFRESH_WINDOW_S = 600.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Mode:
+    """An owner's announcement that a target's mode is `DIRECT`."""
+
+    number: ids.EndpointNumber
+    identity: owners.OwnerIdentity
+    generation: ids.Generation
+
+
+class Balancer:
+    """The decision path of one entry VM, without I/O or clock."""
+
+    def __init__(
+        self,
+        *,
+        members: memberships.Members,
+        region: ids.RegionId,
+        admission_factory: contexts.AdmissionFactory,
+        salt: int,
+    ) -> None:
+        self.context = contexts.Context(
+            members=members,
+            directory=directories.ServiceDirectory(),
+            targets={},
+            owner_rankings={},
+            replica_rankings={},
+        )
+        self._region = region
+        self._modes: dict[ids.EndpointNumber, Mode] = {}
+        self._resolver = resolvers.Resolver(
+            context=self.context, request_filter=duplicates.RequestFilter()
+        )
+        self._receiver = receivers.Receiver(
+            context=self.context,
+            resolver=self._resolver,
+            refresh_filter=refresh.RefreshFilter(
+                salt=salt, window_s=_REFRESH_WINDOW_S
+            ),
+        )
+        self.targets = owned_targets.TargetSet(
+            context=self.context, admission_factory=admission_factory
+        )
+
+    # Packets.
+
+    def handle_packet(
+        self, data: bytes | memoryview, now: float
+    ) -> list[actions.Action]:
+        """Decides on a packet that the fabric handed to this VM.
+
+        Args:
+          data: One IP packet.
+          now: Monotonic seconds.
+        """
+        try:
+            packet = packets.parse_packet(data)
+        except packet_errors.PacketError as error:
+            return [actions.Drop(error.reason)]
+        return self._receiver.receive(packet, now)
+
+    def handle_forwarded(
+        self,
+        header: encapsulation.Header,
+        data: bytes | memoryview,
+        now: float,
+    ) -> list[actions.Action]:
+        """Decides on a packet that another balancer forwarded.
+
+        Args:
+          header: The authenticated header of the forwarding balancer.
+          data: One IP packet.
+          now: Monotonic seconds.
+        """
+        try:
+            packet = packets.parse_packet(data)
+        except packet_errors.PacketError as error:
+            return [actions.Drop(error.reason)]
+        if not self.context.may_send:
+            return [actions.Drop(actions.RoutingDrop.DOCUMENT_TOO_OLD)]
+        entry = self.context.directory.services.get(
+            (packet.protocol, packet.destination, packet.destination_port)
+        )
+        if entry is not None:
+            return self._handle_from_caller(header, packet, entry, now)
+        source = self.context.directory.endpoints.get(
+            (packet.protocol, packet.source, packet.source_port)
+        )
+        if source is not None:
+            return self._handle_from_target(header, packet, source, now)
+        return [actions.Drop(actions.RoutingDrop.NO_SERVICE)]
+
+    def _handle_from_caller(
+        self,
+        header: encapsulation.Header,
+        packet: packets.Packet,
+        entry: directories.ServiceEntry,
+        now: float,
+    ) -> list[actions.Action]:
+        key = hashing.compute_flow_key(
+            protocol=packet.protocol,
+            caller=packet.source,
+            caller_port=packet.source_port,
+            service=packet.destination,
+            service_port=packet.destination_port,
+        )
+        handlers = {
+            _ForwardKind.RESOLVE: self._resolver.resolve,
+            _ForwardKind.NEXT: self._resolver.look_up,
+            _ForwardKind.LOOKUP: self._resolver.look_up,
+            _ForwardKind.CHAIN: self._resolver.record_and_deliver,
+            _ForwardKind.COPY: self._resolver.record_caller_copy,
+        }
+        handler = handlers.get(header.kind)
+        if handler is None:
+            return [actions.Drop(actions.RoutingDrop.NO_SERVICE)]
+        if not self._belongs_to_service(header, entry):
+            return [actions.Drop(actions.RoutingDrop.NO_ENDPOINT)]
+        return handler(packet, entry, key, header, now)
+
+    def _belongs_to_service(
+        self,
+        header: encapsulation.Header,
+        entry: directories.ServiceEntry,
+    ) -> bool:
+        """Returns whether a header's endpoint serves the packet's service.
+
+        The other balancer may have another document, in which the number or
+        the address belonged to a different service.
+        """
+        if header.kind is _ForwardKind.RESOLVE:
+            return True
+        found = self.context.directory.by_number.get(
+            ids.EndpointNumber(header.endpoint_number)
+        )
+        return found is not None and found[0] is entry.routes
+
+    def _handle_from_target(
+        self,
+        header: encapsulation.Header,
+        packet: packets.Packet,
+        source: directories.EndpointEntry,
+        now: float,
+    ) -> list[actions.Action]:
+        if header.kind is _ForwardKind.COPY:
+            return self._resolver.record_target_copy(packet, source, now)
+        return self._resolver.answer(packet, source, now)
+
+    # Changes of what the balancer knows.
+
+    def apply_document(
+        self,
+        *,
+        document: documents.Document,
+        out_domains: frozenset[ids.DomainId],
+        now: float,
+    ) -> None:
+        """Puts a document and the domains that are out in force."""
+        directory = self.context.directory
+        directory.update(
+            document=document,
+            out_domains=out_domains,
+            region=self._region,
+        )
+        self.context.version = document.version
+        self.update_members(now)
+
+    def update_members(self, now: float) -> None:
+        """Takes changes of the members in view."""
+        self.context.update_rankings()
+        self.targets.update_roles(now)
+        self._update_direct(self.context.directory.by_number)
+
+    def set_mode(self, mode: Mode) -> None:
+        """Takes an owner's announcement of mode `DIRECT`."""
+        self._modes[mode.number] = mode
+        self._update_direct((mode.number,))
+
+    def clear_mode(self, number: ids.EndpointNumber) -> None:
+        """Takes an owner's withdrawal of mode `DIRECT`."""
+        self._modes.pop(number, None)
+        self._update_direct((number,))
+
+    def forget_modes(self) -> None:
+        """Sends all established packets through owners from now on."""
+        self._modes.clear()
+        self._update_direct(self.context.directory.by_number)
+
+    def list_own_modes(self, now: float) -> list[Mode]:
+        """Returns the modes that this balancer may announce as owner."""
+        return [
+            Mode(
+                number=number,
+                identity=owners.OwnerIdentity(
+                    member=self.context.local_id,
+                    incarnation=self.context.members.local.incarnation,
+                ),
+                generation=generation,
+            )
+            for number, generation in self.targets.list_settled(now)
+        ]
+
+    def _update_direct(self, numbers: Iterable[ids.EndpointNumber]) -> None:
+        for number in tuple(numbers):
+            found = self.context.directory.by_number.get(number)
+            if found is None:
+                continue
+            routes, endpoint = found
+            if self._is_direct(routes, endpoint):
+                routes.direct = routes.direct | {number}
+            else:
+                routes.direct = routes.direct - {number}
+
+    def _is_direct(
+        self,
+        routes: directories.ServiceRoutes,
+        endpoint: documents.Endpoint,
+    ) -> bool:
+        mode = self._modes.get(endpoint.number)
+        return (
+            mode is not None
+            and mode.generation == routes.table.generation
+            and mode.identity == self.context.find_identity(endpoint)
+        )
+
+    def dump_state(self) -> Mapping[str, Any]:
+        """Returns plain values for the operators' dump."""
+        context = self.context
+        return {
+            "version": context.version,
+            "may_send": context.may_send,
+            "services": {
+                service_id: {
+                    "generation": routes.table.generation,
+                    "direct": sorted(routes.direct),
+                }
+                for service_id, routes in context.directory.routes.items()
+            },
+            "targets": [
+                target.dump_state() for target in context.targets.values()
+            ],
+        }
--- /dev/null
+++ b/src/chivedoor/balancer/context.py
@@ -0,0 +1,109 @@
+"""What one balancer knows, shared by the parts of its decision path."""
+
+from collections.abc import Callable
+import dataclasses
+
+from chivedoor import ids
+from chivedoor.admission import target as admissions
+from chivedoor.balancer import const
+from chivedoor.configuration import document as documents
+from chivedoor.flows import owner as owners
+from chivedoor.membership import members as memberships
+from chivedoor.routing import directory as directories
+from chivedoor.routing import ownership
+
+AdmissionFactory = Callable[..., admissions.TargetAdmission]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Context:
+    """State of one balancer.
+
+    Attributes:
+      members: Who is alive, as this balancer sees it.
+      directory: Services and tables of the document in force.
+      targets: Records of the targets that this balancer owns or replicates.
+      version: Version of the document in force; 0 without one.
+      may_send: False when the confirmation of the document is older than
+        the delay after which addresses may belong to another service.
+    """
+
+    members: memberships.Members
+    directory: directories.ServiceDirectory
+    targets: dict[ids.EndpointNumber, owners.TargetOwner]
+    owner_rankings: dict[ids.DomainId, ownership.OwnerRanking]
+    replica_rankings: dict[ids.DomainId, ownership.OwnerRanking]
+    version: ids.Version = ids.Version(0)
+    may_send: bool = True
+
+    @property
+    def local_id(self) -> ids.VmId:
+        """Returns the id of this balancer's VM."""
+        return self.members.local.id
+
+    def find_owner(self, endpoint: documents.Endpoint) -> ids.VmId | None:
+        """Returns the owner of a target, or None when none is in view."""
+        ranking = self.owner_rankings.get(endpoint.domain)
+        if ranking is None:
+            return None
+        ranked = ranking.find_owners(endpoint.number)
+        return ranked[0] if ranked else None
+
+    def find_replica(self, endpoint: documents.Endpoint) -> ids.VmId | None:
+        """Returns the best other balancer for a target, joining or not."""
+        ranking = self.replica_rankings.get(endpoint.domain)
+        if ranking is None:
+            return None
+        ranked = ranking.find_owners(endpoint.number)
+        return next((m for m in ranked if m != self.local_id), None)
+
+    def is_owner(self, endpoint: documents.Endpoint) -> bool:
+        """Returns whether this balancer owns a target."""
+        return self.find_owner(endpoint) == self.local_id
+
+    def find_identity(
+        self, endpoint: documents.Endpoint
+    ) -> owners.OwnerIdentity | None:
+        """Returns the owner in view with its incarnation."""
+        member_id = self.find_owner(endpoint)
+        if member_id is None:
+            return None
+        member = self.members.get(member_id)
+        return owners.OwnerIdentity(
+            member=member_id, incarnation=member.incarnation
+        )
+
+    def find_share(self, domain: ids.DomainId) -> float:
+        """Returns the part of a target's limits that its owner may use.
+
+        At most one side of a partition sees more than half of the listed
+        balancers, and two halves make one, so the shares of all sides
+        never sum to more than 1.
+        """
+        listed = self.members.count_listed(domain)
+        visible = self.members.count_visible(domain)
+        if 2 * visible > listed:
+            return 1.0
+        return 0.5 if 2 * visible == listed else 0.0
+
+    def update_rankings(self) -> None:
+        """Takes the members in view into the ownership rankings."""
+        domains = {e.domain for _, e in self.directory.by_number.values()}
+        for domain in domains:
+            _rank(self.owner_rankings, domain).update_candidates(
+                self.members.owner_candidates(domain)
+            )
+            _rank(self.replica_rankings, domain).update_candidates(
+                self.members.replica_candidates(domain)
+            )
+
+
+def _rank(
+    rankings: dict[ids.DomainId, ownership.OwnerRanking],
+    domain: ids.DomainId,
+) -> ownership.OwnerRanking:
+    if domain not in rankings:
+        rankings[domain] = ownership.OwnerRanking(
+            depth=const.OWNERS_PER_TARGET
+        )
+    return rankings[domain]
--- /dev/null
+++ b/src/chivedoor/balancer/receiver.py
@@ -0,0 +1,133 @@
+"""Decisions on packets that the fabric hands to a balancer."""
+
+from chivedoor import ids
+from chivedoor.balancer import actions
+from chivedoor.balancer import const
+from chivedoor.balancer import context as contexts
+from chivedoor.balancer import resolver as resolvers
+from chivedoor.configuration import document as documents
+from chivedoor.dataplane import encapsulation
+from chivedoor.dataplane import packet as packets
+from chivedoor.dataplane import refusal
+from chivedoor.dataplane import rewrite
+from chivedoor.flows import refresh
+from chivedoor.routing import directory as directories
+from chivedoor.routing import hashing
+
+_TCP = int(documents.Protocol.TCP)
+
+
+class Receiver:
+    """First balancer on a packet's way; keeps no flow records."""
+
+    def __init__(
+        self,
+        *,
+        context: contexts.Context,
+        resolver: resolvers.Resolver,
+        refresh_filter: refresh.RefreshFilter,
+    ) -> None:
+        self._context = context
+        self._resolver = resolver
+        self._refresh = refresh_filter
+
+    def receive(
+        self, packet: packets.Packet, now: float
+    ) -> list[actions.Action]:
+        """Decides on one packet of the fabric.
+
+        Args:
+          packet: The parsed packet, rewritten in place when it is delivered.
+          now: Monotonic seconds.
+        """
+        directory = self._context.directory
+        entry = directory.services.get(
+            (packet.protocol, packet.destination, packet.destination_port)
+        )
+        if entry is not None:
+            return self._receive_from_caller(packet, entry, now)
+        source = directory.endpoints.get(
+            (packet.protocol, packet.source, packet.source_port)
+        )
+        if source is not None:
+            return self._receive_from_target(packet, source, now)
+        return [actions.Drop(actions.RoutingDrop.NO_SERVICE)]
+
+    def _receive_from_caller(
+        self,
+        packet: packets.Packet,
+        entry: directories.ServiceEntry,
+        now: float,
+    ) -> list[actions.Action]:
+        if not self._context.may_send:
+            return [actions.Drop(actions.RoutingDrop.DOCUMENT_TOO_OLD)]
+        key = hashing.compute_flow_key(
+            protocol=packet.protocol,
+            caller=packet.source,
+            caller_port=packet.source_port,
+            service=packet.destination,
+            service_port=packet.destination_port,
+        )
+        routes = entry.routes
+        base = routes.table.find_base(key)
+        if base is None:
+            return self._refuse(packet)
+        if (
+            base.number in routes.direct
+            and packet.protocol == _TCP
+            and not packets.is_control(packet)
+            and not self._refresh.is_due(key, now)
+        ):
+            rewrite.rewrite_destination(
+                packet, base.address, entry.port.target_port
+            )
+            return [actions.Deliver(packet.buffer)]
+        return self._send_to_owner(packet, entry, key, base, now)
+
+    def _send_to_owner(
+        self,
+        packet: packets.Packet,
+        entry: directories.ServiceEntry,
+        key: ids.FlowKey,
+        base: documents.Endpoint,
+        now: float,
+    ) -> list[actions.Action]:
+        owner = self._context.find_owner(base)
+        if owner is None:
+            return self._resolver.resolve_without_owner(
+                packet, entry, key, base, now
+            )
+        header = encapsulation.Header(
+            kind=encapsulation.ForwardKind.RESOLVE,
+            hops=1,
+            document_version=self._context.version,
+            endpoint_number=base.number,
+        )
+        if owner == self._context.local_id:
+            return self._resolver.resolve(packet, entry, key, header, now)
+        return [actions.Forward(owner, header, packet.buffer)]
+
+    def _receive_from_target(
+        self,
+        packet: packets.Packet,
+        source: directories.EndpointEntry,
+        now: float,
+    ) -> list[actions.Action]:
+        if packet.protocol == _TCP and not packets.is_control(packet):
+            rewrite.rewrite_source(
+                packet, source.service_address, source.port.port
+            )
+            return [actions.Deliver(packet.buffer)]
+        owner = self._context.find_owner(source.endpoint)
+        header = encapsulation.Header(
+            kind=encapsulation.ForwardKind.ANSWER,
+            hops=1,
+            document_version=self._context.version,
+            endpoint_number=source.endpoint.number,
+        )
+        if owner is None or owner == self._context.local_id:
+            return self._resolver.answer(packet, source, now)
+        return [actions.Forward(owner, header, packet.buffer)]
+
+    def _refuse(self, packet: packets.Packet) -> list[actions.Action]:
+        return resolvers.refuse_new_flow(packet, actions.Refusal.NO_TARGET)
--- /dev/null
+++ b/src/chivedoor/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Flow records, overrides and the owners of targets."""
--- /dev/null
+++ b/src/chivedoor/flows/const.py
@@ -0,0 +1,35 @@
+"""Constants of the flows package."""
+
+from typing import Final
+
+# Records keep the time of the last packet in units of this length, so that a
+# record fits a small integer.
+TICK_S: Final = 4.0
+
+# A target that has not answered the first packet of a flow for this long
+# does not hold the flow; a SYN is retransmitted for less time than that.
+OPENING_TIMEOUT_S: Final = 20.0
+
+# A first packet that the target has not answered for this long counts
+# against the target's health.
+HANDSHAKE_TIMEOUT_S: Final = 2.0
+
+# Longer than a caller waits before it uses a port again for an answer that
+# is still on its way, and than a retransmitted FIN needs.
+CLOSED_LINGER_S: Final = 30.0
+
+# A flow passed on to the owners of other endpoints is looked for along the
+# ranking until one of them reports that it has the flow.
+PENDING_TIMEOUT_S: Final = 20.0
+
+# Records looked at in one call of `expire`, to bound its time on the loop.
+EXPIRE_BATCH: Final = 2048
+
+# Each receiver sends one packet of an active flow through the owner in a
+# window, so that the owner's record does not expire.
+REFRESH_SLOTS: Final = 1 << 17
+REFRESH_WINDOW_FRACTION: Final = 0.25
+
+# A reset of a flow that was adopted this recently may come from a target
+# that never had the flow.
+ADOPTION_GRACE_S: Final = 3.0
--- /dev/null
+++ b/src/chivedoor/flows/owner.py
@@ -0,0 +1,315 @@
+"""The records, overrides and limits of one target at its owner or replica."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import enum
+import heapq
+from typing import Any
+
+from chivedoor import ids
+from chivedoor.admission import target as admissions
+from chivedoor.configuration import document as documents
+from chivedoor.flows import const
+from chivedoor.flows import records
+
+
+class Role(enum.Enum):
+    """What a balancer is for a target."""
+
+    OWNER = "owner"
+    REPLICA = "replica"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class OwnerIdentity:
+    """One life of a balancer as the owner of a target."""
+
+    member: ids.VmId
+    incarnation: ids.Incarnation
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Override:
+    """A flow of this base target that lives on another endpoint."""
+
+    number: ids.EndpointNumber
+    expires_at_s: float
+
+
+class TargetOwner:
+    """One target's flows, counted exactly, and the overrides of its buckets.
+
+    The owner and the replica of a target each have one. Both record every
+    flow that is admitted, so the replica can take over with exact counts.
+    """
+
+    def __init__(
+        self,
+        *,
+        endpoint: documents.Endpoint,
+        policy: documents.Policy,
+        admission: admissions.TargetAdmission,
+        now: float,
+    ) -> None:
+        self.number = endpoint.number
+        self.admission = admission
+        self.role = Role.REPLICA
+        self.has_records = False
+        self.flows = records.FlowTable(
+            now=now, opening_timeout_s=const.OPENING_TIMEOUT_S
+        )
+        self.overrides: dict[ids.FlowKey, Override] = {}
+        self.pending: dict[ids.FlowKey, float] = {}
+        self._policy = policy
+        self._pulled: dict[
+            ids.EndpointNumber, tuple[OwnerIdentity, ids.Generation]
+        ] = {}
+        self._recovered_at_s: float | None = None
+        self._settled_at_s = now
+        self._opened_at_s: dict[ids.FlowKey, float] = {}
+
+    def become_owner(self, now: float) -> None:
+        """Starts to decide; without records, slots stay closed at first."""
+        if self.role is Role.OWNER:
+            return
+        self.role = Role.OWNER
+        self._pulled.clear()
+        if not self.has_records:
+            self._recovered_at_s = now + self._policy.request_deadline_s
+            self.admission.begin_recovery(now)
+
+    def become_replica(self) -> None:
+        """Stops to decide; what it knows of overrides is no longer kept."""
+        self.role = Role.REPLICA
+        self._recovered_at_s = None
+        self.overrides.clear()
+        self.pending.clear()
+        self._pulled.clear()
+
+    def update_policy(self, policy: documents.Policy) -> None:
+        """Takes the policy of a new document."""
+        self._policy = policy
+
+    # Flows on this target.
+
+    def admit(
+        self,
+        key: ids.FlowKey,
+        kind: documents.PortKind,
+        share: float,
+        now: float,
+    ) -> admissions.Verdict:
+        """Decides on a new flow and records it when it is admitted.
+
+        Args:
+          key: The flow.
+          kind: The kind of its port.
+          share: Part of the limits, 0 to 1, that this owner may use.
+          now: Monotonic seconds.
+        """
+        verdict = self.admission.decide(kind=kind, share=share, now=now)
+        if verdict is admissions.Verdict.ADMIT:
+            self.admission.admit(kind, now)
+            self.flows.open(key, kind, now)
+            self._opened_at_s[key] = now
+        return verdict
+
+    def replicate(
+        self, key: ids.FlowKey, kind: documents.PortKind, now: float
+    ) -> None:
+        """Records a flow that the owner admitted."""
+        if self.flows.get_state(key) in (None, records.FlowState.CLOSED):
+            self.admission.adopt(kind)
+            self.flows.open(key, kind, now)
+
+    def adopt(
+        self, key: ids.FlowKey, kind: documents.PortKind, now: float
+    ) -> None:
+        """Records a flow that is open on this target without a record."""
+        self.admission.adopt(kind)
+        self.flows.adopt(key, kind, now)
+
+    def release(
+        self,
+        kind: documents.PortKind,
+        freed: records.Freed,
+        now: float,
+    ) -> None:
+        """Gives back what the end of a flow frees."""
+        if records.Freed.SLOT in freed:
+            self.admission.release_slot(now)
+        if records.Freed.CONNECTION in freed:
+            self.admission.release_connection(now)
+
+    def close_caller(self, key: ids.FlowKey, now: float) -> None:
+        """Notes the caller's FIN."""
+        kind = self.flows.get_kind(key)
+        self.release(kind, self.flows.close_caller(key, now), now)
+
+    def close_target(self, key: ids.FlowKey, now: float) -> None:
+        """Notes the target's FIN."""
+        kind = self.flows.get_kind(key)
+        self.release(kind, self.flows.close_target(key, now), now)
+
+    def close(self, key: ids.FlowKey, now: float) -> None:
+        """Notes the end of a flow in both directions."""
+        kind = self.flows.get_kind(key)
+        self.release(kind, self.flows.close(key, now), now)
+
+    # Flows of this base target elsewhere.
+
+    def set_override(
+        self, key: ids.FlowKey, number: ids.EndpointNumber, now: float
+    ) -> None:
+        """Records that a flow lives on another endpoint."""
+        self.pending.pop(key, None)
+        self.overrides[key] = Override(
+            number=number, expires_at_s=now + self._policy.idle_timeout_s
+        )
+        self._settled_at_s = now
+
+    def touch_override(self, key: ids.FlowKey, now: float) -> None:
+        """Notes that a packet of an overridden flow was seen."""
+        override = self.overrides[key]
+        override.expires_at_s = max(
+            override.expires_at_s, now + const.CLOSED_LINGER_S
+        )
+
+    def end_override(self, key: ids.FlowKey, now: float) -> None:
+        """Keeps a closed flow's override for the time of late packets."""
+        override = self.overrides.get(key)
+        if override is not None:
+            override.expires_at_s = now + const.CLOSED_LINGER_S
+
+    def set_pending(self, key: ids.FlowKey, now: float) -> None:
+        """Notes that the owners of other endpoints decide on a flow."""
+        self.pending[key] = now + const.PENDING_TIMEOUT_S
+        self._settled_at_s = now
+
+    def note_pull(
+        self,
+        number: ids.EndpointNumber,
+        identity: OwnerIdentity,
+        generation: ids.Generation,
+    ) -> None:
+        """Notes that all overrides on another endpoint are known."""
+        self._pulled[number] = (identity, generation)
+
+    def find_missing_pulls(
+        self,
+        peers: Mapping[ids.EndpointNumber, OwnerIdentity],
+        generation: ids.Generation,
+    ) -> list[ids.EndpointNumber]:
+        """Returns the endpoints whose owners have not reported overrides.
+
+        Args:
+          peers: The owner in view of each other endpoint of the service.
+          generation: The generation of the service's table.
+        """
+        return [
+            number
+            for number, identity in peers.items()
+            if self._pulled.get(number) != (identity, generation)
+        ]
+
+    def forget_pulls(self, known: frozenset[ids.EndpointNumber]) -> None:
+        """Requires a new pull from endpoints without an owner in view.
+
+        An owner that was out of view may have taken flows of this base
+        target on its side of a partition.
+        """
+        self._pulled = {
+            number: pull for number, pull in self._pulled.items()
+            if number in known
+        }
+
+    def is_settled(self, now: float, quiet_s: float) -> bool:
+        """Returns whether no flow was overridden for a while."""
+        return (
+            not self.overrides
+            and not self.pending
+            and now - self._settled_at_s >= quiet_s
+        )
+
+    def note_handshake(self, key: ids.FlowKey, now: float) -> None:
+        """Reports the time from a flow's first packet to the answer."""
+        opened_at_s = self._opened_at_s.pop(key, None)
+        if opened_at_s is not None:
+            self.admission.note_handshake(now - opened_at_s, now)
+
+    # Transfers to other balancers.
+
+    def list_flows(
+        self,
+        *,
+        keys: Iterable[ids.FlowKey],
+        after: int,
+        limit: int,
+    ) -> list[ids.FlowKey]:
+        """Returns open flows among `keys` above `after`, lowest first."""
+        return heapq.nsmallest(
+            limit,
+            (
+                key
+                for key in keys
+                if key > after
+                and self.flows.get_state(key) is not records.FlowState.CLOSED
+            ),
+        )
+
+    # Time.
+
+    def tick(self, now: float) -> list[ids.FlowKey]:
+        """Expires records; returns the keys of flows that timed out."""
+        if self._recovered_at_s is not None and now >= self._recovered_at_s:
+            self._recovered_at_s = None
+            self.has_records = True
+        expired = self.flows.expire(
+            now=now,
+            idle_timeout_s=self._policy.idle_timeout_s,
+            slot_timeout_s=self._policy.request_deadline_s,
+        )
+        for _, kind, freed in expired:
+            self.release(kind, freed, now)
+        for key in _list_expired(self.pending.items(), now):
+            del self.pending[key]
+        stale = _list_expired(
+            ((k, o.expires_at_s) for k, o in self.overrides.items()), now
+        )
+        for key in stale:
+            del self.overrides[key]
+        self._note_timeouts(now)
+        return [key for key, _, _ in expired]
+
+    def _note_timeouts(self, now: float) -> None:
+        late = _list_expired(
+            (
+                (key, opened_at_s + const.HANDSHAKE_TIMEOUT_S)
+                for key, opened_at_s in self._opened_at_s.items()
+            ),
+            now,
+        )
+        for key in late:
+            del self._opened_at_s[key]
+            if self.flows.get_state(key) is records.FlowState.OPENING:
+                self.admission.note_timeout(now)
+
+    def dump_state(self) -> dict[str, Any]:
+        """Returns plain values for the operators' dump."""
+        return {
+            "endpoint": self.number,
+            "role": self.role.value,
+            "has_records": self.has_records,
+            "flows": len(self.flows),
+            "overrides": len(self.overrides),
+            "pending": len(self.pending),
+            "pulled": sorted(self._pulled),
+            "admission": self.admission.dump_state(),
+        }
+
+
+def _list_expired(
+    deadlines: Iterable[tuple[ids.FlowKey, float]], now: float
+) -> list[ids.FlowKey]:
+    return [key for key, deadline in deadlines if now >= deadline]
--- /dev/null
+++ b/src/chivedoor/flows/records.py
@@ -0,0 +1,211 @@
+"""Compact records of the flows on one target."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import enum
+
+from chivedoor import ids
+from chivedoor.configuration import document as documents
+from chivedoor.flows import const
+
+_KINDS = tuple(documents.PortKind)
+_KIND_CODES = {kind: code for code, kind in enumerate(_KINDS)}
+_STATE_MASK = 0x3
+_KIND_SHIFT = 2
+_KIND_MASK = 0x3
+_CALLER_FIN = 0x10
+_TARGET_FIN = 0x20
+_HOLDS_SLOT = 0x40
+_ADOPTED = 0x80
+_SEEN_SHIFT = 8
+_FLAGS_MASK = 0xFF
+
+
+class FlowState(enum.IntEnum):
+    """Life of a flow as its owner sees it."""
+
+    OPENING = 0
+    OPEN = 1
+    CLOSED = 2
+
+
+class Freed(enum.Flag):
+    """What a change of a record gives back to the target's limits."""
+
+    NOTHING = 0
+    SLOT = enum.auto()
+    CONNECTION = enum.auto()
+
+
+class FlowTable:
+    """Flow records of one target, each packed into a small integer.
+
+    A record has the flow's state, the kind of its port, who has closed it,
+    and a coarse time of the last packet that the owner saw. An object for
+    each record would take several times the memory.
+    """
+
+    def __init__(self, *, now: float, opening_timeout_s: float) -> None:
+        self._origin = now
+        self._opening_timeout_s = opening_timeout_s
+        self._records: dict[ids.FlowKey, int] = {}
+        self._scan: Iterator[ids.FlowKey] = iter(())
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def __contains__(self, key: ids.FlowKey) -> bool:
+        return key in self._records
+
+    def __iter__(self) -> Iterator[ids.FlowKey]:
+        return iter(self._records)
+
+    def get_state(self, key: ids.FlowKey) -> FlowState | None:
+        """Returns the state of a flow, or None when it has no record."""
+        record = self._records.get(key)
+        return None if record is None else FlowState(record & _STATE_MASK)
+
+    def get_kind(self, key: ids.FlowKey) -> documents.PortKind:
+        """Returns the port kind of a recorded flow."""
+        return _KINDS[(self._records[key] >> _KIND_SHIFT) & _KIND_MASK]
+
+    def is_adopted(self, key: ids.FlowKey, now: float) -> bool:
+        """Returns whether a flow was adopted from a packet just now."""
+        record = self._records[key]
+        age_s = now - self._last_seen(record)
+        return bool(record & _ADOPTED) and age_s < const.ADOPTION_GRACE_S
+
+    def open(
+        self, key: ids.FlowKey, kind: documents.PortKind, now: float
+    ) -> None:
+        """Records a new flow whose first packet goes to the target."""
+        self._store(key, FlowState.OPENING, _encode(kind), now)
+
+    def adopt(
+        self, key: ids.FlowKey, kind: documents.PortKind, now: float
+    ) -> None:
+        """Records a flow that was already open when it was first seen."""
+        self._store(key, FlowState.OPEN, _encode(kind) | _ADOPTED, now)
+
+    def touch(self, key: ids.FlowKey, now: float) -> None:
+        """Notes that a packet of a recorded flow was seen."""
+        record = self._records[key]
+        if record & _STATE_MASK != FlowState.CLOSED:
+            self._records[key] = self._stamp(record & _FLAGS_MASK, now)
+
+    def confirm(self, key: ids.FlowKey, now: float) -> bool:
+        """Notes an answer of the target; returns whether it is the first."""
+        record = self._records[key]
+        if record & _STATE_MASK != FlowState.OPENING:
+            return False
+        flags = (record & _FLAGS_MASK & ~_STATE_MASK) | FlowState.OPEN
+        self._records[key] = self._stamp(flags, now)
+        return True
+
+    def close_caller(self, key: ids.FlowKey, now: float) -> Freed:
+        """Notes the caller's FIN."""
+        return self._note_fin(key, _CALLER_FIN, now)
+
+    def close_target(self, key: ids.FlowKey, now: float) -> Freed:
+        """Notes the target's FIN, after which a request uses no slot."""
+        return self._note_fin(key, _TARGET_FIN, now)
+
+    def close(self, key: ids.FlowKey, now: float) -> Freed:
+        """Notes the end of a flow in both directions."""
+        record = self._records[key]
+        if record & _STATE_MASK == FlowState.CLOSED:
+            return Freed.NOTHING
+        flags = record & _FLAGS_MASK & ~(_STATE_MASK | _HOLDS_SLOT)
+        self._records[key] = self._stamp(flags | FlowState.CLOSED, now)
+        return Freed.CONNECTION | _slot_of(record)
+
+    def remove(self, key: ids.FlowKey) -> Freed:
+        """Drops a record, whatever its state."""
+        record = self._records.pop(key)
+        if record & _STATE_MASK == FlowState.CLOSED:
+            return Freed.NOTHING
+        return Freed.CONNECTION | _slot_of(record)
+
+    def expire(
+        self, *, now: float, idle_timeout_s: float, slot_timeout_s: float
+    ) -> list[tuple[ids.FlowKey, documents.PortKind, Freed]]:
+        """Drops old records, a bounded number of them at a call.
+
+        Args:
+          now: Monotonic seconds.
+          idle_timeout_s: Age at which an open flow without packets ends.
+          slot_timeout_s: Age at which a request or upload without packets
+            ends; its target has given it up by then.
+
+        Returns:
+          The key, the kind and what is freed, for each dropped record.
+        """
+        batch = self._next_batch()
+        dropped = []
+        for key in batch:
+            record = self._records.get(key)
+            if record is None:
+                continue
+            timeout_s = self._find_timeout(
+                record, idle_timeout_s, slot_timeout_s
+            )
+            if now - self._last_seen(record) < timeout_s + const.TICK_S:
+                continue
+            dropped.append((key, self.get_kind(key), self.remove(key)))
+        return dropped
+
+    def _next_batch(self) -> Iterable[ids.FlowKey]:
+        batch = _take(self._scan, const.EXPIRE_BATCH)
+        if not batch:
+            self._scan = iter(tuple(self._records))
+            batch = _take(self._scan, const.EXPIRE_BATCH)
+        return batch
+
+    def _find_timeout(
+        self, record: int, idle_timeout_s: float, slot_timeout_s: float
+    ) -> float:
+        state = record & _STATE_MASK
+        if state == FlowState.CLOSED:
+            return const.CLOSED_LINGER_S
+        if state == FlowState.OPENING and not record & _HOLDS_SLOT:
+            return self._opening_timeout_s
+        return slot_timeout_s if record & _HOLDS_SLOT else idle_timeout_s
+
+    def _note_fin(self, key: ids.FlowKey, side: int, now: float) -> Freed:
+        record = self._records[key]
+        if record & _STATE_MASK == FlowState.CLOSED:
+            return Freed.NOTHING
+        flags = (record & _FLAGS_MASK) | side
+        if flags & _CALLER_FIN and flags & _TARGET_FIN:
+            return self.close(key, now)
+        freed = Freed.NOTHING
+        if side == _TARGET_FIN:
+            freed = _slot_of(record)
+            flags &= ~_HOLDS_SLOT
+        self._records[key] = self._stamp(flags, now)
+        return freed
+
+    def _store(
+        self, key: ids.FlowKey, state: FlowState, flags: int, now: float
+    ) -> None:
+        self._records[key] = self._stamp(flags | state, now)
+
+    def _stamp(self, flags: int, now: float) -> int:
+        ticks = int((now - self._origin) / const.TICK_S)
+        return (ticks << _SEEN_SHIFT) | flags
+
+    def _last_seen(self, record: int) -> float:
+        return self._origin + (record >> _SEEN_SHIFT) * const.TICK_S
+
+
+def _encode(kind: documents.PortKind) -> int:
+    slot = 0 if kind is documents.PortKind.STREAM else _HOLDS_SLOT
+    return (_KIND_CODES[kind] << _KIND_SHIFT) | slot
+
+
+def _slot_of(record: int) -> Freed:
+    return Freed.SLOT if record & _HOLDS_SLOT else Freed.NOTHING
+
+
+def _take(keys: Iterator[ids.FlowKey], count: int) -> list[ids.FlowKey]:
+    return [key for _, key in zip(range(count), keys)]
--- /dev/null
+++ b/src/chivedoor/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing tables, service lookup and ownership of targets."""
--- /dev/null
+++ b/src/chivedoor/routing/directory.py
@@ -0,0 +1,145 @@
+"""Lookup of services by address and port, in both directions."""
+
+from collections.abc import Mapping
+import dataclasses
+
+from chivedoor import ids
+from chivedoor.configuration import document as documents
+from chivedoor.routing import tables
+
+_Address = tuple[int, bytes, int]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class ServiceRoutes:
+    """The routing state of one service.
+
+    Attributes:
+      service: The service as the document in force lists it.
+      table: The table of the current generation.
+      previous: The table of the generation before, if any. A flow that the
+        new base target's owner does not know may live on the old one.
+      direct: Numbers of the endpoints whose mode is `DIRECT`.
+    """
+
+    service: documents.Service
+    table: tables.RoutingTable
+    previous: tables.RoutingTable | None = None
+    direct: frozenset[ids.EndpointNumber] = frozenset()
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True, eq=False)
+class ServiceEntry:
+    """A port of a service, as packets from callers reach it."""
+
+    routes: ServiceRoutes
+    port: documents.ServicePort
+    address: bytes
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True, eq=False)
+class EndpointEntry:
+    """A port of an endpoint, as packets from targets name it."""
+
+    routes: ServiceRoutes
+    port: documents.ServicePort
+    endpoint: documents.Endpoint
+    service_address: bytes
+
+
+class ServiceDirectory:
+    """Finds services and endpoints of the document in force."""
+
+    def __init__(self) -> None:
+        self.routes: dict[ids.ServiceId, ServiceRoutes] = {}
+        self.services: dict[_Address, ServiceEntry] = {}
+        self.endpoints: dict[_Address, EndpointEntry] = {}
+        self.by_number: dict[
+            ids.EndpointNumber, tuple[ServiceRoutes, documents.Endpoint]
+        ] = {}
+
+    def update(
+        self,
+        *,
+        document: documents.Document,
+        out_domains: frozenset[ids.DomainId],
+        region: ids.RegionId,
+    ) -> list[ServiceRoutes]:
+        """Takes a document and the domains that are out.
+
+        Returns:
+          The routes of services whose generation changed.
+        """
+        changed = []
+        routes: dict[ids.ServiceId, ServiceRoutes] = {}
+        for service in document.services.values():
+            known = self.routes.get(service.id)
+            current, is_new = _update_routes(
+                known=known,
+                service=service,
+                domains=document.domains,
+                out_domains=out_domains,
+                region=region,
+            )
+            routes[service.id] = current
+            if is_new:
+                changed.append(current)
+        self.routes = routes
+        self._index_entries()
+        return changed
+
+    def _index_entries(self) -> None:
+        self.services = {
+            (int(port.protocol), address, port.port): ServiceEntry(
+                routes=routes, port=port, address=address
+            )
+            for routes in self.routes.values()
+            for address in routes.service.addresses
+            for port in routes.service.ports
+        }
+        self.endpoints = {
+            (int(port.protocol), endpoint.address, port.target_port): (
+                EndpointEntry(
+                    routes=routes,
+                    port=port,
+                    endpoint=endpoint,
+                    service_address=address,
+                )
+            )
+            for routes in self.routes.values()
+            for endpoint in routes.service.endpoints
+            for address in routes.service.addresses
+            if len(address) == len(endpoint.address)
+            for port in routes.service.ports
+        }
+        self.by_number = {
+            endpoint.number: (routes, endpoint)
+            for routes in self.routes.values()
+            for endpoint in routes.service.endpoints
+        }
+
+
+def _update_routes(
+    *,
+    known: ServiceRoutes | None,
+    service: documents.Service,
+    domains: Mapping[ids.DomainId, documents.Domain],
+    out_domains: frozenset[ids.DomainId],
+    region: ids.RegionId,
+) -> tuple[ServiceRoutes, bool]:
+    selected = tables.select_endpoints(
+        service=service,
+        domains=domains,
+        out_domains=out_domains,
+        region=region,
+    )
+    table = tables.RoutingTable(endpoints=selected)
+    if known is None:
+        return ServiceRoutes(service=service, table=table), True
+    known.service = service
+    if known.table.generation == table.generation:
+        return known, False
+    known.previous = known.table
+    known.table = table
+    known.direct = frozenset()
+    return known, True
--- /dev/null
+++ b/src/chivedoor/routing/ownership.py
@@ -0,0 +1,69 @@
+"""Which balancers own the records and limits of each target."""
+
+from collections.abc import Iterable
+import heapq
+
+from chivedoor import ids
+from chivedoor.routing import hashing
+
+
+def rank_owners(
+    number: ids.EndpointNumber, candidates: Iterable[ids.VmId], count: int
+) -> tuple[ids.VmId, ...]:
+    """Returns the highest ranked balancers for an endpoint, best first."""
+    return tuple(
+        heapq.nlargest(
+            count,
+            candidates,
+            key=lambda member: (hashing.score_owner(number, member), member),
+        )
+    )
+
+
+class OwnerRanking:
+    """Ranks the balancers of one failure domain for its endpoints.
+
+    A member that joins costs one hash per ranked endpoint, and one that
+    leaves costs a new ranking of only the endpoints that it led. A full new
+    ranking for each of 1,100 restarts a day would take 2% of a core at 1,150
+    endpoints and 207 balancers in a failure domain.
+    """
+
+    def __init__(self, *, depth: int) -> None:
+        self._depth = depth
+        self._candidates: frozenset[ids.VmId] = frozenset()
+        self._ranked: dict[ids.EndpointNumber, tuple[ids.VmId, ...]] = {}
+
+    def find_owners(self, number: ids.EndpointNumber) -> tuple[ids.VmId, ...]:
+        """Returns the owner, then its replicas, of an endpoint."""
+        ranked = self._ranked.get(number)
+        if ranked is None:
+            ranked = rank_owners(number, self._candidates, self._depth)
+            self._ranked[number] = ranked
+        return ranked
+
+    def update_candidates(self, candidates: Iterable[ids.VmId]) -> bool:
+        """Takes the new set of balancers; returns whether it changed."""
+        wanted = frozenset(candidates)
+        if wanted == self._candidates:
+            return False
+        joined = wanted - self._candidates
+        left = self._candidates - wanted
+        self._candidates = wanted
+        for number, ranked in self._ranked.items():
+            if not left.isdisjoint(ranked):
+                pool: Iterable[ids.VmId] = wanted
+            elif joined:
+                pool = (*ranked, *joined)
+            else:
+                continue
+            self._ranked[number] = rank_owners(number, pool, self._depth)
+        return True
+
+    def forget_endpoints(self, known: frozenset[ids.EndpointNumber]) -> None:
+        """Drops rankings of endpoints that the document no longer lists."""
+        self._ranked = {
+            number: ranked
+            for number, ranked in self._ranked.items()
+            if number in known
+        }
--- /dev/null
+++ b/src/chivedoor/routing/tables.py
@@ -0,0 +1,117 @@
+"""The table that maps the buckets of a service to its endpoints."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import math
+
+import xxhash
+
+from chivedoor import ids
+from chivedoor.configuration import document as documents
+from chivedoor.routing import const
+from chivedoor.routing import hashing
+
+
+def select_endpoints(
+    *,
+    service: documents.Service,
+    domains: Mapping[ids.DomainId, documents.Domain],
+    out_domains: frozenset[ids.DomainId],
+    region: ids.RegionId,
+) -> tuple[documents.Endpoint, ...]:
+    """Returns the endpoints that take new flows, local region first.
+
+    Endpoints of another region are used only when the own region has none,
+    since callers reach the entry VMs of their own region.
+    """
+    usable = tuple(
+        endpoint
+        for endpoint in service.endpoints
+        if endpoint.state is documents.EndpointState.ACTIVE
+        and endpoint.domain not in out_domains
+    )
+    local = tuple(
+        endpoint
+        for endpoint in usable
+        if domains[endpoint.domain].region == region
+    )
+    return local or usable
+
+
+def compute_generation(
+    endpoints: Sequence[documents.Endpoint],
+) -> ids.Generation:
+    """Returns a fingerprint of the inputs of a table."""
+    inputs = ";".join(
+        sorted(f"{e.number},{e.weight},{e.domain}" for e in endpoints)
+    )
+    digest = xxhash.xxh3_64_intdigest(inputs, const.GENERATION_HASH_SEED)
+    return ids.Generation(digest >> 1)
+
+
+class RoutingTable:
+    """First choice of each bucket, and the ranking behind it.
+
+    All balancers with the same endpoints compute the same table, whatever
+    they know of health, load or each other.
+    """
+
+    def __init__(self, *, endpoints: Sequence[documents.Endpoint]) -> None:
+        self._endpoints = tuple(sorted(endpoints, key=lambda e: e.number))
+        self.generation = compute_generation(self._endpoints)
+        self.mask = _count_buckets(len(self._endpoints)) - 1
+        self._first: list[documents.Endpoint] | None = None
+
+    def find_base(self, key: ids.FlowKey) -> documents.Endpoint | None:
+        """Returns the base target of a flow, or None without endpoints."""
+        # Most services of a balancer at the planned size see no packet for a
+        # long time, so their tables are built at first use.
+        if self._first is None:
+            self._first = self._assign_buckets()
+        if not self._first:
+            return None
+        return self._first[key & self.mask]
+
+    def rank_endpoints(
+        self, key: ids.FlowKey
+    ) -> tuple[documents.Endpoint, ...]:
+        """Returns all endpoints in the order in which a flow tries them."""
+        base = self.find_base(key)
+        if base is None:
+            return ()
+        ranking = self._rank_bucket(key & self.mask)
+        return (base, *(e for e in ranking if e is not base))
+
+    def _rank_bucket(self, bucket: int) -> list[documents.Endpoint]:
+        return sorted(
+            self._endpoints,
+            key=lambda e: hashing.score_endpoint(bucket, e.number, e.weight),
+            reverse=True,
+        )
+
+    def _assign_buckets(self) -> list[documents.Endpoint]:
+        if not self._endpoints:
+            return []
+        if len(self._endpoints) == 1:
+            return list(self._endpoints)
+        size = self.mask + 1
+        total = sum(e.weight for e in self._endpoints)
+        room = {
+            e.number: math.ceil(size * e.weight / total * const.FIRST_PLACE_CAP)
+            for e in self._endpoints
+        }
+        first = []
+        for bucket in range(size):
+            choice = next(
+                e for e in self._rank_bucket(bucket) if room[e.number]
+            )
+            room[choice.number] -= 1
+            first.append(choice)
+        return first
+
+
+def _count_buckets(endpoint_count: int) -> int:
+    if endpoint_count <= 1:
+        return 1
+    wanted = endpoint_count * const.BUCKETS_PER_ENDPOINT
+    return min(const.MAX_BUCKETS, 1 << (wanted - 1).bit_length())
