--- /dev/null
+++ b/src/chivedoor/dataplane/__init__.py
@@ -0,0 +1,1 @@
+"""Packets: parsing, rewriting, refusals, encapsulation and socket I/O."""
--- /dev/null
+++ b/src/chivedoor/dataplane/encapsulation.py
@@ -0,0 +1,204 @@
+"""Authenticated encapsulation of packets between balancers."""
+
+import enum
+import hashlib
+import hmac
+import struct
+from typing import NamedTuple
+
+from chivedoor.dataplane import const
+from chivedoor.dataplane import exceptions
+
+_SealFault = exceptions.SealFault
+
+# Version, kind, hops, key slot, document version, endpoint number.
+_FIELDS = struct.Struct("!BBBBII")
+_TAG_OFFSET = _FIELDS.size
+_PACKET_OFFSET = const.ENCAPSULATION_HEADER_BYTES
+
+# Separates the tags from other uses of the same key.
+_TAG_PERSON = b"chivedoor-packet"
+_SLOT_PERSON = b"chivedoor-slot"
+
+
+class ForwardKind(enum.IntEnum):
+    """What the receiving balancer is to do with the packet."""
+
+    RESOLVE = 1
+    NEXT = 2
+    CHAIN = 3
+    COPY = 4
+    ANSWER = 5
+
+
+_KINDS = {int(kind): kind for kind in ForwardKind}
+
+
+class Header(NamedTuple):
+    """Header of a packet between balancers.
+
+    Attributes:
+        kind: What the receiving balancer is to do.
+        hops: Balancers passed so far, at most `const.MAX_HOPS`.
+        document_version: Version of the sender's document.
+        endpoint_number: The endpoint that the packet concerns.
+    """
+
+    kind: ForwardKind
+    hops: int
+    document_version: int
+    endpoint_number: int
+
+
+class Keys:
+    """The key in use and a second key that is accepted during a rotation.
+
+    A key's slot is derived from the key, so that balancers agree on it
+    without a setting. To rotate, give the new key as the second key to every
+    balancer, then exchange the two keys, then remove the old key.
+    """
+
+    __slots__ = ("_hashes", "_slot")
+
+    def __init__(self, *, current: bytes, previous: bytes | None = None):
+        """Prepares the keyed hashes.
+
+        Args:
+            current: Key for sending and receiving, 16 to 64 bytes.
+            previous: Key that is also accepted, or None.
+
+        Raises:
+            exceptions.KeyLengthError: A key has the wrong length.
+        """
+        accepted = [current] if previous is None else [current, previous]
+        self._slot = _derive_slot(current)
+        # Two keys with the same slot are both tried.
+        self._hashes: dict[int, tuple] = {}
+        for key in accepted:
+            slot = _derive_slot(key)
+            known = self._hashes.get(slot, ())
+            self._hashes[slot] = (*known, _make_hash(key))
+
+    @property
+    def slot(self) -> int:
+        """Slot of the key used for sending."""
+        return self._slot
+
+    def compute_tag(self, fields: bytes, data: bytes | memoryview) -> bytes:
+        """Returns the tag under the current key."""
+        return _finish_tag(self._hashes[self._slot][0], fields, data)
+
+    def verify_tag(
+        self,
+        slot: int,
+        tag: bytes | memoryview,
+        fields: bytes | memoryview,
+        data: memoryview,
+    ) -> None:
+        """Checks a tag against the keys of a slot.
+
+        Raises:
+            exceptions.EncapsulationError: No key has this slot, or the tag
+                does not match.
+        """
+        hashes = self._hashes.get(slot)
+        if hashes is None:
+            raise exceptions.EncapsulationError(_SealFault.UNKNOWN_KEY)
+        for keyed in hashes:
+            if hmac.compare_digest(_finish_tag(keyed, fields, data), tag):
+                return
+        raise exceptions.EncapsulationError(_SealFault.BAD_TAG)
+
+
+def seal_packet(
+    header: Header, data: bytes | bytearray | memoryview, keys: Keys
+) -> bytes:
+    """Puts a header with a tag before an IP packet.
+
+    Args:
+        header: The header's fields.
+        data: The IP packet.
+        keys: Keys shared by the balancers.
+
+    Returns:
+        The datagram for the other balancer.
+
+    Raises:
+        exceptions.EncapsulationError: A field is out of its range, or the
+            packet has passed too many balancers.
+    """
+    kind, hops, document_version, endpoint_number = header
+    if hops > const.MAX_HOPS:
+        raise exceptions.EncapsulationError(_SealFault.TOO_MANY_HOPS)
+    try:
+        fields = _FIELDS.pack(
+            const.ENCAPSULATION_VERSION,
+            kind,
+            hops,
+            keys.slot,
+            document_version,
+            endpoint_number,
+        )
+    except struct.error as error:
+        raise exceptions.EncapsulationError(_SealFault.FIELD_RANGE) from error
+    return b"".join((fields, keys.compute_tag(fields, data), data))
+
+
+def open_packet(
+    datagram: bytes | memoryview, keys: Keys
+) -> tuple[Header, memoryview]:
+    """Checks and removes the header of a packet between balancers.
+
+    Args:
+        datagram: The received datagram.
+        keys: Keys shared by the balancers.
+
+    Returns:
+        The header, and the IP packet as a view of the datagram.
+
+    Raises:
+        exceptions.EncapsulationError: The datagram is not an authentic
+            packet of another balancer.
+    """
+    view = memoryview(datagram)
+    if len(view) < _PACKET_OFFSET:
+        raise exceptions.EncapsulationError(_SealFault.TRUNCATED)
+    version, kind, hops, slot, document_version, endpoint_number = (
+        _FIELDS.unpack_from(view)
+    )
+    if version != const.ENCAPSULATION_VERSION:
+        raise exceptions.EncapsulationError(_SealFault.UNKNOWN_VERSION)
+    data = view[_PACKET_OFFSET:]
+    keys.verify_tag(
+        slot, view[_TAG_OFFSET:_PACKET_OFFSET], view[:_TAG_OFFSET], data
+    )
+    forward_kind = _KINDS.get(kind)
+    if forward_kind is None:
+        raise exceptions.EncapsulationError(_SealFault.UNKNOWN_KIND)
+    if hops > const.MAX_HOPS:
+        raise exceptions.EncapsulationError(_SealFault.TOO_MANY_HOPS)
+    return Header(forward_kind, hops, document_version, endpoint_number), data
+
+
+def _derive_slot(key: bytes) -> int:
+    if not const.MIN_KEY_BYTES <= len(key) <= const.MAX_KEY_BYTES:
+        raise exceptions.KeyLengthError(f"key of {len(key)} bytes")
+    digest = hashlib.blake2b(key=key, digest_size=1, person=_SLOT_PERSON)
+    return digest.digest()[0]
+
+
+def _make_hash(key: bytes) -> hashlib.blake2b:
+    return hashlib.blake2b(
+        key=key, digest_size=const.TAG_BYTES, person=_TAG_PERSON
+    )
+
+
+def _finish_tag(
+    keyed: hashlib.blake2b,
+    fields: bytes | memoryview,
+    data: bytes | memoryview,
+) -> bytes:
+    state = keyed.copy()
+    state.update(fields)
+    state.update(data)
+    return state.digest()
--- /dev/null
+++ b/src/chivedoor/dataplane/port.py
@@ -0,0 +1,216 @@
+"""UDP socket that is read in batches on the event loop."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import socket
+
+from chivedoor.dataplane import const
+from chivedoor.dataplane import exceptions
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class PortCounters:
+    """Counters of a packet port since it was created.
+
+    Attributes:
+        batches: Batches handed over.
+        received: Datagrams handed over.
+        received_bytes: Bytes in these datagrams.
+        receive_errors: Failed reads, other than an empty socket buffer.
+        sent: Datagrams sent.
+        sent_bytes: Bytes in these datagrams.
+        send_blocked: Datagrams dropped because the send buffer was full.
+        send_errors: Datagrams that could not be sent for another reason.
+        discarded: Datagrams removed by `PacketPort.discard_waiting`.
+    """
+
+    batches: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    receive_errors: int = 0
+    sent: int = 0
+    sent_bytes: int = 0
+    send_blocked: int = 0
+    send_errors: int = 0
+    discarded: int = 0
+
+
+class PacketPort:
+    """A non-blocking UDP socket with one batch of datagrams per loop turn.
+
+    A batch is bounded, so that timers and control connections run between
+    batches also when datagrams arrive faster than they are handled.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        port: int,
+        handle_batch: Callable[[list[memoryview]], None],
+        batch_size: int = const.BATCH_DATAGRAMS,
+    ) -> None:
+        """Prepares the port without opening a socket.
+
+        Args:
+            address: Numeric local address.
+            port: Local port; 0 lets the system choose one.
+            handle_batch: Called on the loop with the datagrams of one turn.
+                The views are valid only during the call.
+            batch_size: Largest number of datagrams in a batch.
+        """
+        self.counters = PortCounters()
+        self._address = address
+        self._port = port
+        self._handle_batch = handle_batch
+        self._slots = _make_slots(batch_size)
+        self._socket: socket.socket | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+
+    @property
+    def local_address(self) -> tuple[str, int]:
+        """Local address and port of the open socket.
+
+        Raises:
+            exceptions.PortError: The port is not open.
+        """
+        return self._get_socket().getsockname()[:2]
+
+    @property
+    def receive_buffer_bytes(self) -> int:
+        """Size of the socket's receive buffer that the system granted.
+
+        Raises:
+            exceptions.PortError: The port is not open.
+        """
+        return self._get_socket().getsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF
+        )
+
+    async def async_open(self) -> None:
+        """Binds the socket and starts to read from it.
+
+        Raises:
+            exceptions.PortError: The port is already open, or the system
+                refuses the address.
+        """
+        if self._socket is not None:
+            raise exceptions.PortError("the port is already open")
+        self._socket = _open_socket(self._address, self._port)
+        self._loop = asyncio.get_running_loop()
+        self._loop.add_reader(self._socket.fileno(), self._read_batch)
+
+    async def async_close(self) -> None:
+        """Stops reading and closes the socket; does nothing when closed."""
+        if self._socket is None:
+            return
+        self._loop.remove_reader(self._socket.fileno())
+        self._socket.close()
+        self._socket = None
+        self._loop = None
+
+    def send(
+        self, data: bytes | bytearray | memoryview, destination: tuple[str, int]
+    ) -> None:
+        """Sends one datagram; failures are counted and not raised.
+
+        Args:
+            data: The datagram.
+            destination: Numeric address and port.
+        """
+        counters = self.counters
+        if self._socket is None:
+            counters.send_errors += 1
+            return
+        try:
+            size = self._socket.sendto(data, destination)
+        except BlockingIOError:
+            counters.send_blocked += 1
+        except (OSError, OverflowError):
+            # A port number above 65535 raises OverflowError.
+            counters.send_errors += 1
+        else:
+            counters.sent += 1
+            counters.sent_bytes += size
+
+    def discard_waiting(self) -> int:
+        """Empties the socket buffer.
+
+        Returns:
+            The number of datagrams discarded. The number read is bounded by
+            the size of the socket buffer, so that datagrams that arrive
+            during the call cannot keep it from returning.
+
+        Raises:
+            exceptions.PortError: The port is not open.
+        """
+        source = self._get_socket()
+        bound = self.receive_buffer_bytes // const.MIN_KERNEL_DATAGRAM_BYTES
+        discarded = 0
+        while discarded < bound:
+            try:
+                source.recv_into(self._slots[0])
+            except BlockingIOError:
+                break
+            except OSError:
+                self.counters.receive_errors += 1
+                break
+            discarded += 1
+        self.counters.discarded += discarded
+        return discarded
+
+    def _read_batch(self) -> None:
+        batch = self._receive()
+        if not batch:
+            return
+        counters = self.counters
+        counters.batches += 1
+        counters.received += len(batch)
+        counters.received_bytes += sum(map(len, batch))
+        self._handle_batch(batch)
+
+    def _receive(self) -> list[memoryview]:
+        receive_into = self._socket.recv_into
+        batch = []
+        try:
+            for slot in self._slots:
+                batch.append(slot[: receive_into(slot)])
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.counters.receive_errors += 1
+        return batch
+
+    def _get_socket(self) -> socket.socket:
+        if self._socket is None:
+            raise exceptions.PortError("the port is not open")
+        return self._socket
+
+
+def _make_slots(count: int) -> tuple[memoryview, ...]:
+    view = memoryview(bytearray(count * const.MAX_DATAGRAM_BYTES))
+    starts = range(0, len(view), const.MAX_DATAGRAM_BYTES)
+    return tuple(
+        view[start : start + const.MAX_DATAGRAM_BYTES] for start in starts
+    )
+
+
+def _open_socket(address: str, port: int) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    opened = socket.socket(family, socket.SOCK_DGRAM)
+    try:
+        opened.setblocking(False)
+        opened.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, const.RECEIVE_BUFFER_BYTES
+        )
+        opened.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, const.SEND_BUFFER_BYTES
+        )
+        opened.bind((address, port))
+    except (OSError, OverflowError) as error:
+        opened.close()
+        raise exceptions.PortError(
+            f"cannot bind {address} port {port}: {error}"
+        ) from error
+    return opened
--- /dev/null
+++ b/src/chivedoor/dataplane/refusal.py
@@ -0,0 +1,207 @@
+"""Packets that refuse or abort a flow: TCP RST and ICMP unreachable."""
+
+import enum
+import struct
+
+from chivedoor.dataplane import const
+from chivedoor.dataplane import exceptions
+from chivedoor.dataplane import packet as packets
+
+# Version and header length, TOS, length, id, fragment word, TTL, protocol,
+# checksum, source, destination.
+_IPV4_HEADER = struct.Struct("!BBHHHBBH4s4s")
+# Version, class and label, payload length, next header, hop limit, source,
+# destination.
+_IPV6_HEADER = struct.Struct("!IHBB16s16s")
+# Ports, sequence number, acknowledgement number, data offset, flags, window,
+# checksum, urgent pointer.
+_TCP_HEADER = struct.Struct("!HHIIBBHHH")
+# Sequence and acknowledgement number.
+_TCP_NUMBERS = struct.Struct("!4xII")
+# Type, code, checksum, unused.
+_ICMP_HEADER = struct.Struct("!BBHI")
+# Zeros, length, zero and protocol: the end of a pseudo header.
+_PSEUDO_END = struct.Struct("!IxxxB")
+
+_IPV4_FIRST_BYTE = 0x45
+_IPV6_FIRST_WORD = 0x60000000
+_TCP_DATA_OFFSET = (const.TCP_HEADER_BYTES // 4) << 4
+_SEQUENCE_MODULUS = 1 << 32
+_TCP_CHECKSUM_OFFSET = 16
+_ICMP_CHECKSUM_OFFSET = 2
+_ICMPV4_UNREACHABLE = 3
+_ICMPV6_UNREACHABLE = 1
+
+
+class UnreachableCode(enum.Enum):
+    """What an ICMP unreachable message says."""
+
+    PORT = "port"
+    PROHIBITED = "prohibited"
+
+
+_ICMPV4_CODES = {UnreachableCode.PORT: 3, UnreachableCode.PROHIBITED: 13}
+_ICMPV6_CODES = {UnreachableCode.PORT: 4, UnreachableCode.PROHIBITED: 1}
+
+
+def build_reset(packet: packets.Packet) -> bytes:
+    """Builds the RST that refuses a connection.
+
+    Args:
+        packet: The caller's SYN with its original addresses.
+
+    Returns:
+        The IP packet for the caller.
+
+    Raises:
+        exceptions.RefusalError: The packet is not a SYN.
+    """
+    if packet.protocol != const.TCP or not packet.is_syn:
+        raise exceptions.RefusalError("a reset answers a SYN only")
+    return _answer_with_reset(packet)
+
+
+def build_abort(packet: packets.Packet) -> bytes:
+    """Builds the RST that aborts a connection, for the packet's sender.
+
+    The sender accepts it, because its sequence number is the one that the
+    sender acknowledges (RFC 9293 section 3.10.7.1, RFC 5961 section 3.2).
+
+    Args:
+        packet: A segment of the connection with its original addresses.
+
+    Returns:
+        The IP packet for the sender.
+
+    Raises:
+        exceptions.RefusalError: The packet is a RST or not TCP.
+    """
+    if packet.protocol != const.TCP or packet.is_reset:
+        raise exceptions.RefusalError("an abort answers TCP other than RST")
+    return _answer_with_reset(packet)
+
+
+def build_unreachable(packet: packets.Packet, code: UnreachableCode) -> bytes:
+    """Builds an ICMP destination unreachable message for the sender.
+
+    Args:
+        packet: The refused packet with its original addresses.
+        code: What the message says.
+
+    Returns:
+        The IP packet for the sender, with as much of the refused packet as
+        the standards allow.
+
+    Raises:
+        exceptions.RefusalError: The packet is a RST.
+    """
+    if packet.is_reset:
+        raise exceptions.RefusalError("a RST is never answered")
+    if packet.version == const.IPV4:
+        return _build_icmpv4(packet, _ICMPV4_CODES[code])
+    return _build_icmpv6(packet, _ICMPV6_CODES[code])
+
+
+def compute_checksum(data: bytes | bytearray) -> int:
+    """Computes the Internet checksum (RFC 1071) of some bytes."""
+    if len(data) % 2:
+        data = bytes(data) + b"\x00"
+    rest = int.from_bytes(data, "big") % const.CHECKSUM_MODULUS
+    return -rest % const.CHECKSUM_MODULUS
+
+
+def _answer_with_reset(packet: packets.Packet) -> bytes:
+    sequence, acknowledgement, flags = _choose_reset_numbers(packet)
+    segment = bytearray(
+        _TCP_HEADER.pack(
+            packet.destination_port,
+            packet.source_port,
+            sequence,
+            acknowledgement,
+            _TCP_DATA_OFFSET,
+            flags,
+            0,
+            0,
+            0,
+        )
+    )
+    pseudo = _build_pseudo_header(packet, len(segment), const.TCP)
+    _set_checksum(segment, _TCP_CHECKSUM_OFFSET, pseudo)
+    return _build_ip_header(packet, len(segment), const.TCP) + segment
+
+
+def _choose_reset_numbers(packet: packets.Packet) -> tuple[int, int, int]:
+    """Applies the rule for resets of RFC 9293, section 3.10.7.1."""
+    sequence, acknowledgement = _TCP_NUMBERS.unpack_from(
+        packet.buffer, packet.transport_offset
+    )
+    if packet.flags & const.FLAG_ACK:
+        return acknowledgement, 0, const.FLAG_RST
+    length = len(packet.buffer) - packet.payload_offset
+    # SYN and FIN each take one sequence number.
+    length += bool(packet.flags & const.FLAG_SYN)
+    length += bool(packet.flags & const.FLAG_FIN)
+    acknowledgement = (sequence + length) % _SEQUENCE_MODULUS
+    return 0, acknowledgement, const.FLAG_RST | const.FLAG_ACK
+
+
+def _build_icmpv4(packet: packets.Packet, code: int) -> bytes:
+    headers = const.IPV4_HEADER_BYTES + const.ICMP_HEADER_BYTES
+    quoted = packet.buffer[: const.ICMPV4_ERROR_BYTES - headers]
+    message = bytearray(_ICMP_HEADER.pack(_ICMPV4_UNREACHABLE, code, 0, 0))
+    message += quoted
+    _set_checksum(message, _ICMP_CHECKSUM_OFFSET, b"")
+    return _build_ip_header(packet, len(message), const.ICMPV4) + message
+
+
+def _build_icmpv6(packet: packets.Packet, code: int) -> bytes:
+    headers = const.IPV6_HEADER_BYTES + const.ICMP_HEADER_BYTES
+    quoted = packet.buffer[: const.ICMPV6_ERROR_BYTES - headers]
+    message = bytearray(_ICMP_HEADER.pack(_ICMPV6_UNREACHABLE, code, 0, 0))
+    message += quoted
+    pseudo = _build_pseudo_header(packet, len(message), const.ICMPV6)
+    _set_checksum(message, _ICMP_CHECKSUM_OFFSET, pseudo)
+    return _build_ip_header(packet, len(message), const.ICMPV6) + message
+
+
+def _build_pseudo_header(
+    packet: packets.Packet, length: int, protocol: int
+) -> bytes:
+    # The order and width of the fields differ between IPv4 and IPv6, but not
+    # their sum.
+    end = _PSEUDO_END.pack(length, protocol)
+    return packet.source + packet.destination + end
+
+
+def _set_checksum(message: bytearray, offset: int, pseudo: bytes) -> None:
+    checksum = compute_checksum(pseudo + message)
+    message[offset : offset + 2] = checksum.to_bytes(2, "big")
+
+
+def _build_ip_header(
+    packet: packets.Packet, length: int, protocol: int
+) -> bytes:
+    if packet.version == const.IPV6:
+        return _IPV6_HEADER.pack(
+            _IPV6_FIRST_WORD,
+            length,
+            protocol,
+            const.REFUSAL_TTL,
+            packet.destination,
+            packet.source,
+        )
+    fields = [
+        _IPV4_FIRST_BYTE,
+        0,
+        const.IPV4_HEADER_BYTES + length,
+        0,
+        const.IPV4_DONT_FRAGMENT,
+        const.REFUSAL_TTL,
+        protocol,
+        0,
+        packet.destination,
+        packet.source,
+    ]
+    checksum = compute_checksum(_IPV4_HEADER.pack(*fields))
+    fields[7] = checksum
+    return _IPV4_HEADER.pack(*fields)
--- /dev/null
+++ b/tests/dataplane/test_encapsulation.py
@@ -0,0 +1,160 @@
+"""Tests of the encapsulation between balancers."""
+
+import hashlib
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from chivedoor.dataplane import encapsulation
+from chivedoor.dataplane import exceptions
+from tests.dataplane import conftest as build
+
+Fault = exceptions.SealFault
+Kind = encapsulation.ForwardKind
+OLD = bytes(range(16))
+NEW = bytes(range(32))
+KEYS = encapsulation.Keys(current=OLD)
+HEADER = encapsulation.Header(
+    kind=Kind.RESOLVE, hops=1, document_version=7, endpoint_number=42
+)
+
+
+def open_or_fault(datagram, keys=KEYS):
+    try:
+        return encapsulation.open_packet(datagram, keys)
+    except exceptions.EncapsulationError as error:
+        return error.fault
+
+
+def seal_fields(fields, key=OLD):
+    """Seals header bytes that `seal_packet` itself does not produce."""
+    tag = hashlib.blake2b(
+        fields + b"x", key=key, digest_size=8, person=b"chivedoor-packet"
+    )
+    return fields + tag.digest() + b"x"
+
+
+@hypothesis.given(
+    strategies.sampled_from(Kind),
+    strategies.integers(0, 6),
+    strategies.integers(0, 2**32 - 1),
+    strategies.integers(0, 2**32 - 1),
+    strategies.binary(max_size=1500),
+)
+def test_seal_and_open(kind, hops, version, number, data):
+    # Guards against fields that are cut or exchanged on the way.
+    header = encapsulation.Header(kind, hops, version, number)
+    sealed = encapsulation.seal_packet(header, data, KEYS)
+    assert encapsulation.open_packet(sealed, KEYS) == (header, data)
+    assert len(sealed) == 20 + len(data)
+
+
+def test_wire_format():
+    # Guards against a change of the format without a new version number.
+    sealed = encapsulation.seal_packet(HEADER, b"x", KEYS)
+    fields = bytes([1, 1, 1, KEYS.slot, 0, 0, 0, 7, 0, 0, 0, 42])
+    assert sealed == seal_fields(fields)
+
+
+def test_every_changed_bit_is_detected():
+    # Guards against parts of the message that the tag does not cover.
+    sealed = encapsulation.seal_packet(HEADER, build.tcp_packet(), KEYS)
+    for bit in range(len(sealed) * 8):
+        damaged = bytearray(sealed)
+        damaged[bit // 8] ^= 1 << bit % 8
+        assert isinstance(open_or_fault(bytes(damaged)), Fault)
+
+
+@hypothesis.settings(max_examples=300)
+@hypothesis.given(strategies.binary(max_size=64))
+def test_any_bytes_give_a_fault(data):
+    # Guards against untyped errors out of the receive loop.
+    assert isinstance(open_or_fault(data), Fault)
+
+
+@pytest.mark.parametrize(
+    ("datagram", "fault"),
+    [
+        (b"\1" * 19, Fault.TRUNCATED),
+        (
+            seal_fields(bytes([2, 1, 0, KEYS.slot]) + bytes(8)),
+            Fault("unknown_version"),
+        ),
+        (
+            seal_fields(bytes([1, 9, 0, KEYS.slot]) + bytes(8)),
+            Fault("unknown_kind"),
+        ),
+        (
+            seal_fields(bytes([1, 1, 7, KEYS.slot]) + bytes(8)),
+            Fault("too_many_hops"),
+        ),
+        (
+            seal_fields(bytes([1, 1, 0, KEYS.slot ^ 1]) + bytes(8)),
+            Fault("unknown_key"),
+        ),
+        (
+            seal_fields(bytes([1, 1, 0, KEYS.slot]) + bytes(8), NEW),
+            Fault("bad_tag"),
+        ),
+    ],
+)
+def test_faults(datagram, fault):
+    # Guards against a fault that is counted under another reason.
+    assert open_or_fault(datagram) is fault
+
+
+@pytest.mark.parametrize(
+    ("change", "fault"),
+    [
+        ({"hops": 7}, Fault.TOO_MANY_HOPS),
+        ({"hops": -1}, Fault.FIELD_RANGE),
+        ({"document_version": 2**32}, Fault.FIELD_RANGE),
+        ({"endpoint_number": -1}, Fault.FIELD_RANGE),
+    ],
+)
+def test_fields_that_cannot_be_sealed(change, fault):
+    # Guards against a forwarding loop, and against struct errors.
+    with pytest.raises(exceptions.EncapsulationError) as caught:
+        encapsulation.seal_packet(HEADER._replace(**change), b"", KEYS)
+    assert caught.value.fault is fault
+
+
+def test_rotation_never_rejects_a_peer():
+    # Guards against a rotation during which some peers cannot be read.
+    steps = [
+        encapsulation.Keys(current=OLD),
+        encapsulation.Keys(current=OLD, previous=NEW),
+        encapsulation.Keys(current=NEW, previous=OLD),
+        encapsulation.Keys(current=NEW),
+    ]
+    for before, after in zip(steps, steps[1:], strict=False):
+        for sender, receiver in [(before, after), (after, before)]:
+            sealed = encapsulation.seal_packet(HEADER, b"x", sender)
+            assert encapsulation.open_packet(sealed, receiver)[1] == b"x"
+    sealed = encapsulation.seal_packet(HEADER, b"x", steps[0])
+    assert open_or_fault(sealed, steps[3]) is Fault.UNKNOWN_KEY
+
+
+def test_keys_in_one_slot_are_both_accepted():
+    # Guards against a rotation between two keys with equal slots.
+    slots = {}
+    for number in range(1000):
+        key = number.to_bytes(16, "big")
+        slot = encapsulation.Keys(current=key).slot
+        other = slots.setdefault(slot, key)
+        if other != key:
+            break
+    both = encapsulation.Keys(current=key, previous=other)
+    for sender in (key, other):
+        sealed = encapsulation.seal_packet(
+            HEADER, b"x", encapsulation.Keys(current=sender)
+        )
+        assert encapsulation.open_packet(sealed, both)[1] == b"x"
+
+
+@pytest.mark.parametrize("size", [0, 15, 65])
+def test_key_length(size):
+    # Guards against a short key from the settings.
+    with pytest.raises(exceptions.KeyLengthError):
+        encapsulation.Keys(current=bytes(size))
