--- a/src/chivedoor/balancer/balancer.py
+++ b/src/chivedoor/balancer/balancer.py
@@ -54,7 +54,9 @@
             replica_rankings={},
         )
         self._region = region
-        self._modes: dict[ids.EndpointNumber, Mode] = {}
+        self._modes: dict[
+            ids.EndpointNumber, dict[ids.VmId, Mode]
+        ] = {}
         self._resolver = resolvers.Resolver(
             context=self.context, request_filter=duplicates.RequestFilter()
         )
@@ -200,12 +202,15 @@
 
     def set_mode(self, mode: Mode) -> None:
         """Takes an owner's announcement of mode `DIRECT`."""
-        self._modes[mode.number] = mode
+        announced = self._modes.setdefault(mode.number, {})
+        announced[mode.identity.member] = mode
         self._update_direct((mode.number,))
 
-    def clear_mode(self, number: ids.EndpointNumber) -> None:
-        """Takes an owner's withdrawal of mode `DIRECT`."""
-        self._modes.pop(number, None)
+    def clear_mode(
+        self, number: ids.EndpointNumber, member: ids.VmId
+    ) -> None:
+        """Takes a balancer's withdrawal of mode `DIRECT`."""
+        self._modes.get(number, {}).pop(member, None)
         self._update_direct((number,))
 
     def forget_modes(self) -> None:
@@ -243,11 +248,14 @@
         routes: directories.ServiceRoutes,
         endpoint: documents.Endpoint,
     ) -> bool:
-        mode = self._modes.get(endpoint.number)
+        identity = self.context.find_identity(endpoint)
+        if identity is None:
+            return False
+        mode = self._modes.get(endpoint.number, {}).get(identity.member)
         return (
             mode is not None
             and mode.generation == routes.table.generation
-            and mode.identity == self.context.find_identity(endpoint)
+            and mode.identity == identity
         )
 
     def dump_state(self) -> Mapping[str, Any]:
--- a/src/chivedoor/balancer/context.py
+++ b/src/chivedoor/balancer/context.py
@@ -103,7 +103,5 @@
     domain: ids.DomainId,
 ) -> ownership.OwnerRanking:
     if domain not in rankings:
-        rankings[domain] = ownership.OwnerRanking(
-            depth=const.OWNERS_PER_TARGET
-        )
+        rankings[domain] = ownership.OwnerRanking(depth=const.OWNERS_PER_TARGET)
     return rankings[domain]
--- a/src/chivedoor/balancer/receiver.py
+++ b/src/chivedoor/balancer/receiver.py
@@ -2,20 +2,17 @@
 
 from chivedoor import ids
 from chivedoor.balancer import actions
-from chivedoor.balancer import const
 from chivedoor.balancer import context as contexts
 from chivedoor.balancer import resolver as resolvers
+from chivedoor.balancer import segments
 from chivedoor.configuration import document as documents
 from chivedoor.dataplane import encapsulation
 from chivedoor.dataplane import packet as packets
-from chivedoor.dataplane import refusal
 from chivedoor.dataplane import rewrite
 from chivedoor.flows import refresh
 from chivedoor.routing import directory as directories
 from chivedoor.routing import hashing
 
-_TCP = int(documents.Protocol.TCP)
-
 
 class Receiver:
     """First balancer on a packet's way; keeps no flow records."""
@@ -74,8 +71,7 @@
             return self._refuse(packet)
         if (
             base.number in routes.direct
-            and packet.protocol == _TCP
-            and not packets.is_control(packet)
+            and segments.is_established(packet)
             and not self._refresh.is_due(key, now)
         ):
             rewrite.rewrite_destination(
@@ -113,7 +109,7 @@
         source: directories.EndpointEntry,
         now: float,
     ) -> list[actions.Action]:
-        if packet.protocol == _TCP and not packets.is_control(packet):
+        if segments.is_established(packet):
             rewrite.rewrite_source(
                 packet, source.service_address, source.port.port
             )
--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -9,6 +9,7 @@
 from chivedoor.balancer import actions
 from chivedoor.balancer import const
 from chivedoor.balancer import context as contexts
+from chivedoor.balancer import segments
 from chivedoor.configuration import document as documents
 from chivedoor.dataplane import encapsulation
 from chivedoor.dataplane import packet as packets
@@ -60,7 +61,7 @@
             return self._follow_override(
                 packet, entry, key, override, header, now
             )
-        if packets.starts_flow(packet):
+        if segments.starts_flow(packet):
             return self._place(packet, entry, key, base, header, now)
         return self._find_established(packet, entry, key, base, header, now)
 
@@ -90,12 +91,10 @@
             e for e in ranking if self._context.find_owner(e) is not None
         ]
         if not reachable:
-            if packets.starts_flow(packet):
+            if segments.starts_flow(packet):
                 return refuse_new_flow(packet, actions.Refusal.NO_TARGET)
             return _deliver(packet, entry, base)
-        return self._ask_endpoint(
-            packet, entry, key, reachable[0], header, now
-        )
+        return self._ask_endpoint(packet, entry, key, reachable[0], header, now)
 
     def look_up(
         self,
@@ -123,7 +122,7 @@
         if key in target.flows:
             result = self._continue(packet, entry, key, endpoint, now)
             return result + report
-        if packets.starts_flow(packet):
+        if segments.starts_flow(packet):
             return self._admit_elsewhere(
                 packet, entry, key, endpoint, header, now, report
             )
@@ -228,9 +227,7 @@
         if verdict is admissions.Verdict.ADMIT:
             return self._start(packet, entry, key, endpoint, now) + report
         base = entry.routes.table.find_base(key)
-        following = _follow(
-            self._list_candidates(entry, key, base), endpoint
-        )
+        following = _follow(self._list_candidates(entry, key, base), endpoint)
         if following is None:
             return refuse_new_flow(packet, actions.Refusal.TARGETS_FULL)
         return self._ask_endpoint(packet, entry, key, following, header, now)
@@ -271,9 +268,7 @@
         )
         owner = self._context.find_owner(endpoint)
         if owner is None:
-            return self._look_further(
-                packet, entry, key, endpoint, passed, now
-            )
+            return self._look_further(packet, entry, key, endpoint, passed, now)
         if owner == self._context.local_id:
             return self.look_up(packet, entry, key, passed, now)
         return [actions.Forward(owner, passed, packet.buffer)]
@@ -313,9 +308,7 @@
             for e in ranking
             if e is not base and self._context.find_owner(e) is not None
         )
-        return list(
-            itertools.islice(others, routing_const.MAX_CANDIDATES - 1)
-        )
+        return list(itertools.islice(others, routing_const.MAX_CANDIDATES - 1))
 
     def _list_searched(
         self,
@@ -327,7 +320,7 @@
         """Returns the endpoints that may have an established flow."""
         candidates = self._list_candidates(entry, key, base)
         previous = entry.routes.previous
-        if packets.starts_flow(packet) or previous is None:
+        if segments.starts_flow(packet) or previous is None:
             return candidates
         former = previous.find_base(key)
         if former is None or former.number == getattr(base, "number", None):
@@ -372,9 +365,7 @@
     ) -> list[actions.Action]:
         target = self._context.targets[endpoint.number]
         if packet.protocol != _TCP:
-            return self._continue_datagrams(
-                packet, entry, key, endpoint, now
-            )
+            return self._continue_datagrams(packet, entry, key, endpoint, now)
         if packet.is_syn:
             return self._restart(packet, entry, key, endpoint, now)
         if not packet.is_fin and not packet.is_reset:
@@ -435,9 +426,9 @@
         payload = bytes(packet.payload)
         port = entry.port
         is_request = port.kind is documents.PortKind.REQUEST
-        if is_request and not port.idempotent:
-            if not self._requests.accept(key, payload):
-                return [actions.Drop(actions.RoutingDrop.DUPLICATE_REQUEST)]
+        runs_once = is_request and not port.idempotent
+        if runs_once and not self._requests.accept(key, payload):
+            return [actions.Drop(actions.RoutingDrop.DUPLICATE_REQUEST)]
         if target.flows.get_state(key) is records.FlowState.CLOSED:
             share = self._context.find_share(endpoint.domain)
             verdict = target.admit(key, port.kind, share, now)
@@ -589,9 +580,7 @@
             return self._answer_datagram(packet, source, key, target, now)
         if packet.is_reset:
             if target.flows.is_adopted(key, now):
-                target.release(
-                    source.port.kind, target.flows.remove(key), now
-                )
+                target.release(source.port.kind, target.flows.remove(key), now)
                 return [actions.Drop(actions.RoutingDrop.STALE_RESET)]
             target.admission.note_reset(
                 target.flows.get_state(key) is records.FlowState.OPEN, now
@@ -694,7 +683,7 @@
     Only work that was not forwarded may be refused, so a packet from the
     middle of a flow gets no answer.
     """
-    if not packets.starts_flow(packet):
+    if not segments.starts_flow(packet):
         return [actions.Drop(actions.RoutingDrop.UNRESOLVED)]
     return [actions.Refuse(reason, _build_refusal(packet))]
 
--- /dev/null
+++ b/src/chivedoor/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Composition and lifetime of the daemon on an entry VM."""
--- /dev/null
+++ b/src/chivedoor/daemon/const.py
@@ -0,0 +1,34 @@
+"""Constants of the daemon package."""
+
+from typing import Final
+
+# A loop that did not run for this long acts on an old view of the fleet.
+PAUSE_S: Final = 1.0
+HEARTBEAT_S: Final = 0.1
+
+TICK_S: Final = 0.1
+MODE_CHECK_S: Final = 0.1
+PULL_CHECK_S: Final = 0.2
+PULL_TIMEOUT_S: Final = 2.0
+PULL_RETRY_S: Final = 0.3
+PULLS_AT_ONCE: Final = 8
+
+# The gossip needs this long to show a starting balancer its failure domain.
+JOIN_SETTLE_S: Final = 2.0
+# A joining balancer takes part without all records after this time, since
+# the records may be gone with their former owners.
+JOIN_LIMIT_S: Final = 10.0
+
+HEALTH_POLL_S: Final = 1.0
+HEALTH_TIMEOUT_S: Final = 0.8
+
+READERS_PER_DOMAIN: Final = 2
+READER_CHECK_S: Final = 1.0
+DOCUMENT_TIMEOUT_S: Final = 3.0
+DOCUMENT_RETRY_S: Final = 0.5
+VM_LIST_POLL_S: Final = 5.0
+
+# A stopped balancer routes packets until none arrived for the first time,
+# and no longer than the second.
+DRAIN_QUIET_S: Final = 2.0
+DRAIN_LIMIT_S: Final = 30.0
--- /dev/null
+++ b/src/chivedoor/daemon/modes.py
@@ -0,0 +1,63 @@
+"""Announcements of routing modes over the board."""
+
+from chivedoor import ids
+from chivedoor.balancer import balancer as balancers
+from chivedoor.control import board as boards
+from chivedoor.flows import owner as owners
+
+_PREFIX = "mode/"
+
+
+class ModeAnnouncer:
+    """Publishes the modes of owned targets and takes those of others."""
+
+    def __init__(
+        self, *, balancer: balancers.Balancer, board: boards.Board
+    ) -> None:
+        self._balancer = balancer
+        self._board = board
+        self._announced: dict[ids.EndpointNumber, balancers.Mode] = {}
+        self._unsubscribe = board.subscribe(_PREFIX, self._take_entry)
+
+    def unload(self) -> None:
+        """Ends the subscription."""
+        self._unsubscribe()
+
+    def announce(self, now: float) -> None:
+        """Publishes what changed since the last call."""
+        current = {
+            mode.number: mode for mode in self._balancer.list_own_modes(now)
+        }
+        for number in self._announced.keys() - current.keys():
+            # A withdrawal is urgent: established packets of flows that go to
+            # another endpoint are lost until it is known.
+            self._board.publish(f"{_PREFIX}{number}", None, True, now)
+            self._balancer.clear_mode(number, self._balancer.context.local_id)
+        for number, mode in current.items():
+            if self._announced.get(number) != mode:
+                self._board.publish(
+                    f"{_PREFIX}{number}", mode.generation, False, now
+                )
+                self._balancer.set_mode(mode)
+        self._announced = current
+
+    def forget(self) -> None:
+        """Forgets what was announced in a former incarnation."""
+        self._announced.clear()
+
+    def _take_entry(self, entry: boards.Entry) -> None:
+        if entry.origin == self._balancer.context.local_id:
+            return
+        number = ids.EndpointNumber(int(entry.topic.removeprefix(_PREFIX)))
+        if entry.value is None:
+            self._balancer.clear_mode(number, entry.origin)
+            return
+        self._balancer.set_mode(
+            balancers.Mode(
+                number=number,
+                identity=owners.OwnerIdentity(
+                    member=entry.origin, incarnation=entry.incarnation
+                ),
+                generation=ids.Generation(entry.value),
+            )
+        )
--- /dev/null
+++ b/src/chivedoor/daemon/traffic.py
@@ -0,0 +1,152 @@
+"""Packets between the sockets and the decision path."""
+
+import asyncio
+from collections.abc import Callable
+import collections
+import enum
+import functools
+
+from chivedoor import ids
+from chivedoor.balancer import actions
+from chivedoor.balancer import balancer as balancers
+from chivedoor.configuration import settings as settings_module
+from chivedoor.daemon import const
+from chivedoor.dataplane import encapsulation
+from chivedoor.dataplane import exceptions as packet_errors
+from chivedoor.dataplane import port as ports
+
+Clock = Callable[[], float]
+
+
+class Traffic:
+    """Moves packets between the fabric, the other balancers and decisions."""
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.Settings,
+        balancer: balancers.Balancer,
+        keys: encapsulation.Keys,
+        clock: Clock,
+        handle_pause: Callable[[], None],
+    ) -> None:
+        self.counters: collections.Counter[str] = collections.Counter()
+        self._balancer = balancer
+        self._keys = keys
+        self._clock = clock
+        self._handle_pause = handle_pause
+        self._fabric = (settings.fabric.address, settings.fabric.port)
+        self._last_heartbeat_s = clock()
+        self._heartbeat: asyncio.TimerHandle | None = None
+        self.last_packet_s = clock()
+        self._fabric_port = ports.PacketPort(
+            address=settings.vm.address,
+            port=settings.vm.packet_port,
+            handle_batch=self._handle_fabric_batch,
+        )
+        self._peer_port = ports.PacketPort(
+            address=settings.vm.address,
+            port=settings.vm.peer_port,
+            handle_batch=self._handle_peer_batch,
+        )
+        self.perform = functools.singledispatch(self._reject_action)
+        self.perform.register(actions.Deliver, self._deliver)
+        self.perform.register(actions.Forward, self._forward)
+        self.perform.register(actions.Drop, self._drop)
+        self.perform.register(actions.Refuse, self._refuse)
+
+    async def async_open(self) -> None:
+        """Opens both sockets and starts the heartbeat of the loop."""
+        self._beat()
+        await self._fabric_port.async_open()
+        await self._peer_port.async_open()
+
+    async def async_close(self) -> None:
+        """Closes both sockets."""
+        if self._heartbeat is not None:
+            self._heartbeat.cancel()
+            self._heartbeat = None
+        await self._fabric_port.async_close()
+        await self._peer_port.async_close()
+
+    def discard_waiting(self) -> int:
+        """Empties both socket buffers; returns the number of packets."""
+        discarded = (
+            self._fabric_port.discard_waiting()
+            + self._peer_port.discard_waiting()
+        )
+        self.counters["discarded_after_pause"] += discarded
+        return discarded
+
+    def _beat(self) -> None:
+        self._check_pause()
+        loop = asyncio.get_running_loop()
+        self._heartbeat = loop.call_later(const.HEARTBEAT_S, self._beat)
+
+    def _check_pause(self) -> bool:
+        """Returns whether the loop stood still until just now."""
+        now = self._clock()
+        gap_s = now - self._last_heartbeat_s
+        self._last_heartbeat_s = now
+        if gap_s <= const.PAUSE_S:
+            return False
+        self._handle_pause()
+        return True
+
+    def _handle_fabric_batch(self, batch: list[memoryview]) -> None:
+        # The socket may become readable before the heartbeat is due, and
+        # its packets are as old as the pause.
+        if self._check_pause():
+            self.counters["discarded_after_pause"] += len(batch)
+            return
+        now = self._clock()
+        self.last_packet_s = now
+        self.counters["fabric_packets"] += len(batch)
+        for data in batch:
+            for action in self._balancer.handle_packet(data, now):
+                self.perform(action)
+
+    def _handle_peer_batch(self, batch: list[memoryview]) -> None:
+        if self._check_pause():
+            self.counters["discarded_after_pause"] += len(batch)
+            return
+        now = self._clock()
+        self.counters["peer_packets"] += len(batch)
+        for datagram in batch:
+            try:
+                header, data = encapsulation.open_packet(datagram, self._keys)
+            except packet_errors.EncapsulationError as error:
+                self._count("peer_fault", error.fault)
+                continue
+            self.counters[f"received_{header.kind.name.lower()}"] += 1
+            for action in self._balancer.handle_forwarded(header, data, now):
+                self.perform(action)
+
+    def _reject_action(self, action: object) -> None:
+        raise TypeError(type(action))
+
+    def _deliver(self, action: actions.Deliver) -> None:
+        self.counters["delivered"] += 1
+        self._fabric_port.send(action.data, self._fabric)
+
+    def _forward(self, action: actions.Forward) -> None:
+        member = self._balancer.context.members.get(ids.VmId(action.member))
+        if member is None:
+            self.counters["forward_unknown_member"] += 1
+            return
+        datagram = encapsulation.seal_packet(
+            action.header, action.data, self._keys
+        )
+        self.counters[f"sent_{action.header.kind.name.lower()}"] += 1
+        self.counters["forwarded_bytes"] += len(datagram)
+        self._peer_port.send(datagram, (member.address, member.peer_port))
+
+    def _drop(self, action: actions.Drop) -> None:
+        self._count("drop", action.reason)
+
+    def _refuse(self, action: actions.Refuse) -> None:
+        self._count("refusal", action.reason)
+        self._fabric_port.send(action.data, self._fabric)
+
+    def _count(self, name: str, reason: enum.Enum) -> None:
+        self.counters[f"{name}_{reason.value}"] += 1
--- a/src/chivedoor/dataplane/encapsulation.py
+++ b/src/chivedoor/dataplane/encapsulation.py
@@ -29,6 +29,7 @@
     CHAIN = 3
     COPY = 4
     ANSWER = 5
+    LOOKUP = 6
 
 
 _KINDS = {int(kind): kind for kind in ForwardKind}
--- a/src/chivedoor/flows/owner.py
+++ b/src/chivedoor/flows/owner.py
@@ -220,7 +220,8 @@
         target on its side of a partition.
         """
         self._pulled = {
-            number: pull for number, pull in self._pulled.items()
+            number: pull
+            for number, pull in self._pulled.items()
             if number in known
         }
 
--- a/src/chivedoor/flows/records.py
+++ b/src/chivedoor/flows/records.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import enum
+import itertools
 
 from chivedoor import ids
 from chivedoor.configuration import document as documents
@@ -208,4 +209,4 @@
 
 
 def _take(keys: Iterator[ids.FlowKey], count: int) -> list[ids.FlowKey]:
-    return [key for _, key in zip(range(count), keys)]
+    return list(itertools.islice(keys, count))
--- a/src/chivedoor/routing/hashing.py
+++ b/src/chivedoor/routing/hashing.py
@@ -46,6 +46,4 @@
 
 def score_owner(number: int, member: ids.VmId) -> int:
     """Returns the rendezvous score of a balancer for an endpoint."""
-    return xxhash.xxh3_64_intdigest(
-        f"{number}/{member}", const.OWNER_HASH_SEED
-    )
+    return xxhash.xxh3_64_intdigest(f"{number}/{member}", const.OWNER_HASH_SEED)
