configuration: read settings and documents strictly

Cause: the other packages need the settings, the document types and documents of realistic size. Change: Settings from INI, Document types with a strict parser and JSON encoding, typed faults with paths, example documents for both deployments and an example settings file.

--- /dev/null
+++ b/src/chivedoor/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one VM and the document that all balancers share."""
--- /dev/null
+++ b/src/chivedoor/configuration/document.py
@@ -0,0 +1,465 @@
+"""Types of the document and its strict parser."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import dataclasses
+import enum
+import functools
+import operator
+import types
+from typing import Any
+from typing import Final
+from typing import NewType
+
+from chivedoor import ids
+from chivedoor.configuration import const
+from chivedoor.configuration import exceptions
+from chivedoor.configuration import faults
+from chivedoor.configuration import fields
+
+PolicyId = NewType("PolicyId", str)
+
+FaultReason = faults.FaultReason
+
+
+class Protocol(enum.IntEnum):
+    """Transport protocol, by its IP protocol number."""
+
+    TCP = 6
+    UDP = 17
+
+
+class PortKind(enum.Enum):
+    """How the flows of a port use their target."""
+
+    STREAM = "stream"
+    UPLOAD = "upload"
+    REQUEST = "request"
+
+
+class EndpointState(enum.Enum):
+    """Whether an endpoint takes new flows."""
+
+    ACTIVE = "active"
+    DRAINING = "draining"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Domain:
+    """Failure domain.
+
+    Attributes:
+        id: Name, unique over all regions.
+        region: Region that contains the failure domain.
+        out: Whether the document takes it out of service.
+    """
+
+    id: ids.DomainId
+    region: ids.RegionId
+    out: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Policy:
+    """Limits for the targets of a service; durations are in seconds.
+
+    Attributes:
+        id: Name of the policy.
+        connections: Most open flows of one target.
+        slots: Most open request and upload flows of one target.
+        ramp_initial: New flows per second, and slots, of a cold target.
+        ramp_step_s: Time after which the ramp doubles.
+        request_deadline_s: Time after which a request is surely finished.
+        drain_deadline_s: Time that the flows of a draining target may last.
+        idle_timeout_s: Time without packets after which a flow is forgotten.
+        flow_rate_per_s: New flows per second of a service on one balancer.
+        priority: Rank of the service under overload; higher is served first.
+    """
+
+    id: PolicyId
+    connections: int
+    slots: int
+    ramp_initial: int
+    ramp_step_s: float
+    request_deadline_s: float
+    drain_deadline_s: float
+    idle_timeout_s: float
+    flow_rate_per_s: int
+    priority: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServicePort:
+    """Port of a service.
+
+    Attributes:
+        protocol: Transport protocol.
+        port: Port on the service's addresses.
+        target_port: Port on the endpoints' addresses.
+        kind: How flows of the port use their target.
+        idempotent: Whether a request may run more than once.
+    """
+
+    protocol: Protocol
+    port: int
+    target_port: int
+    kind: PortKind
+    idempotent: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Endpoint:
+    """Target of a service.
+
+    Attributes:
+        number: Number that is never reused.
+        address: Packed address, 4 or 16 bytes.
+        domain: Failure domain of the target.
+        weight: Share of the service's flows, relative to other endpoints.
+        state: Whether the endpoint takes new flows.
+        health_port: Port of the health endpoint; None when there is none.
+    """
+
+    number: ids.EndpointNumber
+    address: bytes
+    domain: ids.DomainId
+    weight: int
+    state: EndpointState
+    health_port: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Service:
+    """Service: addresses and ports, and the endpoints behind them."""
+
+    id: ids.ServiceId
+    addresses: tuple[bytes, ...]
+    policy: Policy
+    ports: tuple[ServicePort, ...]
+    endpoints: tuple[Endpoint, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Retired:
+    """Address that no other service may use yet.
+
+    Attributes:
+        address: Packed address, 4 or 16 bytes.
+        service: Service that used the address.
+        until_s: End of the reservation, in seconds of the Unix epoch.
+    """
+
+    address: bytes
+    service: ids.ServiceId
+    until_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Document:
+    """Configuration shared by all balancers.
+
+    Attributes:
+        version: Number that rises with every document.
+        reuse_delay_s: Time that the address of a removed endpoint stays
+            reserved, in seconds.
+        domains: Failure domains by id.
+        policies: Policies by id.
+        services: Services by id.
+        retired: Addresses that are still reserved.
+    """
+
+    version: ids.Version
+    reuse_delay_s: float
+    domains: Mapping[ids.DomainId, Domain]
+    policies: Mapping[PolicyId, Policy]
+    services: Mapping[ids.ServiceId, Service]
+    retired: tuple[Retired, ...]
+
+
+PROTOCOLS: Final = types.MappingProxyType(
+    {protocol.name.lower(): protocol for protocol in Protocol}
+)
+PORT_KINDS: Final = types.MappingProxyType(
+    {kind.value: kind for kind in PortKind}
+)
+ENDPOINT_STATES: Final = types.MappingProxyType(
+    {state.value: state for state in EndpointState}
+)
+
+_DOCUMENT_FIELDS: Final = (
+    "format",
+    "version",
+    "reuse_delay_s",
+    "regions",
+    "policies",
+    "services",
+    "retired",
+)
+_SERVICE_FIELDS: Final = ("id", "addresses", "policy", "ports", "endpoints")
+_PORT_COLUMNS: Final = (
+    "protocol",
+    "port",
+    "target_port",
+    "kind",
+    "idempotent",
+)
+_ENDPOINT_COLUMNS: Final = (
+    "number",
+    "address",
+    "domain",
+    "weight",
+    "state",
+    "health_port",
+)
+_RETIRED_COLUMNS: Final = ("address", "service", "until_s")
+_INTEGER_LIMITS: Final = types.MappingProxyType(
+    {
+        "connections": (1, const.MAX_CONNECTIONS),
+        "slots": (1, const.MAX_SLOTS),
+        "ramp_initial": (1, const.MAX_RAMP_INITIAL),
+        "flow_rate_per_s": (1, const.MAX_FLOW_RATE_PER_S),
+        "priority": (0, const.MAX_PRIORITY),
+    }
+)
+_DURATION_LIMITS_S: Final = types.MappingProxyType(
+    {
+        "ramp_step_s": (const.MIN_DURATION_S, const.MAX_RAMP_STEP_S),
+        "request_deadline_s": (
+            const.MIN_DURATION_S,
+            const.MAX_REQUEST_DEADLINE_S,
+        ),
+        "drain_deadline_s": (const.MIN_DURATION_S, const.MAX_DRAIN_DEADLINE_S),
+        "idle_timeout_s": (const.MIN_DURATION_S, const.MAX_IDLE_TIMEOUT_S),
+    }
+)
+POLICY_FIELDS: Final = (*_INTEGER_LIMITS, *_DURATION_LIMITS_S)
+
+
+def parse_document(data: bytes) -> Document:
+    """Reads a document.
+
+    Args:
+        data: JSON text in UTF-8, at most `const.MAX_DOCUMENT_BYTES` long.
+
+    Returns:
+        The document; its semantic checks are in `checks`.
+
+    Raises:
+        exceptions.DocumentError: Lists all faults of the document.
+    """
+    return _DocumentParser().parse(_load_value(data))
+
+
+def _load_value(data: bytes) -> Any:
+    if len(data) > const.MAX_DOCUMENT_BYTES:
+        detail = f"{len(data)} bytes, at most {const.MAX_DOCUMENT_BYTES}"
+        raise _build_error(FaultReason.TOO_LARGE, detail)
+    try:
+        return fields.load_json(data)
+    except RecursionError as error:
+        detail = "values are nested too deeply"
+        raise _build_error(FaultReason.SYNTAX, detail) from error
+    except ValueError as error:
+        raise _build_error(FaultReason.SYNTAX, str(error)) from error
+
+
+def _build_error(reason: FaultReason, detail: str) -> exceptions.DocumentError:
+    fault = faults.Fault(path="", reason=reason, detail=detail)
+    return exceptions.DocumentError(faults=[fault])
+
+
+class _DocumentParser:
+    """Builds a document from a JSON value, collecting all faults."""
+
+    def __init__(self) -> None:
+        self._reader = fields.FieldReader()
+
+    def parse(self, value: object) -> Document:
+        reader = self._reader
+        top = reader.open_object(value, "", _DOCUMENT_FIELDS)
+        top.read("format", reader.read_integer, const.FORMAT, const.FORMAT)
+        version = top.read("version", reader.read_integer, 1, const.MAX_VERSION)
+        reuse_delay_s = top.read(
+            "reuse_delay_s",
+            reader.read_number,
+            const.MIN_REUSE_DELAY_S,
+            const.MAX_REUSE_DELAY_S,
+        )
+        domains = top.read("regions", self._parse_regions)
+        policies = top.read("policies", self._parse_policies)
+        services = top.read("services", self._parse_services, policies)
+        retired = top.read("retired", self._parse_retired)
+        if reader.faults:
+            raise exceptions.DocumentError(faults=reader.faults)
+        return Document(
+            version=version,
+            reuse_delay_s=reuse_delay_s,
+            domains=types.MappingProxyType(domains),
+            policies=types.MappingProxyType(policies),
+            services=types.MappingProxyType(services),
+            retired=retired,
+        )
+
+    def _parse_regions(
+        self, value: object, path: str
+    ) -> dict[ids.DomainId, Domain]:
+        domains: dict[ids.DomainId, Domain] = {}
+        for region, region_path, members in self._read_entries(value, path):
+            for name, path, member in self._read_entries(members, region_path):
+                if name in domains:
+                    detail = "another region has the same failure domain"
+                    self._reader.add_fault(path, FaultReason.DUPLICATE, detail)
+                record = self._reader.open_object(member, path, ("out",))
+                domain_id = ids.DomainId(name)
+                domains[domain_id] = Domain(
+                    id=domain_id,
+                    region=ids.RegionId(region),
+                    out=record.read("out", self._reader.read_boolean),
+                )
+        return domains
+
+    def _parse_policies(
+        self, value: object, path: str
+    ) -> dict[PolicyId, Policy]:
+        return {
+            PolicyId(name): self._parse_policy(name, member, member_path)
+            for name, member_path, member in self._read_entries(value, path)
+        }
+
+    def _parse_policy(self, name: str, value: object, path: str) -> Policy:
+        record = self._reader.open_object(value, path, POLICY_FIELDS)
+        integers = {
+            field: record.read(field, self._reader.read_integer, low, high)
+            for field, (low, high) in _INTEGER_LIMITS.items()
+        }
+        durations_s = {
+            field: record.read(field, self._reader.read_number, low, high)
+            for field, (low, high) in _DURATION_LIMITS_S.items()
+        }
+        return Policy(id=PolicyId(name), **integers, **durations_s)
+
+    def _read_entries(
+        self, value: object, path: str
+    ) -> Iterator[tuple[str, str, Any]]:
+        record = self._reader.open_object(value, path)
+        for name, member_path, member in record.list_entries():
+            self._reader.read_id(name, member_path)
+            yield name, member_path, member
+
+    def _parse_services(
+        self,
+        value: object,
+        path: str,
+        policies: Mapping[PolicyId, Policy] | None,
+    ) -> dict[ids.ServiceId, Service]:
+        services = self._reader.read_items(
+            value,
+            path,
+            functools.partial(self._parse_service, policies),
+            operator.attrgetter("id"),
+        )
+        return {service.id: service for service in services}
+
+    def _parse_service(
+        self,
+        policies: Mapping[PolicyId, Policy] | None,
+        value: object,
+        path: str,
+    ) -> Service | None:
+        record = self._reader.open_object(value, path, _SERVICE_FIELDS)
+        service = Service(
+            id=record.read("id", self._reader.read_id),
+            addresses=record.read("addresses", self._parse_addresses),
+            policy=record.read("policy", self._find_policy, policies),
+            ports=record.read("ports", self._parse_ports),
+            endpoints=record.read("endpoints", self._parse_endpoints),
+        )
+        return None if service.id is None else service
+
+    def _find_policy(
+        self,
+        value: object,
+        path: str,
+        policies: Mapping[PolicyId, Policy] | None,
+    ) -> Policy | None:
+        name = self._reader.read_id(value, path)
+        if name is None or policies is None:
+            return None
+        if name not in policies:
+            detail = f"the document has no policy {name}"
+            self._reader.add_fault(path, FaultReason.UNKNOWN_REFERENCE, detail)
+        return policies.get(PolicyId(name))
+
+    def _parse_addresses(self, value: object, path: str) -> tuple[bytes, ...]:
+        return self._reader.read_items(
+            value, path, self._reader.read_address, bytes
+        )
+
+    def _parse_ports(self, value: object, path: str) -> tuple[ServicePort, ...]:
+        return self._reader.read_items(
+            value,
+            path,
+            self._parse_port,
+            operator.attrgetter("protocol", "port"),
+        )
+
+    def _parse_port(self, value: object, path: str) -> ServicePort | None:
+        reader = self._reader
+        row = reader.open_row(value, path, _PORT_COLUMNS)
+        port = ServicePort(
+            protocol=row.read("protocol", reader.read_choice, PROTOCOLS),
+            port=row.read("port", reader.read_integer, 1, const.MAX_PORT),
+            target_port=row.read(
+                "target_port", reader.read_integer, 1, const.MAX_PORT
+            ),
+            kind=row.read("kind", reader.read_choice, PORT_KINDS),
+            idempotent=row.read("idempotent", reader.read_boolean),
+        )
+        return None if None in (port.protocol, port.port) else port
+
+    def _parse_endpoints(
+        self, value: object, path: str
+    ) -> tuple[Endpoint, ...]:
+        return self._reader.read_items(
+            value, path, self._parse_endpoint, operator.attrgetter("number")
+        )
+
+    def _parse_endpoint(self, value: object, path: str) -> Endpoint | None:
+        reader = self._reader
+        row = reader.open_row(value, path, _ENDPOINT_COLUMNS)
+        endpoint = Endpoint(
+            number=row.read(
+                "number", reader.read_integer, 1, const.MAX_ENDPOINT_NUMBER
+            ),
+            address=row.read("address", reader.read_address),
+            domain=row.read("domain", reader.read_id),
+            weight=row.read("weight", reader.read_integer, 1, const.MAX_WEIGHT),
+            state=row.read("state", reader.read_choice, ENDPOINT_STATES),
+            health_port=row.read("health_port", self._parse_health_port),
+        )
+        return None if endpoint.number is None else endpoint
+
+    def _parse_health_port(self, value: object, path: str) -> int | None:
+        if value is None:
+            return None
+        return self._reader.read_integer(value, path, 1, const.MAX_PORT)
+
+    def _parse_retired(self, value: object, path: str) -> tuple[Retired, ...]:
+        return self._reader.read_items(
+            value,
+            path,
+            self._parse_retired_entry,
+            operator.attrgetter("address", "service"),
+        )
+
+    def _parse_retired_entry(self, value: object, path: str) -> Retired | None:
+        reader = self._reader
+        row = reader.open_row(value, path, _RETIRED_COLUMNS)
+        entry = Retired(
+            address=row.read("address", reader.read_address),
+            service=row.read("service", reader.read_id),
+            until_s=row.read(
+                "until_s", reader.read_number, 0, const.MAX_WALL_CLOCK_S
+            ),
+        )
+        return None if entry.address is None else entry
--- /dev/null
+++ b/src/chivedoor/configuration/exceptions.py
@@ -0,0 +1,65 @@
+"""Errors of the configuration package."""
+
+from collections.abc import Sequence
+
+from chivedoor import exceptions
+from chivedoor.configuration import const
+from chivedoor.configuration import faults as faults_module
+
+
+class ConfigurationError(exceptions.ChivedoorError):
+    """Base of the errors of the configuration package."""
+
+
+class DocumentError(ConfigurationError):
+    """A document has faults.
+
+    Attributes:
+        faults: All faults found, in document order.
+    """
+
+    def __init__(self, *, faults: Sequence[faults_module.Fault]) -> None:
+        self.faults = tuple(faults)
+        super().__init__(_format_faults("document", self.faults))
+
+
+class SettingsError(ConfigurationError):
+    """A settings file has faults.
+
+    Attributes:
+        faults: All faults found in the file.
+    """
+
+    def __init__(
+        self, *, faults: Sequence[faults_module.SettingsFault]
+    ) -> None:
+        self.faults = tuple(faults)
+        super().__init__(_format_faults("settings file", self.faults))
+
+
+class DifferenceError(ConfigurationError):
+    """A difference between documents cannot be read or applied."""
+
+
+class BaseVersionError(DifferenceError):
+    """A difference starts from another version than the one in force.
+
+    Attributes:
+        expected: Version that the difference starts from.
+        found: Version of the document it was applied to.
+    """
+
+    def __init__(self, *, expected: int, found: int) -> None:
+        self.expected = expected
+        self.found = found
+        super().__init__(
+            f"difference starts from version {expected}, not from {found}"
+        )
+
+
+def _format_faults(subject: str, faults: Sequence[object]) -> str:
+    shown = [str(fault) for fault in faults[: const.MAX_FAULTS_IN_MESSAGE]]
+    hidden = len(faults) - len(shown)
+    if hidden:
+        shown.append(f"and {hidden} more")
+    return "\n".join([f"{subject} has {len(faults)} fault(s):", *shown])
--- /dev/null
+++ b/src/chivedoor/configuration/faults.py
@@ -0,0 +1,67 @@
+"""Faults found in a document or in a settings file."""
+
+import dataclasses
+import enum
+
+
+class FaultReason(enum.Enum):
+    """What kind of rule a value breaks."""
+
+    SYNTAX = "syntax"
+    TOO_LARGE = "too large"
+    MISSING = "missing"
+    UNKNOWN_FIELD = "unknown field"
+    WRONG_TYPE = "wrong type"
+    INVALID_VALUE = "invalid value"
+    OUT_OF_RANGE = "out of range"
+    DUPLICATE = "duplicate"
+    UNKNOWN_REFERENCE = "unknown reference"
+    CONFLICT = "conflict"
+    RESERVED = "reserved address"
+    NOT_RETIRED = "address not retired"
+    VERSION = "version"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Fault:
+    """One fault, with the path of the value that has it.
+
+    Attributes:
+        path: Place in the document, such as `services[2].endpoints[0].weight`.
+        reason: Kind of rule that the value breaks.
+        detail: Explanation for operators.
+    """
+
+    path: str
+    reason: FaultReason
+    detail: str
+
+    def __str__(self) -> str:
+        """Returns the fault as one line."""
+        return (
+            f"{self.path or '(document)'}: {self.reason.value}: {self.detail}"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SettingsFault:
+    """One fault of a settings file.
+
+    Attributes:
+        section: Section of the file; empty for the file as a whole.
+        key: Key in the section; empty for the section as a whole.
+        reason: Kind of rule that the value breaks.
+        detail: Explanation for operators; never contains a secret value.
+    """
+
+    section: str
+    key: str
+    reason: FaultReason
+    detail: str
+
+    def __str__(self) -> str:
+        """Returns the fault as one line."""
+        place = f"[{self.section}]" if self.section else "(file)"
+        if self.key:
+            place = f"{place} {self.key}"
+        return f"{place}: {self.reason.value}: {self.detail}"
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,43 @@
+"""Tests that the examples are valid."""
+
+import itertools
+
+import pytest
+
+from chivedoor.configuration import document
+from chivedoor.configuration import settings
+
+
+@pytest.mark.parametrize(
+    ("name", "services", "slots"),
+    [
+        ("mtskheta", {"listening": 7, "intake": 3}, 4),
+        ("laurentide", {"job-board": 7, "scan-intake": 3}, 2),
+    ],
+)
+def test_document_has_the_size_of_the_deployment(
+    examples_path, name, services, slots
+):
+    # Guards against examples that no longer match the parser or section 8 of
+    # the design.
+    data = (examples_path / f"{name}.json").read_bytes()
+    parsed = document.parse_document(data)
+    counts = {
+        service.id: len(service.endpoints)
+        for service in parsed.services.values()
+    }
+    endpoints = itertools.chain.from_iterable(
+        service.endpoints for service in parsed.services.values()
+    )
+    assert counts == services
+    assert {policy.slots for policy in parsed.policies.values()} == {slots}
+    assert list(parsed.domains) == ["a", "b", "c"]
+    assert all(endpoint.health_port for endpoint in endpoints)
+
+
+def test_settings_are_valid(examples_path):
+    # Guards against an example that chivedoord refuses at its start.
+    loaded = settings.load_settings(examples_path / "chivedoord.ini")
+    assert loaded.vm.id == "vm-a1"
+    assert loaded.peers.seeds[1] == ("127.2.0.3", 6082)
+    assert loaded.security.previous_peer_key is not None
