--- /dev/null
+++ b/standins/administration.py
@@ -0,0 +1,75 @@
+"""The JSON administration interface that every stand-in process has."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+import signal
+from typing import Any
+
+from aiohttp import web
+
+from standins import exceptions
+from standins import link
+
+Operation = Callable[[dict], Any]
+
+
+class Administration:
+    """Serves operations as `POST /NAME`, and also `GET` without arguments.
+
+    An operation gets the JSON object of the request (empty for GET) and
+    returns a plain value; a `StandinError` or a missing key becomes status
+    400 with the reason.
+    """
+
+    def __init__(
+        self, *, address: link.Address, operations: Mapping[str, Operation]
+    ):
+        """Creates the interface without opening it."""
+        self.address = address
+        self._operations = operations
+        self._runner: web.AppRunner | None = None
+
+    async def async_open(self) -> None:
+        """Starts to serve."""
+        application = web.Application(client_max_size=8 * 1024 * 1024)
+        application.router.add_route("*", "/{name}", self._async_handle)
+        self._runner = web.AppRunner(application, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, *self.address).start()
+        self.address = self._runner.addresses[0]
+
+    async def async_close(self) -> None:
+        """Stops serving."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    async def _async_handle(self, request: web.Request) -> web.Response:
+        operation = self._operations.get(request.match_info["name"])
+        if operation is None:
+            raise web.HTTPNotFound
+        arguments = await request.json() if request.can_read_body else {}
+        try:
+            return web.json_response(operation(arguments))
+        except (exceptions.StandinError, KeyError, ValueError) as error:
+            return web.json_response({"error": repr(error)}, status=400)
+
+
+async def async_wait_for_signal() -> None:
+    """Returns when the process gets SIGTERM or SIGINT."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+
+
+def parse_address(text: str) -> link.Address:
+    """Parses `ADDRESS:PORT`.
+
+    Raises:
+        ValueError: The text has another form.
+    """
+    address, _, port = text.rpartition(":")
+    return address, int(port)
--- /dev/null
+++ b/standins/connection.py
@@ -0,0 +1,424 @@
+"""A small TCP endpoint; it does no I/O and reads no clock.
+
+It has what the stand-ins need: handshake, reassembly, cumulative
+acknowledgement, retransmission with exponential backoff, FIN and RST.
+"""
+
+import enum
+
+from standins import const
+from standins import segments
+
+_SEQUENCE_MASK = 0xFFFFFFFF
+_HALF_SEQUENCE = 0x80000000
+
+
+class State(enum.Enum):
+    """Where a connection is in its life."""
+
+    SYN_SENT = "syn_sent"
+    SYN_RECEIVED = "syn_received"
+    ESTABLISHED = "established"
+    CLOSED = "closed"
+
+
+class Outcome(enum.Enum):
+    """How a connection ended."""
+
+    OPEN = "open"
+    FINISHED = "finished"
+    REFUSED = "refused"
+    RESET = "reset"
+    TIMED_OUT = "timed_out"
+    ABORTED = "aborted"
+
+
+class Connection:
+    """One end of a TCP connection.
+
+    Positions are counted from the initial sequence number without wrapping:
+    0 is the SYN, 1 the first byte, and the FIN follows the last byte. Times
+    are monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        local: tuple[bytes, int],
+        remote: tuple[bytes, int],
+        sequence: int,
+        peer_sequence: int | None = None,
+        idle_timeout_s: float | None = None,
+        syn_tries: int = const.SYN_TRIES,
+        data_tries: int = const.DATA_TRIES,
+    ):
+        """Creates an endpoint; `peer_sequence` is that of a received SYN."""
+        self.local = local
+        self.remote = remote
+        self.state = State.SYN_SENT
+        self.outcome = Outcome.OPEN
+        self.retransmissions = 0
+        self.established_at: float | None = None
+        self._sequence = sequence
+        self._peer_sequence = peer_sequence
+        if peer_sequence is not None:
+            self.state = State.SYN_RECEIVED
+        self._acknowledged = 0
+        self._next = 0
+        self._highest = 0
+        self._buffer = bytearray()
+        self._end = 1
+        self._finishing = False
+        self._expected = 1
+        self._segments_ahead: dict[int, bytes] = {}
+        self._received = bytearray()
+        self._peer_end: int | None = None
+        self._window = (
+            const.INITIAL_CONGESTION_SEGMENTS * const.MAXIMUM_SEGMENT_BYTES
+        )
+        self._duplicate_acks = 0
+        self._tries = 0
+        self._syn_tries = syn_tries
+        self._data_tries = data_tries
+        self._timeout_s = const.SYN_TIMEOUT_S
+        self._smoothed_s: float | None = None
+        self._variance_s = 0.0
+        self._sample: tuple[int, float] | None = None
+        self._deadline: float | None = None
+        self._idle_timeout_s = idle_timeout_s
+        self._idle_deadline: float | None = None
+
+    @property
+    def next_deadline(self) -> float | None:
+        """The time at which `tick` has something to do."""
+        times = [
+            time
+            for time in (self._deadline, self._idle_deadline)
+            if time is not None
+        ]
+        return min(times, default=None)
+
+    @property
+    def remote_finished(self) -> bool:
+        """Whether all bytes of the peer and its FIN have arrived."""
+        return self._peer_end is not None and self._expected > self._peer_end
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes written that the peer has not acknowledged."""
+        return len(self._buffer)
+
+    def open(self, now: float) -> list[bytes]:
+        """Returns the first packet: a SYN, or a SYN-ACK after a SYN."""
+        self._touch(now)
+        return self._transmit(now)
+
+    def write(self, data: bytes) -> None:
+        """Queues bytes; `flush` or the next event sends them."""
+        self._buffer += data
+        self._end += len(data)
+
+    def finish(self) -> None:
+        """Queues a FIN after the bytes written so far."""
+        self._finishing = True
+
+    def flush(self, now: float) -> list[bytes]:
+        """Returns the packets that may be sent now."""
+        if self.state is not State.ESTABLISHED:
+            return []
+        return self._transmit(now)
+
+    def read(self) -> bytes:
+        """Takes the bytes that arrived in order."""
+        data = bytes(self._received)
+        self._received.clear()
+        return data
+
+    def abort(self) -> list[bytes]:
+        """Ends the connection with a RST."""
+        if self.state is State.CLOSED:
+            return []
+        packet = self._build(self._highest, const.RST | const.ACK)
+        self._close(Outcome.ABORTED)
+        return [packet]
+
+    def handle_segment(
+        self, segment: segments.Segment, now: float
+    ) -> list[bytes]:
+        """Handles a segment of the peer and returns the packets to send."""
+        if segment.flags & const.RST:
+            return self._handle_reset(segment)
+        if self.state is State.CLOSED:
+            return self._answer_closed(segment)
+        if self.state is State.SYN_SENT:
+            return self._handle_syn_ack(segment, now)
+        if segment.flags & const.SYN:
+            return self._handle_repeated_syn()
+        self._touch(now)
+        packets = self._handle_acknowledgement(segment, now)
+        must_acknowledge = self._take_payload(segment)
+        sent = self._transmit(now)
+        packets += sent
+        if must_acknowledge and not sent:
+            packets.append(self._build(self._next, const.ACK))
+        self._close_when_done()
+        return packets
+
+    def tick(self, now: float) -> list[bytes]:
+        """Handles timers and returns the packets to send."""
+        if self._idle_deadline is not None and now >= self._idle_deadline:
+            self._close(Outcome.TIMED_OUT)
+            return []
+        if self._deadline is None or now < self._deadline:
+            return []
+        self._tries += 1
+        if self._tries > self._count_allowed_tries():
+            self._close(Outcome.TIMED_OUT)
+            return []
+        self._timeout_s = min(self._timeout_s * 2, const.MAXIMUM_TIMEOUT_S)
+        self._window = 2 * const.MAXIMUM_SEGMENT_BYTES
+        self._go_back()
+        return self._transmit(now)
+
+    def _count_allowed_tries(self) -> int:
+        if self.state is State.ESTABLISHED:
+            return self._data_tries
+        return self._syn_tries
+
+    def _go_back(self) -> None:
+        self.retransmissions += 1
+        self._next = self._acknowledged
+        self._sample = None
+        self._deadline = None
+
+    def _touch(self, now: float) -> None:
+        if self._idle_timeout_s is not None:
+            self._idle_deadline = now + self._idle_timeout_s
+
+    def _close(self, outcome: Outcome) -> None:
+        self.state = State.CLOSED
+        self.outcome = outcome
+        self._deadline = None
+        self._idle_deadline = None
+
+    def _close_when_done(self) -> None:
+        fin_acknowledged = self._finishing and self._acknowledged > self._end
+        if fin_acknowledged and self.remote_finished:
+            self._close(Outcome.FINISHED)
+
+    def _build(self, position: int, flags: int, payload: bytes = b"") -> bytes:
+        acknowledgement = 0
+        if flags & const.ACK and self._peer_sequence is not None:
+            acknowledgement = self._peer_sequence + self._expected
+        return segments.build_packet(
+            segments.Segment(
+                source=self.local[0],
+                source_port=self.local[1],
+                destination=self.remote[0],
+                destination_port=self.remote[1],
+                sequence=(self._sequence + position) & _SEQUENCE_MASK,
+                acknowledgement=acknowledgement & _SEQUENCE_MASK,
+                flags=flags,
+                payload=payload,
+            )
+        )
+
+    def _handle_reset(self, segment: segments.Segment) -> list[bytes]:
+        if self.state is State.CLOSED:
+            return []
+        if self.state is State.SYN_SENT:
+            position = self._place_acknowledgement(segment)
+            if segment.flags & const.ACK and position == 1:
+                self._close(Outcome.REFUSED)
+            return []
+        position = self._place_sequence(segment)
+        if position == self._expected:
+            self._close(Outcome.RESET)
+            return []
+        # RFC 5961: a RST inside the window, but not at its start, is
+        # answered with an acknowledgement so that a real peer can repeat it.
+        if 0 < position - self._expected < const.RECEIVE_WINDOW_BYTES:
+            return [self._build(self._next, const.ACK)]
+        return []
+
+    def _answer_closed(self, segment: segments.Segment) -> list[bytes]:
+        if segment.flags & (const.FIN | const.SYN) or segment.payload:
+            return [self._build(self._highest, const.ACK)]
+        return []
+
+    def _handle_syn_ack(
+        self, segment: segments.Segment, now: float
+    ) -> list[bytes]:
+        wanted = const.SYN | const.ACK
+        if segment.flags & wanted != wanted:
+            return []
+        if self._place_acknowledgement(segment) != 1:
+            return []
+        self._peer_sequence = segment.sequence
+        self._touch(now)
+        self._advance(1, now)
+        self._establish(now)
+        sent = self._transmit(now)
+        return sent or [self._build(self._next, const.ACK)]
+
+    def _establish(self, now: float) -> None:
+        self.state = State.ESTABLISHED
+        self.established_at = now
+        if self._smoothed_s is None:
+            self._timeout_s = const.SYN_TIMEOUT_S
+
+    def _handle_repeated_syn(self) -> list[bytes]:
+        if self.state is State.SYN_RECEIVED:
+            return [self._build(0, const.SYN | const.ACK)]
+        return [self._build(self._next, const.ACK)]
+
+    def _place_acknowledgement(self, segment: segments.Segment) -> int:
+        return _unwrap(
+            segment.acknowledgement - self._sequence, self._acknowledged
+        )
+
+    def _place_sequence(self, segment: segments.Segment) -> int:
+        return _unwrap(segment.sequence - self._peer_sequence, self._expected)
+
+    def _handle_acknowledgement(
+        self, segment: segments.Segment, now: float
+    ) -> list[bytes]:
+        if not segment.flags & const.ACK:
+            return []
+        position = self._place_acknowledgement(segment)
+        if position > self._highest:
+            return [self._build(self._next, const.ACK)]
+        if self.state is State.SYN_RECEIVED and position >= 1:
+            self._establish(now)
+        if position > self._acknowledged:
+            self._advance(position, now)
+            return []
+        return self._count_duplicate(segment, position)
+
+    def _advance(self, position: int, now: float) -> None:
+        data_start = max(self._acknowledged, 1)
+        data_end = min(position, self._end)
+        del self._buffer[: max(0, data_end - data_start)]
+        newly = position - self._acknowledged
+        self._acknowledged = position
+        self._next = max(self._next, position)
+        self._window = min(self._window + newly, const.RECEIVE_WINDOW_BYTES)
+        self._duplicate_acks = 0
+        self._tries = 0
+        self._measure(position, now)
+        outstanding = self._highest > position
+        self._deadline = now + self._timeout_s if outstanding else None
+
+    def _measure(self, position: int, now: float) -> None:
+        if self._sample is not None and position >= self._sample[0]:
+            self._smooth(now - self._sample[1])
+            self._sample = None
+        if self._smoothed_s is not None:
+            self._timeout_s = max(
+                const.MINIMUM_TIMEOUT_S,
+                self._smoothed_s + 4 * self._variance_s,
+            )
+
+    def _smooth(self, round_trip_s: float) -> None:
+        if self._smoothed_s is None:
+            self._smoothed_s = round_trip_s
+            self._variance_s = round_trip_s / 2
+            return
+        difference = abs(self._smoothed_s - round_trip_s)
+        self._variance_s = 0.75 * self._variance_s + 0.25 * difference
+        self._smoothed_s = 0.875 * self._smoothed_s + 0.125 * round_trip_s
+
+    def _count_duplicate(
+        self, segment: segments.Segment, position: int
+    ) -> list[bytes]:
+        repeated = position == self._acknowledged and not segment.payload
+        if not repeated or self._highest == self._acknowledged:
+            return []
+        self._duplicate_acks += 1
+        if self._duplicate_acks != const.DUPLICATE_ACK_THRESHOLD:
+            return []
+        self.retransmissions += 1
+        self._sample = None
+        return [self._build_at(self._acknowledged)]
+
+    def _take_payload(self, segment: segments.Segment) -> bool:
+        position = self._place_sequence(segment)
+        has_fin = bool(segment.flags & const.FIN)
+        if not segment.payload and not has_fin:
+            return position != self._expected
+        if has_fin:
+            self._peer_end = position + len(segment.payload)
+        ahead_bytes = position - self._expected
+        if segment.payload and ahead_bytes < const.RECEIVE_WINDOW_BYTES:
+            self._store(position, segment.payload)
+        if self._expected == self._peer_end:
+            self._expected += 1
+        return True
+
+    def _store(self, position: int, payload: bytes) -> None:
+        kept = self._segments_ahead.get(position, b"")
+        if len(payload) > len(kept):
+            self._segments_ahead[position] = payload
+        for start in sorted(self._segments_ahead):
+            if start > self._expected:
+                return
+            data = self._segments_ahead.pop(start)
+            fresh = data[self._expected - start :]
+            self._received += fresh
+            self._expected += len(fresh)
+
+    def _transmit(self, now: float) -> list[bytes]:
+        packets = []
+        while (packet := self._build_next(now)) is not None:
+            packets.append(packet)
+        if self._deadline is None and self._highest > self._acknowledged:
+            self._deadline = now + self._timeout_s
+        return packets
+
+    def _build_next(self, now: float) -> bytes | None:
+        if self.state is State.CLOSED:
+            return None
+        length = self._measure_next()
+        if length <= 0:
+            return None
+        packet = self._build_at(self._next)
+        self._next += length
+        if self._next > self._highest:
+            self._highest = self._next
+            if self._sample is None:
+                self._sample = (self._next, now)
+        return packet
+
+    def _measure_next(self) -> int:
+        """Returns the sequence length of the next segment, 0 for none."""
+        if self._next == 0:
+            return 1
+        if self.state is not State.ESTABLISHED:
+            return 0
+        if self._next < self._end:
+            allowed = self._acknowledged + self._window - self._next
+            left = self._end - self._next
+            return min(const.MAXIMUM_SEGMENT_BYTES, left, allowed)
+        return int(self._finishing and self._next == self._end)
+
+    def _build_at(self, position: int) -> bytes:
+        if position == 0:
+            answered = self._peer_sequence is not None
+            return self._build(0, const.SYN | (const.ACK if answered else 0))
+        if position >= self._end:
+            return self._build(position, const.FIN | const.ACK)
+        start = position - max(self._acknowledged, 1)
+        limit = const.MAXIMUM_SEGMENT_BYTES
+        allowed = self._acknowledged + self._window - position
+        if allowed > 0:
+            limit = min(limit, allowed)
+        payload = bytes(self._buffer[start : start + limit])
+        return self._build(position, const.PSH | const.ACK, payload)
+
+
+def _unwrap(difference: int, reference: int) -> int:
+    """Returns the position nearest to `reference` that has this residue."""
+    offset = (difference - reference) & _SEQUENCE_MASK
+    if offset >= _HALF_SEQUENCE:
+        offset -= 1 << 32
+    return reference + offset
--- /dev/null
+++ b/standins/fabric.py
@@ -0,0 +1,424 @@
+"""The network between callers, entry VMs and targets.
+
+The fabric may deliver any packet of any flow to any entry VM. `Fabric` makes
+the decisions; the process moves one IP packet in each UDP datagram.
+"""
+
+import argparse
+import asyncio
+import collections
+from collections.abc import Iterable
+import dataclasses
+import enum
+import random
+import socket
+import time
+
+import xxhash
+
+from standins import administration
+from standins import const
+from standins import exceptions
+from standins import host as hosts
+from standins import link
+
+ANY_DOMAIN = "*"
+
+
+class HostKind(enum.Enum):
+    """What is behind a socket that sends to the fabric."""
+
+    CALLER = "caller"
+    TARGET = "target"
+    BALANCER = "balancer"
+
+
+class Spray(enum.Enum):
+    """How packets to a service address are spread over entry VMs."""
+
+    PACKET = "packet"
+    FLOW = "flow"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Host:
+    """A socket of the fabric's users."""
+
+    name: str
+    kind: HostKind
+    domain: str
+    address: link.Address
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Faults:
+    """Faults of the network; probabilities are per packet.
+
+    `cuts` and `delays_s` are keyed by (source domain, destination domain).
+    `silent` holds (address, direction): `from` drops what the target sends,
+    `to` drops what is sent to it.
+    """
+
+    loss: float = 0.0
+    double: float = 0.0
+    reorder: float = 0.0
+    reorder_delay_s: float = 0.005
+    delay_s: float = 0.0
+    delays_s: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
+    cuts: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+    silent: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delivery:
+    """A packet to send after a delay."""
+
+    data: bytes
+    destination: link.Address
+    delay_s: float
+
+
+class Fabric:
+    """Decides where packets go, which are lost, and counts them."""
+
+    def __init__(self, *, seed: int, spray: Spray = Spray.PACKET):
+        """Creates a fabric that knows no hosts."""
+        self._generator = random.Random(seed)
+        self._spray = spray
+        self._senders: dict[link.Address, Host] = {}
+        self._hosts: dict[bytes, Host] = {}
+        self._balancers: list[Host] = []
+        self._services: set[bytes] = set()
+        self.faults = Faults()
+        self.reset_counters()
+
+    def reset_counters(self) -> None:
+        """Forgets all counts and times."""
+        self._packets: collections.Counter = collections.Counter()
+        self._bytes: collections.Counter = collections.Counter()
+        self._drops: collections.Counter = collections.Counter()
+        self._received: collections.Counter = collections.Counter()
+        self._last_delivery: dict[tuple[str, bytes], float] = {}
+
+    def set_services(self, addresses: Iterable[str]) -> None:
+        """Sets the service addresses."""
+        self._services = {pack_address(address) for address in addresses}
+
+    def add_balancer(self, host: Host) -> None:
+        """Adds an entry VM, or replaces the one of the same name."""
+        self.remove_balancer(host.name)
+        self._senders[host.address] = host
+        self._balancers.append(host)
+        self._balancers.sort(key=lambda balancer: balancer.name)
+
+    def remove_balancer(self, name: str) -> None:
+        """Sends no more packets to an entry VM; its own still pass."""
+        self._balancers = [
+            balancer for balancer in self._balancers if balancer.name != name
+        ]
+
+    def add_host(self, host: Host, addresses: Iterable[str]) -> None:
+        """Registers the inner addresses of a caller or target host."""
+        self._senders[host.address] = host
+        for address in addresses:
+            self._hosts[pack_address(address)] = host
+
+    def set_faults(self, request: dict) -> None:
+        """Replaces all faults by those of a request in JSON form.
+
+        Raises:
+            PlanError: The request has an unknown field.
+        """
+        fields = dict(request)
+        if "seed" in fields:
+            self._generator.seed(fields.pop("seed"))
+        known = {field.name for field in dataclasses.fields(Faults)}
+        if unknown := set(fields) - known:
+            raise exceptions.PlanError(f"unknown faults: {sorted(unknown)}")
+        fields["cuts"] = {tuple(pair) for pair in fields.get("cuts", ())}
+        fields["silent"] = {tuple(pair) for pair in fields.get("silent", ())}
+        fields["delays_s"] = {
+            (source, destination): delay_s
+            for source, destination, delay_s in fields.get("delays_s", ())
+        }
+        self.faults = Faults(**fields)
+
+    def route(
+        self, data: bytes, sender: link.Address, now: float
+    ) -> list[Delivery]:
+        """Returns the deliveries of one packet from a socket."""
+        source = self._senders.get(sender)
+        if source is None:
+            return self._drop("unknown_sender")
+        addresses = _read_addresses(data)
+        if addresses is None:
+            return self._drop("malformed")
+        if source.kind is HostKind.TARGET and self._is_silent(
+            addresses[0], "from"
+        ):
+            return self._drop("silent")
+        target = self._choose(source, data, addresses[1])
+        if target is None:
+            return self._drop("no_route")
+        return self._deliver(source, target, data, addresses[1], now)
+
+    def dump_state(self) -> dict:
+        """Returns counts; times are monotonic seconds of this machine."""
+        return {
+            "packets": _list_counter(self._packets),
+            "bytes": _list_counter(self._bytes),
+            "drops": dict(self._drops),
+            "received": dict(self._received),
+            "last_delivery": [
+                [domain, socket.inet_ntoa(address), when]
+                for (domain, address), when in self._last_delivery.items()
+            ],
+            "balancers": [balancer.name for balancer in self._balancers],
+        }
+
+    def _choose(
+        self, source: Host, data: bytes, destination: bytes
+    ) -> Host | None:
+        if source.kind is HostKind.BALANCER:
+            return self._hosts.get(destination)
+        is_service = destination in self._services
+        if source.kind is HostKind.CALLER and not is_service:
+            return None
+        if not self._balancers:
+            return None
+        if self._spray is Spray.PACKET:
+            return self._generator.choice(self._balancers)
+        # Addresses and ports lie at the same place in TCP and UDP.
+        flow = xxhash.xxh3_64_intdigest(data[12:24])
+        return self._balancers[flow % len(self._balancers)]
+
+    def _is_silent(self, address: bytes, direction: str) -> bool:
+        if not self.faults.silent:
+            return False
+        return (socket.inet_ntoa(address), direction) in self.faults.silent
+
+    def _deliver(
+        self,
+        source: Host,
+        target: Host,
+        data: bytes,
+        destination: bytes,
+        now: float,
+    ) -> list[Delivery]:
+        pair = (source.domain, target.domain)
+        if self._is_cut(pair):
+            return self._drop("cut")
+        if target.kind is HostKind.TARGET and self._is_silent(
+            destination, "to"
+        ):
+            return self._drop("silent")
+        if self._happens(self.faults.loss):
+            return self._drop("lost")
+        self._count(source, target, data, destination, now)
+        copies = 1 + self._happens(self.faults.double)
+        return [
+            Delivery(data, target.address, self._draw_delay(pair))
+            for _ in range(copies)
+        ]
+
+    def _is_cut(self, pair: tuple[str, str]) -> bool:
+        cuts = self.faults.cuts
+        if not cuts:
+            return False
+        return any(
+            candidate in cuts
+            for candidate in (
+                pair,
+                (pair[0], ANY_DOMAIN),
+                (ANY_DOMAIN, pair[1]),
+            )
+        )
+
+    def _happens(self, probability: float) -> bool:
+        return probability > 0 and self._generator.random() < probability
+
+    def _draw_delay(self, pair: tuple[str, str]) -> float:
+        delay_s = self.faults.delay_s
+        if self.faults.delays_s:
+            delay_s += self.faults.delays_s.get(pair, 0.0)
+        if self._happens(self.faults.reorder):
+            delay_s += self._generator.random() * self.faults.reorder_delay_s
+        return delay_s
+
+    def _count(
+        self,
+        source: Host,
+        target: Host,
+        data: bytes,
+        destination: bytes,
+        now: float,
+    ) -> None:
+        if target.kind is HostKind.BALANCER:
+            self._received[target.name] += 1
+        key = (source.domain, destination)
+        self._packets[key] += 1
+        self._bytes[key] += len(data)
+        if target.kind is HostKind.TARGET:
+            self._last_delivery[key] = now
+
+    def _drop(self, reason: str) -> list[Delivery]:
+        self._drops[reason] += 1
+        return []
+
+
+def pack_address(text: str) -> bytes:
+    """Packs an IPv4 or IPv6 address.
+
+    Raises:
+        OSError: The text is not an address.
+    """
+    family = socket.AF_INET6 if ":" in text else socket.AF_INET
+    return socket.inet_pton(family, text)
+
+
+def _read_addresses(data: bytes) -> tuple[bytes, bytes] | None:
+    version = data[0] >> 4 if data else 0
+    if version == 4 and len(data) >= const.IPV4_HEADER_BYTES:
+        return data[12:16], data[16:20]
+    if version == 6 and len(data) >= 40:
+        return data[8:24], data[24:40]
+    return None
+
+
+def _list_counter(counter: collections.Counter) -> list:
+    return [
+        [domain, socket.inet_ntoa(address), count]
+        for (domain, address), count in counter.items()
+    ]
+
+
+class FabricProcess:
+    """The fabric with its socket and its administration interface."""
+
+    def __init__(
+        self,
+        *,
+        fabric: Fabric,
+        address: link.Address,
+        admin_address: link.Address,
+    ):
+        """Creates the process without opening its sockets."""
+        self.fabric = fabric
+        self._timers = hosts.Timers()
+        self._link = link.Link(address=address, handle=self._handle)
+        self._administration = administration.Administration(
+            address=admin_address,
+            operations={
+                "services": self._set_services,
+                "balancers": self._add_balancer,
+                "remove_balancer": self._remove_balancer,
+                "hosts": self._add_host,
+                "faults": fabric.set_faults,
+                "statistics": self._report,
+                "reset": lambda _: fabric.reset_counters(),
+            },
+        )
+        self._wakeup: asyncio.TimerHandle | None = None
+
+    async def async_open(self) -> None:
+        """Opens the sockets."""
+        await self._link.async_open()
+        await self._administration.async_open()
+
+    async def async_close(self) -> None:
+        """Closes the sockets; delayed packets are lost."""
+        if self._wakeup is not None:
+            self._wakeup.cancel()
+        await self._administration.async_close()
+        await self._link.async_close()
+
+    def _handle(self, data: bytes, sender: link.Address) -> None:
+        now = time.monotonic()
+        for delivery in self.fabric.route(data, sender, now):
+            if delivery.delay_s <= 0:
+                self._link.send(delivery.data, delivery.destination)
+            else:
+                self._delay(delivery, now)
+
+    def _delay(self, delivery: Delivery, now: float) -> None:
+        self._timers.call_at(
+            now + delivery.delay_s,
+            lambda _: self._link.send(delivery.data, delivery.destination),
+        )
+        if self._wakeup is None:
+            self._arm(now)
+
+    def _arm(self, now: float) -> None:
+        when = self._timers.next_time
+        self._wakeup = None
+        if when is not None:
+            loop = asyncio.get_running_loop()
+            self._wakeup = loop.call_later(max(0.0, when - now), self._wake)
+
+    def _wake(self) -> None:
+        now = time.monotonic()
+        self._timers.tick(now)
+        self._arm(now)
+
+    def _set_services(self, request: dict) -> None:
+        self.fabric.set_services(request["addresses"])
+
+    def _add_balancer(self, request: dict) -> None:
+        self.fabric.add_balancer(_parse_host(request, HostKind.BALANCER))
+
+    def _remove_balancer(self, request: dict) -> None:
+        self.fabric.remove_balancer(request["name"])
+
+    def _add_host(self, request: dict) -> None:
+        kind = HostKind(request["kind"])
+        self.fabric.add_host(_parse_host(request, kind), request["addresses"])
+
+    def _report(self, _: dict) -> dict:
+        return {
+            **self.fabric.dump_state(),
+            "now": time.monotonic(),
+            "send_failures": self._link.dropped,
+        }
+
+
+def _parse_host(request: dict, kind: HostKind) -> Host:
+    return Host(
+        name=request["name"],
+        kind=kind,
+        domain=request["domain"],
+        address=(request["address"], request["port"]),
+    )
+
+
+async def async_run(arguments: argparse.Namespace) -> None:
+    """Runs the fabric until a signal arrives."""
+    process = FabricProcess(
+        fabric=Fabric(seed=arguments.seed, spray=Spray(arguments.spray)),
+        address=administration.parse_address(arguments.address),
+        admin_address=administration.parse_address(arguments.admin),
+    )
+    await process.async_open()
+    try:
+        await administration.async_wait_for_signal()
+    finally:
+        await process.async_close()
+
+
+def main() -> None:
+    """Runs the process from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", default="127.0.0.2:7000")
+    parser.add_argument("--admin", default="127.0.0.2:7001")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--spray",
+        choices=[spray.value for spray in Spray],
+        default=Spray.PACKET.value,
+    )
+    asyncio.run(async_run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/segments.py
@@ -0,0 +1,234 @@
+"""Building and reading of TCP, UDP and ICMP packets over IPv4."""
+
+import dataclasses
+import functools
+import struct
+
+from standins import const
+from standins import exceptions
+
+_IP = struct.Struct("!BBHHHBBH4s4s")
+_TCP = struct.Struct("!HHIIBBHHH")
+_UDP = struct.Struct("!HHHH")
+_ICMP = struct.Struct("!BBHI")
+_PORTS = struct.Struct("!HH")
+_MSS_OPTION = struct.pack("!BBH", 2, 4, const.MAXIMUM_SEGMENT_BYTES)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Segment:
+    """A TCP segment; addresses are packed, sequence numbers are raw."""
+
+    source: bytes
+    source_port: int
+    destination: bytes
+    destination_port: int
+    sequence: int
+    acknowledgement: int
+    flags: int
+    window: int = const.RECEIVE_WINDOW_BYTES
+    payload: bytes = b""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Datagram:
+    """A UDP datagram."""
+
+    source: bytes
+    source_port: int
+    destination: bytes
+    destination_port: int
+    payload: bytes = b""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Unreachable:
+    """An ICMP destination unreachable message about a packet that was sent.
+
+    The addresses and ports are those of the quoted packet.
+    """
+
+    code: int
+    protocol: int
+    source: bytes
+    source_port: int
+    destination: bytes
+    destination_port: int
+
+
+def sum_checksum(data: bytes) -> int:
+    """Returns the Internet checksum of `data`.
+
+    The one's complement sum of 16-bit words equals the number modulo 65535,
+    which one big-integer operation computes.
+    """
+    if len(data) % 2:
+        data += b"\0"
+    return 0xFFFF - (int.from_bytes(data, "big") % 0xFFFF or 0xFFFF)
+
+
+def _build_ip(
+    source: bytes, destination: bytes, protocol: int, body: bytes
+) -> bytes:
+    length = const.IPV4_HEADER_BYTES + len(body)
+    fields = (0x45, 0, length, 0, 0x4000, const.DEFAULT_TTL, protocol)
+    header = _IP.pack(*fields, 0, source, destination)
+    checksum = sum_checksum(header)
+    return header[:10] + checksum.to_bytes(2, "big") + header[12:] + body
+
+
+def _build_pseudo(
+    source: bytes, destination: bytes, protocol: int, length: int
+) -> bytes:
+    return source + destination + struct.pack("!HH", protocol, length)
+
+
+@functools.singledispatch
+def build_packet(content) -> bytes:
+    """Returns the IPv4 packet of a `Segment`, `Datagram` or `Unreachable`."""
+    raise TypeError(type(content))
+
+
+@build_packet.register
+def _(segment: Segment) -> bytes:
+    options = _MSS_OPTION if segment.flags & const.SYN else b""
+    offset = (const.TCP_HEADER_BYTES + len(options)) << 2
+    fields = (
+        segment.source_port,
+        segment.destination_port,
+        segment.sequence,
+        segment.acknowledgement,
+        offset,
+        segment.flags,
+        segment.window,
+    )
+    tail = options + segment.payload
+    body = _TCP.pack(*fields, 0, 0) + tail
+    pseudo = _build_pseudo(
+        segment.source, segment.destination, const.PROTOCOL_TCP, len(body)
+    )
+    checksum = sum_checksum(pseudo + body)
+    body = _TCP.pack(*fields, checksum, 0) + tail
+    return _build_ip(
+        segment.source, segment.destination, const.PROTOCOL_TCP, body
+    )
+
+
+@build_packet.register
+def _(datagram: Datagram) -> bytes:
+    length = const.UDP_HEADER_BYTES + len(datagram.payload)
+    ports = (datagram.source_port, datagram.destination_port)
+    body = _UDP.pack(*ports, length, 0) + datagram.payload
+    pseudo = _build_pseudo(
+        datagram.source, datagram.destination, const.PROTOCOL_UDP, length
+    )
+    # A computed checksum of zero is sent as all ones (RFC 768).
+    checksum = sum_checksum(pseudo + body) or 0xFFFF
+    body = _UDP.pack(*ports, length, checksum) + datagram.payload
+    return _build_ip(
+        datagram.source, datagram.destination, const.PROTOCOL_UDP, body
+    )
+
+
+@build_packet.register
+def _(message: Unreachable) -> bytes:
+    ports = _PORTS.pack(message.source_port, message.destination_port)
+    quoted = _build_ip(
+        message.source,
+        message.destination,
+        message.protocol,
+        ports + b"\0" * 4,
+    )
+    kind = const.ICMP_UNREACHABLE
+    body = _ICMP.pack(kind, message.code, 0, 0) + quoted
+    checksum = sum_checksum(body)
+    body = _ICMP.pack(kind, message.code, checksum, 0) + quoted
+    return _build_ip(
+        message.destination, message.source, const.PROTOCOL_ICMP, body
+    )
+
+
+def read_packet(data: bytes) -> Segment | Datagram | Unreachable:
+    """Reads an IPv4 packet as the network stack of a host does.
+
+    Raises:
+        SegmentError: The packet is malformed, of another protocol or has a
+            wrong checksum.
+    """
+    if len(data) < const.IPV4_HEADER_BYTES or data[0] != 0x45:
+        raise exceptions.SegmentError("not an IPv4 packet without options")
+    if sum_checksum(data[: const.IPV4_HEADER_BYTES]):
+        raise exceptions.SegmentError("wrong checksum of the IPv4 header")
+    length = int.from_bytes(data[2:4], "big")
+    if length > len(data):
+        raise exceptions.SegmentError("truncated packet")
+    body = data[const.IPV4_HEADER_BYTES : length]
+    reader = _READERS.get(data[9])
+    if reader is None:
+        raise exceptions.SegmentError("unknown protocol")
+    try:
+        return reader(data[12:16], data[16:20], body)
+    except struct.error as error:
+        raise exceptions.SegmentError("truncated header") from error
+
+
+def _check_transport(
+    source: bytes, destination: bytes, protocol: int, body: bytes
+) -> None:
+    pseudo = _build_pseudo(source, destination, protocol, len(body))
+    if sum_checksum(pseudo + body):
+        raise exceptions.SegmentError("wrong checksum of the transport header")
+
+
+def _read_segment(source: bytes, destination: bytes, body: bytes) -> Segment:
+    _check_transport(source, destination, const.PROTOCOL_TCP, body)
+    fields = _TCP.unpack_from(body)
+    return Segment(
+        source=source,
+        source_port=fields[0],
+        destination=destination,
+        destination_port=fields[1],
+        sequence=fields[2],
+        acknowledgement=fields[3],
+        flags=fields[5],
+        window=fields[6],
+        payload=body[(fields[4] >> 4) * 4 :],
+    )
+
+
+def _read_datagram(source: bytes, destination: bytes, body: bytes) -> Datagram:
+    fields = _UDP.unpack_from(body)
+    if fields[3]:
+        _check_transport(source, destination, const.PROTOCOL_UDP, body)
+    return Datagram(
+        source=source,
+        source_port=fields[0],
+        destination=destination,
+        destination_port=fields[1],
+        payload=body[const.UDP_HEADER_BYTES : fields[2]],
+    )
+
+
+def _read_icmp(source: bytes, destination: bytes, body: bytes) -> Unreachable:
+    if sum_checksum(body):
+        raise exceptions.SegmentError("wrong checksum of the ICMP message")
+    kind, code, _, _ = _ICMP.unpack_from(body)
+    if kind != const.ICMP_UNREACHABLE:
+        raise exceptions.SegmentError("unknown ICMP type")
+    quoted = body[_ICMP.size :]
+    ports = _PORTS.unpack_from(quoted, const.IPV4_HEADER_BYTES)
+    return Unreachable(
+        code=code,
+        protocol=quoted[9],
+        source=quoted[12:16],
+        source_port=ports[0],
+        destination=quoted[16:20],
+        destination_port=ports[1],
+    )
+
+
+_READERS = {
+    const.PROTOCOL_ICMP: _read_icmp,
+    const.PROTOCOL_TCP: _read_segment,
+    const.PROTOCOL_UDP: _read_datagram,
+}
