--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,199 @@
+"""Opens flows by seed and rate; it does no I/O and reads no clock."""
+
+from collections.abc import Callable
+import dataclasses
+import itertools
+import random
+
+from chivedoor.configuration import document as documents
+
+from standins import caller_flows
+from standins import exceptions
+from standins import host as hosts
+from standins import results as results_module
+
+_FIRST_PORT = 1024
+_PORTS = 65536 - _FIRST_PORT
+_SHAPES = {
+    documents.PortKind.STREAM: caller_flows.Stream,
+    documents.PortKind.UPLOAD: caller_flows.Upload,
+    documents.PortKind.REQUEST: caller_flows.Request,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Load:
+    """Flows of one port of a service, at random times with a mean rate.
+
+    Attributes:
+        name: Name under which the results are counted.
+        service: Id of the service.
+        protocol: `tcp` or `udp`.
+        port: Port of the service.
+        rate_per_s: Mean rate of new flows.
+        shape: Fields of the port kind's shape, such as `records`.
+        limit: Most flows that this load opens; None for no limit.
+    """
+
+    name: str
+    service: str
+    port: int
+    rate_per_s: float
+    protocol: str = "tcp"
+    shape: dict = dataclasses.field(default_factory=dict)
+    limit: int | None = None
+
+
+class Caller:
+    """Opens the flows of loads from a pool of addresses."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        addresses: list[bytes],
+        send: Callable[[bytes], None],
+        timers: hosts.Timers,
+        generator: random.Random,
+        idle_timeout_s: float = 25.0,
+    ):
+        """Creates a caller that opens no flows.
+
+        A flow whose target sends nothing for `idle_timeout_s` is counted as
+        timed out.
+        """
+        self.results = results_module.Results()
+        self._name = name
+        self._addresses = addresses
+        self._timers = timers
+        self._generator = generator
+        self._idle_timeout_s = idle_timeout_s
+        self._stack = hosts.Stack(send=send, timers=timers, generator=generator)
+        self._numbers = itertools.count()
+        self._used_datagram_ports: set[hosts.Endpoint] = set()
+        self._services: dict[str, documents.Service] = {}
+        self._epoch = object()
+
+    def set_document(self, document: documents.Document) -> None:
+        """Sets the document in which loads find their services."""
+        self._services = dict(document.services)
+
+    def handle_packet(self, data: bytes, now: float) -> None:
+        """Handles a packet for one of this caller's addresses."""
+        self._stack.handle_packet(data, now)
+
+    def start(self, load: Load, now: float) -> None:
+        """Starts to open the flows of a load.
+
+        Raises:
+            PlanError: The service, the port or a field is unknown.
+        """
+        service, port = self._find_port(load)
+        try:
+            shape = _SHAPES[port.kind](**load.shape)
+        except TypeError as error:
+            raise exceptions.PlanError(str(error)) from error
+        epoch = self._epoch
+        left = itertools.count() if load.limit is None else range(load.limit)
+        remaining = iter(left)
+
+        def open_next(now: float) -> None:
+            if self._epoch is not epoch or next(remaining, None) is None:
+                return
+            self._open(load, service, port, shape, now)
+            gap_s = self._generator.expovariate(load.rate_per_s)
+            self._timers.call_at(now + gap_s, open_next)
+
+        open_next(now)
+
+    def stop(self) -> None:
+        """Opens no more flows; open ones go on."""
+        self._epoch = object()
+
+    def dump_state(self) -> dict:
+        """Returns the results and the packets that were discarded."""
+        return {
+            **self.results.dump_state(),
+            "bad_packets": self._stack.bad_packets,
+            "resets_sent": self._stack.resets_sent,
+        }
+
+    def _find_port(
+        self, load: Load
+    ) -> tuple[documents.Service, documents.ServicePort]:
+        service = self._services.get(load.service)
+        protocol = documents.Protocol[load.protocol.upper()]
+        for port in service.ports if service else ():
+            if port.port == load.port and port.protocol is protocol:
+                return service, port
+        raise exceptions.PlanError(f"no such port: {load}")
+
+    def _open(
+        self,
+        load: Load,
+        service: documents.Service,
+        port: documents.ServicePort,
+        shape: caller_flows.Shape,
+        now: float,
+    ) -> None:
+        number = next(self._numbers)
+        context = caller_flows.Context(
+            load=load.name,
+            flow=f"{self._name}-{number}",
+            service=service.id,
+            shape=shape,
+            stack=self._stack,
+            timers=self._timers,
+            results=self.results,
+        )
+        self.results.note_open(load.name)
+        remote = (self._generator.choice(service.addresses), port.port)
+        if port.protocol is documents.Protocol.TCP:
+            self._open_connection(context, remote, number, now)
+        else:
+            self._open_datagram(context, remote, number, now)
+
+    def _choose_local(self, number: int) -> hosts.Endpoint:
+        count = len(self._addresses)
+        return (
+            self._addresses[number % count],
+            _FIRST_PORT + number // count % _PORTS,
+        )
+
+    def _open_connection(
+        self,
+        context: caller_flows.Context,
+        remote: hosts.Endpoint,
+        number: int,
+        now: float,
+    ) -> None:
+        local = self._choose_local(number)
+        while self._stack.is_used(local, remote):
+            local = self._choose_local(next(self._numbers))
+        flow = caller_flows.ConnectionFlow(context=context, opened_at=now)
+        self._stack.connect(
+            local=local,
+            remote=remote,
+            callback=flow.handle_event,
+            now=now,
+            idle_timeout_s=self._idle_timeout_s,
+        )
+
+    def _open_datagram(
+        self,
+        context: caller_flows.Context,
+        remote: hosts.Endpoint,
+        number: int,
+        now: float,
+    ) -> None:
+        local = self._choose_local(number)
+        while local in self._used_datagram_ports:
+            local = self._choose_local(next(self._numbers))
+        self._used_datagram_ports.add(local)
+        flow = caller_flows.DatagramFlow(
+            context=context,
+            local=local,
+            remote=remote,
+            release=lambda: self._used_datagram_ports.discard(local),
+        )
+        flow.open(now)
--- a/standins/connection.py
+++ b/standins/connection.py
@@ -142,6 +142,11 @@
         self._close(Outcome.ABORTED)
         return [packet]
 
+    def discard(self) -> None:
+        """Ends the connection without a packet, as a dying host does."""
+        if self.state is not State.CLOSED:
+            self._close(Outcome.ABORTED)
+
     def handle_segment(
         self, segment: segments.Segment, now: float
     ) -> list[bytes]:
--- /dev/null
+++ b/standins/content.py
@@ -0,0 +1,82 @@
+"""Numbered content that shows loss, doubling and mixing of flows.
+
+Every record names its flow and its number, and the rest of it is derived
+from both, so that each wrong byte is noticed.
+"""
+
+import enum
+import struct
+
+import xxhash
+
+_HEADER = struct.Struct("!QQ")
+MINIMUM_RECORD_BYTES = _HEADER.size
+
+
+class Fault(enum.Enum):
+    """What is wrong with received content."""
+
+    CORRUPTED = "corrupted"
+    MIXED = "mixed"
+    DOUBLED = "doubled"
+    LOST = "lost"
+
+
+def tag_flow(flow: str) -> int:
+    """Returns the 64-bit tag by which records name their flow."""
+    return xxhash.xxh3_64_intdigest(flow)
+
+
+def build_record(tag: int, number: int, size_bytes: int) -> bytes:
+    """Returns record `number` of a flow; the size is at least 16 bytes."""
+    header = _HEADER.pack(tag, number)
+    filler = xxhash.xxh3_128_digest(header)
+    repeats = size_bytes // len(filler)
+    return (header + filler * repeats)[:size_bytes]
+
+
+def find_fault(
+    data: bytes, *, tag: int, number: int, size_bytes: int
+) -> Fault | None:
+    """Returns what is wrong with a record, or None when it is right."""
+    if data == build_record(tag, number, size_bytes):
+        return None
+    if len(data) < MINIMUM_RECORD_BYTES:
+        return Fault.LOST
+    found_tag, found_number = _HEADER.unpack_from(data)
+    if data != build_record(found_tag, found_number, size_bytes):
+        return Fault.CORRUPTED
+    if found_tag != tag:
+        return Fault.MIXED
+    return Fault.DOUBLED if found_number < number else Fault.LOST
+
+
+class RecordChecker:
+    """Checks a byte stream of numbered records as it arrives."""
+
+    def __init__(self, *, flow: str, size_bytes: int):
+        """Creates a checker that expects record 0 of a flow."""
+        self.count = 0
+        self.fault: Fault | None = None
+        self._tag = tag_flow(flow)
+        self._size_bytes = size_bytes
+        self._partial = bytearray()
+
+    @property
+    def partial_bytes(self) -> int:
+        """Bytes of a record that is not complete."""
+        return len(self._partial)
+
+    def feed(self, data: bytes) -> None:
+        """Checks more bytes; the first fault is kept."""
+        self._partial += data
+        while self.fault is None and len(self._partial) >= self._size_bytes:
+            record = bytes(self._partial[: self._size_bytes])
+            del self._partial[: self._size_bytes]
+            self.fault = find_fault(
+                record,
+                tag=self._tag,
+                number=self.count,
+                size_bytes=self._size_bytes,
+            )
+            self.count += self.fault is None
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -321,6 +321,7 @@
             },
         )
         self._wakeup: asyncio.TimerHandle | None = None
+        self._armed_for = 0.0
 
     async def async_open(self) -> None:
         """Opens the sockets."""
@@ -347,17 +348,22 @@
             now + delivery.delay_s,
             lambda _: self._link.send(delivery.data, delivery.destination),
         )
-        if self._wakeup is None:
+        when = self._timers.next_time
+        if self._wakeup is None or when < self._armed_for:
             self._arm(now)
 
     def _arm(self, now: float) -> None:
+        if self._wakeup is not None:
+            self._wakeup.cancel()
         when = self._timers.next_time
         self._wakeup = None
         if when is not None:
+            self._armed_for = when
             loop = asyncio.get_running_loop()
             self._wakeup = loop.call_later(max(0.0, when - now), self._wake)
 
     def _wake(self) -> None:
+        self._wakeup = None
         now = time.monotonic()
         self._timers.tick(now)
         self._arm(now)
--- a/standins/host.py
+++ b/standins/host.py
@@ -147,6 +147,17 @@
         if entry is not None and entry.connection is connection:
             del self._entries[key]
 
+    def close(self) -> None:
+        """Ends all connections without a packet and sends nothing more."""
+        self._send = lambda _: None
+        for entry in self._entries.values():
+            entry.connection.discard()
+        self._entries.clear()
+
+    def is_used(self, local: Endpoint, remote: Endpoint) -> bool:
+        """Returns whether a connection has these endpoints."""
+        return (local, remote) in self._entries
+
     def send_datagram(self, datagram: segments.Datagram) -> None:
         """Sends a UDP datagram."""
         self._send(segments.build_packet(datagram))
--- /dev/null
+++ b/standins/requests.py
@@ -0,0 +1,28 @@
+"""JSON requests to the administration interfaces of the stand-ins."""
+
+from typing import Any
+
+import aiohttp
+
+from standins import exceptions
+from standins import link
+
+
+async def async_request(
+    address: link.Address, name: str, arguments: dict | None = None
+) -> Any:
+    """Performs one operation of an administration interface.
+
+    Raises:
+        PlanError: The process refused the request.
+        aiohttp.ClientError: The process could not be reached.
+    """
+    url = f"http://{address[0]}:{address[1]}/{name}"
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(url, json=arguments or {}) as response,
+    ):
+        body = await response.json(content_type=None)
+        if response.status != 200:
+            raise exceptions.PlanError(f"{name}: {body}")
+        return body
--- /dev/null
+++ b/standins/sessions.py
@@ -0,0 +1,204 @@
+"""The protocol of a target on one TCP connection.
+
+The caller sends one line of JSON with `flow`, `service` and the fields of
+the port's kind, and then bytes.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import json
+from typing import Any
+
+from chivedoor.configuration import document
+
+from standins import connection as connections
+from standins import content
+from standins import host as hosts
+
+_MAXIMUM_LINE_BYTES = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Context:
+    """What a session needs of its target.
+
+    `run` performs a request: it gets the fields of the line and a function
+    that takes the answer, and returns a function that cancels the work.
+    """
+
+    timers: hosts.Timers
+    stack: hosts.Stack
+    service: str
+    count: Callable[[str], None]
+    run: Callable[[dict, float, Callable], Callable[[], None]]
+    release: Callable[[], None]
+    idle_limit_s: float
+
+
+class Session:
+    """One flow at a target; its connection calls it after every event."""
+
+    def __init__(self, *, kind: document.PortKind, context: Context):
+        """Creates a session that waits for the line."""
+        self._kind = kind
+        self._context = context
+        self._line = bytearray()
+        self._request: dict[str, Any] | None = None
+        self._cancel: Callable[[], None] | None = None
+        self._checker: content.RecordChecker | None = None
+        self._released = False
+        self._answered = False
+        self._watch: hosts.Timer | None = None
+
+    def handle_event(
+        self, connection: connections.Connection, now: float
+    ) -> None:
+        """Handles new bytes, the end or a failure of the connection."""
+        if connection.state is connections.State.CLOSED:
+            self._end(connection)
+            return
+        data = connection.read()
+        if self._watch is None or data:
+            self._rewatch(connection, now)
+        if data and self._request is None:
+            data = self._read_line(connection, data, now)
+        if data and self._checker is not None:
+            self._feed(connection, data)
+        if connection.remote_finished and self._answered:
+            self._release()
+
+    def _rewatch(self, connection: connections.Connection, now: float) -> None:
+        if self._kind is document.PortKind.STREAM:
+            return
+        if self._watch is not None:
+            self._watch.cancel()
+        when = now + self._context.idle_limit_s
+        self._watch = self._context.timers.call_at(
+            when, lambda _: self._expire(connection)
+        )
+
+    def _expire(self, connection: connections.Connection) -> None:
+        if connection.state is connections.State.CLOSED:
+            return
+        self._context.count("expired")
+        self._context.stack.abort(connection)
+        self._end(connection)
+
+    def _end(self, connection: connections.Connection) -> None:
+        if self._watch is not None:
+            self._watch.cancel()
+        if self._cancel is not None and not self._answered:
+            self._context.count("cancelled")
+            self._cancel()
+        self._cancel = None
+        if not self._released:
+            self._context.count(f"ended_{connection.outcome.value}")
+        self._release()
+
+    def _release(self) -> None:
+        if not self._released:
+            self._released = True
+            self._context.release()
+
+    def _read_line(
+        self, connection: connections.Connection, data: bytes, now: float
+    ) -> bytes:
+        self._line += data
+        line, found, rest = bytes(self._line).partition(b"\n")
+        if not found:
+            if len(self._line) > _MAXIMUM_LINE_BYTES:
+                self._reject(connection, "bad_line")
+            return b""
+        try:
+            request = json.loads(line)
+        except ValueError:
+            self._reject(connection, "bad_line")
+            return b""
+        if request.get("service") != self._context.service:
+            self._reject(connection, "wrong_service")
+            return b""
+        self._request = request
+        self._start(connection, request, now)
+        return rest
+
+    def _reject(self, connection: connections.Connection, reason: str) -> None:
+        self._context.count(reason)
+        self._context.stack.abort(connection)
+        self._end(connection)
+
+    def _start(
+        self, connection: connections.Connection, request: dict, now: float
+    ) -> None:
+        if self._kind is document.PortKind.STREAM:
+            self._start_stream(connection, request, now)
+        elif self._kind is document.PortKind.UPLOAD:
+            self._checker = content.RecordChecker(
+                flow=request["flow"], size_bytes=request["block_bytes"]
+            )
+        else:
+            self._cancel = self._context.run(
+                request,
+                now,
+                lambda answer, now: self._answer(connection, answer, now),
+            )
+
+    def _answer(
+        self,
+        connection: connections.Connection,
+        answer: bytes | None,
+        now: float,
+    ) -> None:
+        if connection.state is connections.State.CLOSED:
+            return
+        if answer is None:
+            self._context.stack.abort(connection)
+            self._end(connection)
+            return
+        self._answered = True
+        connection.write(answer)
+        connection.finish()
+        self._context.stack.flush(connection, now)
+        if connection.remote_finished:
+            self._release()
+
+    def _feed(self, connection: connections.Connection, data: bytes) -> None:
+        checker = self._checker
+        if self._answered:
+            return
+        checker.feed(data)
+        if checker.fault is not None:
+            self._context.count(f"upload_{checker.fault.value}")
+        elif checker.count < self._request["blocks"]:
+            return
+        self._answered = True
+        answer = {
+            "flow": self._request["flow"],
+            "blocks": checker.count,
+            "fault": checker.fault.value if checker.fault else None,
+        }
+        connection.write(json.dumps(answer).encode() + b"\n")
+        connection.finish()
+
+    def _start_stream(
+        self, connection: connections.Connection, request: dict, now: float
+    ) -> None:
+        tag = content.tag_flow(request["flow"])
+        total = int(request["records"])
+        interval_s = 1.0 / request["rate_per_s"]
+
+        def send(number: int, now: float) -> None:
+            if connection.state is connections.State.CLOSED:
+                return
+            size_bytes = request["record_bytes"]
+            record = content.build_record(tag, number, size_bytes)
+            connection.write(record)
+            if number + 1 == total:
+                self._answered = True
+                connection.finish()
+            else:
+                self._context.timers.call_at(
+                    now + interval_s, lambda later: send(number + 1, later)
+                )
+            self._context.stack.flush(connection, now)
+
+        send(0, now)
