--- /dev/null
+++ b/src/chivedoor/control/board.py
@@ -0,0 +1,458 @@
+"""Replicated soft state of small entries that the gossip spreads."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import functools
+from typing import Any
+
+import cbor2
+
+from chivedoor import exceptions as base_exceptions
+from chivedoor import ids
+from chivedoor.control import const
+from chivedoor.control import digest as digest_module
+from chivedoor.control import exceptions
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Entry:
+    """The value that one origin published under a topic.
+
+    Attributes:
+        topic: For instance `mode/17`.
+        origin: The VM that published the value.
+        incarnation: The origin's incarnation at that time.
+        counter: Rises with each value of the topic.
+        value: Plain value with a CBOR encoding.
+    """
+
+    topic: str
+    origin: ids.VmId
+    incarnation: ids.Incarnation
+    counter: int
+    value: Any
+
+    @property
+    def precedence(self) -> tuple[int, int]:
+        """Order of the entries of one topic and origin."""
+        return (self.incarnation, self.counter)
+
+    @functools.cached_property
+    def encoded(self) -> bytes:
+        """The entry as CBOR."""
+        return cbor2.dumps(
+            [
+                self.topic,
+                self.origin,
+                self.incarnation,
+                self.counter,
+                self.value,
+            ]
+        )
+
+
+def decode_entry(fields: Any) -> Entry:
+    """Builds the entry that a decoded CBOR value describes.
+
+    Raises:
+        EntryError: The value is malformed.
+    """
+    if not isinstance(fields, list) or len(fields) != 5:
+        raise exceptions.EntryError("an entry is not an array of 5 fields")
+    topic, origin, incarnation, counter, value = fields
+    if not isinstance(topic, str) or not isinstance(origin, str):
+        raise exceptions.EntryError("a topic or an origin is not text")
+    if not 0 < len(origin) <= const.TOPIC_BYTES:
+        raise exceptions.EntryError("the length of an origin is wrong")
+    if type(incarnation) is not int or type(counter) is not int:
+        raise exceptions.EntryError("a number of an entry is not an integer")
+    if (
+        not 0
+        <= min(incarnation, counter)
+        <= max(incarnation, counter)
+        < (const.COUNTER_LIMIT)
+    ):
+        raise exceptions.EntryError("a number of an entry is out of range")
+    return Entry(
+        topic=topic,
+        origin=ids.VmId(origin),
+        incarnation=ids.Incarnation(incarnation),
+        counter=counter,
+        value=value,
+    )
+
+
+Merge = Callable[[Entry, Entry], Entry]
+# Called with topic, origin and the entry, or None when it expired.
+Subscriber = Callable[[str, ids.VmId, Entry | None], None]
+PublishCallback = Callable[[Entry, bool], None]
+Key = tuple[str, ids.VmId | None]
+
+
+class Board:
+    """Entries by topic and origin; the newest one of each is kept.
+
+    For a topic with a registered merge function there is one entry for all
+    origins, and it neither expires nor depends on who is alive.
+    """
+
+    def __init__(
+        self,
+        *,
+        local_id: ids.VmId,
+        incarnation: ids.Incarnation,
+        capacity: int = const.BOARD_ENTRIES,
+        dead_origin_s: float = const.DEAD_ORIGIN_S,
+    ):
+        self._local_id = local_id
+        self._incarnation = incarnation
+        self._capacity = capacity
+        self._dead_origin_s = dead_origin_s
+        self._topics: dict[str, dict[ids.VmId | None, Entry]] = {}
+        self._by_origin: dict[ids.VmId, set[str]] = {}
+        self._dead: dict[ids.VmId, float] = {}
+        self._oldest: dict[ids.VmId, ids.Incarnation] = {}
+        self._size = 0
+        self._merges: dict[str, Merge] = {}
+        self._subscribers: list[tuple[str, Subscriber]] = []
+        self._publish_callbacks: list[PublishCallback] = []
+        self.digest = digest_module.Digest()
+        self.counters = dict.fromkeys(
+            ("published", "accepted", "old", "rejected", "full", "expired"), 0
+        )
+
+    def __len__(self) -> int:
+        return self._size
+
+    def register_merge(self, prefix: str, merge: Merge) -> None:
+        """Lets a function decide for topics that several origins write.
+
+        Args:
+            prefix: Start of the topics, such as `domain/`.
+            merge: Returns the winner of two entries; it must be commutative,
+                associative and idempotent, and raise a `ChivedoorError` for
+                an entry that is malformed. It is called with the same entry
+                twice when there is no other.
+        """
+        self._merges[prefix] = merge
+
+    def publish(
+        self, topic: str, value: Any, urgent: bool, now: float
+    ) -> Entry:
+        """Publishes a value of the local origin.
+
+        Args:
+            topic: At most 64 bytes.
+            value: Plain value of at most 512 bytes as CBOR.
+            urgent: Whether the gossip sends it at once.
+            now: Monotonic seconds.
+
+        Returns:
+            The entry; for a topic with a merge function, the winner.
+
+        Raises:
+            TopicError: The topic is empty or too long.
+            ValueSizeError: The value is too large or has no encoding.
+            BoardFullError: There is no room for another entry.
+        """
+        check_topic(topic)
+        merge = self._find_merge(topic)
+        key = (topic, None if merge else self._local_id)
+        known = self._look_up(key)
+        entry = Entry(
+            topic=topic,
+            origin=self._local_id,
+            incarnation=self._incarnation,
+            counter=known.counter + 1 if known else 1,
+            value=value,
+        )
+        check_size(entry)
+        winner = self._choose(merge, known, entry)
+        if winner is not known:
+            self._put(key, winner)
+        self.counters["published"] += 1
+        for callback in tuple(self._publish_callbacks):
+            callback(winner, urgent)
+        return winner
+
+    def merge(self, entries: Iterable[Entry], now: float) -> list[Entry]:
+        """Takes over entries from a peer.
+
+        Faulty entries are counted and skipped.
+
+        Returns:
+            The entries that are new here, to be spread further.
+        """
+        accepted = []
+        for entry in entries:
+            try:
+                is_new = self._merge_entry(entry)
+            except exceptions.BoardFullError:
+                self.counters["full"] += 1
+            except base_exceptions.ChivedoorError:
+                self.counters["rejected"] += 1
+            else:
+                self.counters["accepted" if is_new else "old"] += 1
+                accepted.extend([entry] if is_new else ())
+        return accepted
+
+    def get(self, topic: str) -> tuple[Entry, ...]:
+        """Returns the topic's entries of origins that are not dead."""
+        return tuple(
+            entry
+            for origin, entry in self._topics.get(topic, {}).items()
+            if origin not in self._dead
+        )
+
+    def get_from(self, topic: str, origin: ids.VmId) -> Entry | None:
+        """Returns the entry of one live origin, or None."""
+        if origin in self._dead:
+            return None
+        return self._look_up((topic, origin))
+
+    def find(self, key: Key) -> Entry | None:
+        """Returns the entry of a key of the digest, or None."""
+        return self._look_up(key)
+
+    def list_origins(self) -> tuple[ids.VmId, ...]:
+        """Returns the origins that have entries without a merge function."""
+        return tuple(self._by_origin)
+
+    def list_entries(self, prefix: str = "") -> tuple[Entry, ...]:
+        """Returns all entries of topics with the prefix."""
+        return tuple(
+            entry
+            for topic in tuple(self._topics)
+            if topic.startswith(prefix)
+            for entry in self.get(topic)
+        )
+
+    def subscribe(
+        self, prefix: str, callback: Subscriber
+    ) -> Callable[[], None]:
+        """Calls back with topic, origin and entry of each change.
+
+        The entry is None when it no longer counts: its origin died, started
+        a new life, or the entry expired.
+
+        Returns:
+            A function that ends the subscription.
+        """
+        subscription = (prefix, callback)
+        self._subscribers.append(subscription)
+        return lambda: self._subscribers.remove(subscription)
+
+    def on_publish(self, callback: PublishCallback) -> Callable[[], None]:
+        """Calls back with each published entry and whether it is urgent.
+
+        Returns:
+            A function that ends this.
+        """
+        self._publish_callbacks.append(callback)
+        return lambda: self._publish_callbacks.remove(callback)
+
+    def set_incarnation(
+        self, incarnation: ids.Incarnation, *, keep: bool
+    ) -> list[Entry]:
+        """Takes over the incarnation of the local member.
+
+        Args:
+            incarnation: The new incarnation.
+            keep: Whether the entries that this origin published remain; a
+                member that lost its state withdraws them.
+
+        Returns:
+            The entries that remain, under the new incarnation.
+        """
+        self._incarnation = incarnation
+        kept = []
+        for topic in tuple(self._by_origin.get(self._local_id, ())):
+            key = (topic, self._local_id)
+            entry = self._look_up(key)
+            if not keep:
+                self._drop(key)
+                continue
+            kept.append(dataclasses.replace(entry, incarnation=incarnation))
+            self._put(key, kept[-1])
+        return kept
+
+    def set_origin_alive(
+        self, origin: ids.VmId, incarnation: ids.Incarnation, now: float
+    ) -> None:
+        """Notes that an origin is alive and drops entries of its past lives."""
+        was_dead = self._dead.pop(origin, None) is not None
+        if incarnation > self._oldest.get(origin, -1):
+            self._oldest[origin] = incarnation
+            self._drop_older(origin, incarnation)
+        if was_dead:
+            self._restore(origin)
+
+    def set_origin_dead(self, origin: ids.VmId, now: float) -> None:
+        """Hides the entries of an origin; they expire after a while."""
+        if origin in self._dead:
+            return
+        topics = self._by_origin.get(origin, ())
+        self._dead[origin] = now
+        for topic in tuple(topics):
+            self.digest.remove(_hash_key((topic, origin)))
+            self._notify(topic, origin, None)
+
+    def forget_origin(self, origin: ids.VmId) -> None:
+        """Drops all that is known of an origin that was forgotten."""
+        for topic in tuple(self._by_origin.get(origin, ())):
+            self._drop((topic, origin))
+        self._dead.pop(origin, None)
+        self._oldest.pop(origin, None)
+
+    def expire(self, now: float) -> list[ids.VmId]:
+        """Drops the entries of origins that are dead for long enough.
+
+        Returns:
+            These origins. They stay dead until the caller says otherwise.
+        """
+        expired = [
+            origin
+            for origin, since in self._dead.items()
+            if now - since >= self._dead_origin_s
+        ]
+        for origin in expired:
+            for topic in tuple(self._by_origin.get(origin, ())):
+                self._drop((topic, origin))
+                self.counters["expired"] += 1
+        return expired
+
+    def dump_state(self) -> dict[str, Any]:
+        """Returns plain values for the operators' dump."""
+        return {
+            "entries": [
+                [e.topic, e.origin, e.incarnation, e.counter, e.value]
+                for e in self.list_entries()
+            ],
+            "dead_origins": sorted(self._dead),
+            "counters": dict(self.counters),
+        }
+
+    def _find_merge(self, topic: str) -> Merge | None:
+        for prefix, merge in self._merges.items():
+            if topic.startswith(prefix):
+                return merge
+        return None
+
+    def _look_up(self, key: Key) -> Entry | None:
+        topic, origin = key
+        return self._topics.get(topic, {}).get(origin)
+
+    def _choose(
+        self, merge: Merge | None, known: Entry | None, entry: Entry
+    ) -> Entry:
+        if merge is not None:
+            return merge(known or entry, entry)
+        if known is None or entry.precedence > known.precedence:
+            return entry
+        return known
+
+    def _merge_entry(self, entry: Entry) -> bool:
+        check_topic(entry.topic)
+        check_size(entry)
+        merge = self._find_merge(entry.topic)
+        if merge is None and self._is_outdated(entry):
+            return False
+        key = (entry.topic, None if merge else entry.origin)
+        known = self._look_up(key)
+        winner = self._choose(merge, known, entry)
+        if known is not None and winner.encoded == known.encoded:
+            return False
+        self._put(key, winner)
+        return True
+
+    def _is_outdated(self, entry: Entry) -> bool:
+        if entry.origin == self._local_id or entry.origin in self._dead:
+            return True
+        return entry.incarnation < self._oldest.get(entry.origin, 0)
+
+    def _put(self, key: Key, entry: Entry) -> None:
+        topic, origin = key
+        if self._look_up(key) is None:
+            if self._size >= self._capacity:
+                raise exceptions.BoardFullError(
+                    f"the board holds {self._capacity} entries"
+                )
+            self._size += 1
+        self._topics.setdefault(topic, {})[origin] = entry
+        if origin is not None:
+            self._by_origin.setdefault(origin, set()).add(topic)
+        self._count_in(key, entry)
+        self._notify(topic, entry.origin, entry)
+
+    def _drop(self, key: Key) -> None:
+        topic, origin = key
+        del self._topics[topic][origin]
+        if not self._topics[topic]:
+            del self._topics[topic]
+        self._by_origin[origin].discard(topic)
+        if not self._by_origin[origin]:
+            del self._by_origin[origin]
+        self._size -= 1
+        self.digest.remove(_hash_key(key))
+        if origin not in self._dead:
+            self._notify(topic, origin, None)
+
+    def _drop_older(
+        self, origin: ids.VmId, incarnation: ids.Incarnation
+    ) -> None:
+        if origin == self._local_id:
+            return
+        for topic in tuple(self._by_origin.get(origin, ())):
+            if self._look_up((topic, origin)).incarnation < incarnation:
+                self._drop((topic, origin))
+
+    def _restore(self, origin: ids.VmId) -> None:
+        for topic in tuple(self._by_origin.get(origin, ())):
+            entry = self._look_up((topic, origin))
+            self._count_in((topic, origin), entry)
+            self._notify(topic, origin, entry)
+
+    def _count_in(self, key: Key, entry: Entry) -> None:
+        version = digest_module.compute_hash(entry.encoded)
+        self.digest.put(_hash_key(key), key, version)
+
+    def _notify(
+        self, topic: str, origin: ids.VmId, entry: Entry | None
+    ) -> None:
+        for prefix, callback in tuple(self._subscribers):
+            if topic.startswith(prefix):
+                callback(topic, origin, entry)
+
+
+def check_topic(topic: str) -> None:
+    """Checks a topic.
+
+    Raises:
+        TopicError: It is empty or longer than 64 bytes.
+    """
+    if not 0 < len(topic.encode(errors="replace")) <= const.TOPIC_BYTES:
+        raise exceptions.TopicError(repr(topic[: const.TOPIC_BYTES]))
+
+
+def check_size(entry: Entry) -> None:
+    """Checks the size of an entry.
+
+    Raises:
+        ValueSizeError: The value is larger than 512 bytes as CBOR, or has no
+            encoding.
+    """
+    try:
+        size = len(cbor2.dumps(entry.value))
+        encoded = entry.encoded
+    except (cbor2.CBOREncodeError, ValueError, TypeError, OverflowError) as e:
+        raise exceptions.ValueSizeError(str(e)) from e
+    if size > const.VALUE_BYTES:
+        raise exceptions.ValueSizeError(
+            f"{size} bytes under {entry.topic}, {len(encoded)} in total"
+        )
+
+
+def _hash_key(key: Key) -> int:
+    topic, origin = key
+    return digest_module.compute_hash(f"{topic}\0{origin or ''}".encode())
--- /dev/null
+++ b/src/chivedoor/control/datagrams.py
@@ -0,0 +1,156 @@
+"""Encoding of gossip datagrams."""
+
+from collections.abc import Sequence
+import dataclasses
+import enum
+import ipaddress
+from typing import Any
+
+import cbor2
+
+from chivedoor import ids
+from chivedoor.control import const
+from chivedoor.control import exceptions
+
+_VERSION = 1
+_FIELDS = 9
+_NUMBER_LIMIT = 1 << 64
+_ARRAY = 0x80
+_ARRAY_1_BYTE = 0x98
+_ARRAY_2_BYTES = 0x99
+# Array headers and numbers of the fixed part, without the sender's id.
+_OVERHEAD_BYTES = 48
+
+
+class Kind(enum.IntEnum):
+    """What a datagram is for."""
+
+    PING = 1
+    ACK = 2
+    # The extra field is the id of the target.
+    PING_REQUEST = 3
+    # Urgent updates; the recipient sends on what is new to it.
+    SPREAD = 4
+    # The extra field has the sums of the sender's digest.
+    SUMS = 5
+    # The extra field lists ranges of key hashes and the sender's versions.
+    SUMMARY = 6
+    # The extra field has the key hashes of the wanted records.
+    WANT = 7
+    RECORDS = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GossipMessage:
+    """A decoded datagram.
+
+    Attributes:
+        kind: What it is for.
+        sender: The member that sent it.
+        number: Rises with each datagram of the sender.
+        probe: Number of the probe for `PING`, `ACK` and `PING_REQUEST`.
+        digest: Root of the sender's digest.
+        extra: Depends on the kind.
+        updates: Decoded member updates, not yet checked.
+        entries: Decoded board entries, not yet checked.
+    """
+
+    kind: Kind
+    sender: ids.VmId
+    number: int
+    probe: int
+    digest: int
+    extra: Any
+    updates: list[Any]
+    entries: list[Any]
+
+
+def compute_room(sender: ids.VmId, extra: Any = None) -> int:
+    """Returns the bytes for updates and entries in one datagram."""
+    fixed = _OVERHEAD_BYTES + len(sender.encode()) + const.TAG_BYTES
+    return const.DATAGRAM_BYTES - fixed - len(cbor2.dumps(extra))
+
+
+def encode_message(
+    *,
+    kind: Kind,
+    sender: ids.VmId,
+    number: int,
+    probe: int,
+    digest: int,
+    extra: Any,
+    updates: Sequence[bytes],
+    entries: Sequence[bytes],
+) -> bytes:
+    """Encodes a datagram without its tag.
+
+    Updates and entries are CBOR already, so they are joined as they are.
+    """
+    fixed = (_VERSION, int(kind), sender, number, probe, digest, extra)
+    return b"".join(
+        (
+            _encode_array(_FIELDS),
+            *map(cbor2.dumps, fixed),
+            _encode_array(len(updates)),
+            *updates,
+            _encode_array(len(entries)),
+            *entries,
+        )
+    )
+
+
+def decode_message(body: bytes) -> GossipMessage:
+    """Decodes a datagram whose tag was checked.
+
+    Raises:
+        MessageError: It is malformed.
+    """
+    # The decoder raises many types for hostile input, for instance for
+    # nested values that are too deep or tags with a wrong content.
+    try:
+        fields = cbor2.loads(body)
+    except (Exception, RecursionError) as error:
+        raise exceptions.MessageError("malformed CBOR") from error
+    if not isinstance(fields, list) or len(fields) != _FIELDS:
+        raise exceptions.MessageError("not an array of 9 fields")
+    version, kind, sender, number, probe, digest, extra = fields[:7]
+    updates, entries = fields[7:]
+    if version != _VERSION:
+        raise exceptions.MessageError("unknown version")
+    for value in (kind, number, probe, digest):
+        if type(value) is not int or not 0 <= value < _NUMBER_LIMIT:
+            raise exceptions.MessageError("a number is out of range")
+    if not isinstance(sender, str) or not 0 < len(sender) <= 64:
+        raise exceptions.MessageError("malformed sender")
+    if not isinstance(updates, list) or not isinstance(entries, list):
+        raise exceptions.MessageError("updates or entries are not arrays")
+    return GossipMessage(
+        kind=_parse_kind(kind),
+        sender=ids.VmId(sender),
+        number=number,
+        probe=probe,
+        digest=digest,
+        extra=extra,
+        updates=updates,
+        entries=entries,
+    )
+
+
+def encode_endpoint(address: str, port: int) -> bytes:
+    """Returns the context that binds a datagram to its recipient."""
+    return ipaddress.ip_address(address).packed + port.to_bytes(2, "big")
+
+
+def _parse_kind(value: int) -> Kind:
+    try:
+        return Kind(value)
+    except ValueError as error:
+        raise exceptions.MessageError("unknown kind") from error
+
+
+def _encode_array(length: int) -> bytes:
+    if length < 24:
+        return bytes((_ARRAY | length,))
+    if length < 256:
+        return bytes((_ARRAY_1_BYTE, length))
+    return bytes((_ARRAY_2_BYTES,)) + length.to_bytes(2, "big")
--- /dev/null
+++ b/src/chivedoor/control/digest.py
@@ -0,0 +1,117 @@
+"""Digest of a replicated table for anti-entropy."""
+
+from collections.abc import Hashable
+from collections.abc import Iterator
+import dataclasses
+
+import xxhash
+
+from chivedoor.control import const
+
+_HASH_BITS = 64
+_BUCKET_SHIFT = _HASH_BITS - (const.BUCKETS.bit_length() - 1)
+_SUM_BYTES = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """One record of the table: its key and the hash of its content."""
+
+    key: Hashable
+    version: int
+
+
+def compute_hash(data: bytes) -> int:
+    """Returns the 64-bit hash that identifies keys and versions."""
+    return xxhash.xxh3_64_intdigest(data)
+
+
+class Digest:
+    """Sums of record hashes, by bucket of the key's hash.
+
+    Two tables with the same records have the same sums. The sums are XORs,
+    so a change of one record costs the same in tables of any size.
+    """
+
+    def __init__(self):
+        self._items: list[dict[int, Item]] = [{} for _ in range(const.BUCKETS)]
+        self._sums = [0] * const.BUCKETS
+        self._root = 0
+
+    @property
+    def root(self) -> int:
+        """Sum over all records."""
+        return self._root
+
+    def __len__(self) -> int:
+        return sum(map(len, self._items))
+
+    def put(self, key_hash: int, key: Hashable, version: int) -> None:
+        """Adds a record or replaces its version."""
+        self.remove(key_hash)
+        bucket = key_hash >> _BUCKET_SHIFT
+        self._items[bucket][key_hash] = Item(key, version)
+        self._toggle(bucket, version)
+
+    def remove(self, key_hash: int) -> None:
+        """Removes a record if it is there."""
+        bucket = key_hash >> _BUCKET_SHIFT
+        item = self._items[bucket].pop(key_hash, None)
+        if item is not None:
+            self._toggle(bucket, item.version)
+
+    def get(self, key_hash: int) -> Item | None:
+        """Returns the record with this key hash, or None."""
+        return self._items[key_hash >> _BUCKET_SHIFT].get(key_hash)
+
+    def pack_sums(self) -> bytes:
+        """Returns the sums of all buckets, 4 bytes each."""
+        return b"".join(
+            _truncate(total).to_bytes(_SUM_BYTES, "big") for total in self._sums
+        )
+
+    def compare_sums(self, packed: bytes) -> Iterator[tuple[int, bool]]:
+        """Yields each bucket that differs and whether the peer's is empty.
+
+        Raises:
+            ValueError: The packed sums have a wrong length.
+        """
+        if len(packed) != const.BUCKETS * _SUM_BYTES:
+            raise ValueError("wrong number of sums")
+        for bucket, total in enumerate(self._sums):
+            start = bucket * _SUM_BYTES
+            theirs = int.from_bytes(packed[start : start + _SUM_BYTES], "big")
+            if theirs != _truncate(total):
+                yield bucket, theirs == 0
+
+    def list_bucket(self, bucket: int) -> list[tuple[int, Item]]:
+        """Returns key hashes and records of a bucket, sorted by hash."""
+        return sorted(self._items[bucket].items(), key=_get_hash)
+
+    def list_range(self, start: int, end: int) -> list[tuple[int, Item]]:
+        """Returns the records with `start <= key hash < end`.
+
+        The range must lie within one bucket.
+        """
+        return [
+            (key_hash, item)
+            for key_hash, item in self._items[start >> _BUCKET_SHIFT].items()
+            if start <= key_hash < end
+        ]
+
+    def _toggle(self, bucket: int, version: int) -> None:
+        self._sums[bucket] ^= version
+        self._root ^= version
+
+
+def compute_bounds(bucket: int) -> tuple[int, int]:
+    """Returns the first key hash of a bucket and of the next one."""
+    return bucket << _BUCKET_SHIFT, (bucket + 1) << _BUCKET_SHIFT
+
+
+def _truncate(total: int) -> int:
+    return total & (1 << 8 * _SUM_BYTES) - 1
+
+
+def _get_hash(pair: tuple[int, Item]) -> int:
+    return pair[0]
--- /dev/null
+++ b/src/chivedoor/control/spreader.py
@@ -0,0 +1,731 @@
+"""The gossip without I/O: what to send, and what received datagrams mean."""
+
+from collections.abc import Callable
+from collections.abc import Hashable
+from collections.abc import Iterable
+import dataclasses
+import functools
+import random
+from typing import Any
+
+from chivedoor import ids
+from chivedoor.control import antientropy
+from chivedoor.control import authentication
+from chivedoor.control import board as board_module
+from chivedoor.control import budget as budget_module
+from chivedoor.control import const
+from chivedoor.control import datagrams
+from chivedoor.control import digest as digest_module
+from chivedoor.control import exceptions
+from chivedoor.control import piggyback
+from chivedoor.membership import detector as detector_module
+from chivedoor.membership import exceptions as membership_exceptions
+from chivedoor.membership import members as members_module
+from chivedoor.membership import messages
+from chivedoor.membership import records
+
+Address = tuple[str, int]
+
+# First part of the digest's keys of member records; no topic is empty.
+_MEMBER = ""
+_NUMBER_SHIFT = 20
+_MODE_PREFIX = "mode/"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Datagram:
+    """Bytes to send and where to."""
+
+    data: bytes
+    destination: Address
+
+
+@dataclasses.dataclass(slots=True)
+class _Urgent:
+    """Updates to be sent at once, and the members that sent them."""
+
+    updates: dict[Hashable, bytes] = dataclasses.field(default_factory=dict)
+    registers: dict[Hashable, bytes] = dataclasses.field(default_factory=dict)
+    modes: dict[Hashable, bytes] = dataclasses.field(default_factory=dict)
+    senders: set[ids.VmId] = dataclasses.field(default_factory=set)
+
+    def __bool__(self) -> bool:
+        return bool(self.updates or self.registers or self.modes)
+
+
+class Spreader:
+    """Joins members, board, failure detection and anti-entropy.
+
+    Every method appends to an outbox, which `drain` empties.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: members_module.Members,
+        board: board_module.Board,
+        budget: budget_module.ByteBudget,
+        keys: authentication.Keys,
+        rng: random.Random,
+        now: float,
+        seeds: Iterable[Address] = (),
+    ):
+        """Initializes the spreader.
+
+        Args:
+            members: All known members.
+            board: The entries to replicate.
+            budget: Pays for all datagrams.
+            keys: Sign and check datagrams.
+            rng: Source of all random choices.
+            now: Monotonic seconds.
+            seeds: Addresses and gossip ports of members to join.
+        """
+        self._members = members
+        self._board = board
+        self._budget = budget
+        self._keys = keys
+        self._rng = rng
+        self._now = now
+        self._opened_at = now
+        self._first_incarnation = members.local.incarnation
+        own = (members.local.address, members.local.gossip_port)
+        self._seeds = [seed for seed in seeds if seed != own]
+        self._context = datagrams.encode_endpoint(*own)
+        self._number = 0
+        self._replay = authentication.ReplayFilter()
+        self._outbox: list[Datagram] = []
+        self._updates = piggyback.PiggybackQueue()
+        self._registers = piggyback.PiggybackQueue()
+        self._modes = piggyback.PiggybackQueue()
+        self._urgent = _Urgent()
+        self._reminders: dict[ids.VmId, None] = {}
+        self._join_at = now
+        self._join_backoff_s = const.JOIN_BACKOFF_S
+        self._heal_at = now + const.HEAL_INTERVAL_S
+        self._housekeeping_at = now + const.HOUSEKEEPING_S
+        self._pause_callbacks: list[Callable[[float], None]] = []
+        self._synchronizer = antientropy.Synchronizer(
+            digest=board.digest, load=self._load_record, rng=rng
+        )
+        self._detector = detector_module.Detector(
+            members=members, rng=rng, on_pause=self._note_pause
+        )
+        self._unsubscribes = [
+            members.subscribe(self._note_member),
+            board.subscribe("", self._note_entry),
+            board.on_publish(self._note_published),
+        ]
+        self.sent = dict.fromkeys(datagrams.Kind, 0)
+        self.received = dict.fromkeys(datagrams.Kind, 0)
+        self.dropped = dict.fromkeys(exceptions.DropReason, 0)
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._adopt_tables()
+
+    @property
+    def has_urgent(self) -> bool:
+        """Whether `flush_urgent` has something to send."""
+        return bool(self._urgent)
+
+    def on_pause(self, callback: Callable[[float], None]) -> None:
+        """Calls back with the length of a pause of this process in s.
+
+        By then the local member has a new incarnation and is `JOINING`, and
+        the board has withdrawn the entries of the local origin.
+        """
+        self._pause_callbacks.append(callback)
+
+    def close(self) -> None:
+        """Ends all subscriptions."""
+        self._detector.close()
+        for unsubscribe in self._unsubscribes:
+            unsubscribe()
+
+    def drain(self) -> list[Datagram]:
+        """Returns the datagrams to send and empties the outbox."""
+        outbox = self._outbox
+        self._outbox = []
+        return outbox
+
+    def tick(self, now: float) -> None:
+        """Advances all timers; to be called every `TICK_INTERVAL_S`."""
+        self._now = now
+        for outgoing in self._detector.tick(now):
+            self._send_outgoing(outgoing, None)
+        self.flush_urgent(now)
+        self._join()
+        self._heal()
+        self._remind()
+        self._synchronize()
+        self._keep_house()
+
+    def flush_urgent(self, now: float) -> None:
+        """Sends the urgent updates to 4 random members."""
+        self._now = now
+        urgent = self._urgent
+        self._urgent = _Urgent()
+        if not urgent:
+            return
+        peers = self._choose_peers(urgent.senders)
+        room = datagrams.compute_room(self._members.local.id)
+        for updates in _pack(urgent.updates.values(), room):
+            self._spread(peers, updates=updates)
+        for entries in _pack(urgent.registers.values(), room):
+            self._spread(peers, entries=entries)
+        for entries in _pack(urgent.modes.values(), room):
+            self._spread(
+                peers, entries=entries, priority=budget_module.Priority.MODES
+            )
+
+    def farewell(self, now: float) -> None:
+        """Tells random members that a leaving local member is gone."""
+        self._now = now
+        local = self._members.local
+        if local.state is not members_module.MemberState.LEAVING:
+            return
+        gone = dataclasses.replace(
+            local,
+            state=members_module.MemberState.DEAD,
+            former_state=local.state,
+        )
+        self._spread(
+            self._choose_peers(set()), updates=[records.encode_claim(gone)]
+        )
+
+    def receive(self, data: bytes, source: Address, now: float) -> None:
+        """Processes a datagram; a faulty one is dropped and counted."""
+        self._now = now
+        self.received_bytes += len(data) + const.IP_UDP_HEADER_BYTES
+        try:
+            message = self._open(data)
+            self.received[message.kind] += 1
+            self._apply(message)
+            self._dispatch(message, source)
+        except exceptions.MessageError as error:
+            self.dropped[error.reason] += 1
+
+    def dump_state(self) -> dict[str, Any]:
+        """Returns plain values for the operators' dump."""
+        return {
+            "sent": {kind.name: n for kind, n in self.sent.items()},
+            "received": {kind.name: n for kind, n in self.received.items()},
+            "dropped": {why.value: n for why, n in self.dropped.items()},
+            "sent_bytes": self.sent_bytes,
+            "received_bytes": self.received_bytes,
+            "waiting": {
+                "updates": len(self._updates),
+                "registers": len(self._registers),
+                "modes": len(self._modes),
+                "synchronization": len(self._synchronizer),
+            },
+            "synchronization": dict(self._synchronizer.counters),
+            "detector": self._detector.dump_state(),
+        }
+
+    def _adopt_tables(self) -> None:
+        for member in self._members.list_members():
+            self._note_member(None, member)
+
+    # Changes of the local tables.
+
+    def _note_member(
+        self,
+        previous: members_module.Member | None,
+        current: members_module.Member | None,
+    ) -> None:
+        self._synchronizer.note_change(self._now)
+        if current is None:
+            self._forget_member(previous.id)
+            return
+        self._count_member_in(current)
+        self._updates.put(current.id, _encode_update(current))
+        if current.id == self._members.local.id:
+            self._note_local(previous, current)
+        elif current.is_alive:
+            self._board.set_origin_alive(
+                current.id, current.incarnation, self._now
+            )
+        else:
+            self._board.set_origin_dead(current.id, self._now)
+            self._add_urgent_update(current)
+
+    def _forget_member(self, member_id: ids.VmId) -> None:
+        self._updates.discard(member_id)
+        self._board.digest.remove(_hash_member(member_id))
+        self._board.forget_origin(member_id)
+        self._replay.forget(member_id)
+        self._synchronizer.forget(member_id)
+
+    def _count_member_in(self, member: members_module.Member) -> None:
+        # Dead members do not count: one side of a partition forgets them
+        # before the other, and they have no entries.
+        key_hash = _hash_member(member.id)
+        if not member.is_alive:
+            self._board.digest.remove(key_hash)
+            return
+        version = digest_module.compute_hash(records.encode_record(member))
+        self._board.digest.put(key_hash, (_MEMBER, member.id), version)
+
+    def _note_local(
+        self,
+        previous: members_module.Member | None,
+        current: members_module.Member,
+    ) -> None:
+        self._add_urgent_update(current)
+        if previous is None or previous.incarnation == current.incarnation:
+            return
+        for entry in self._board.set_incarnation(
+            current.incarnation, keep=True
+        ):
+            self._queue_entry(entry)
+
+    def _note_entry(
+        self, topic: str, origin: ids.VmId, entry: board_module.Entry | None
+    ) -> None:
+        self._synchronizer.note_change(self._now)
+        if entry is not None:
+            self._queue_entry(entry)
+
+    def _note_published(self, entry: board_module.Entry, urgent: bool) -> None:
+        if urgent:
+            self._add_urgent_entry(entry)
+
+    def _queue_entry(self, entry: board_module.Entry) -> None:
+        self._choose_queue(entry.topic).put(_get_key(entry), entry.encoded)
+
+    def _choose_queue(self, topic: str) -> piggyback.PiggybackQueue:
+        if topic.startswith(_MODE_PREFIX):
+            return self._modes
+        return self._registers
+
+    def _add_urgent_update(self, member: members_module.Member) -> None:
+        self._urgent.updates[member.id] = _encode_update(member)
+
+    def _add_urgent_entry(self, entry: board_module.Entry) -> None:
+        is_mode = entry.topic.startswith(_MODE_PREFIX)
+        urgent = self._urgent.modes if is_mode else self._urgent.registers
+        urgent[_get_key(entry)] = entry.encoded
+
+    def _load_record(self, key: Hashable) -> antientropy.Record | None:
+        topic, owner = key
+        if topic == _MEMBER:
+            member = self._members.get(owner)
+            return member and antientropy.Record(
+                is_member=True, encoded=records.encode_record(member)
+            )
+        entry = self._board.find(key)
+        return entry and antientropy.Record(
+            is_member=False, encoded=entry.encoded
+        )
+
+    # Timers.
+
+    def _join(self) -> None:
+        if self._now < self._join_at:
+            return
+        if self._members.count_live() > 1:
+            self._join_at = self._now + const.JOIN_BACKOFF_MAX_S
+            return
+        self._contact_seeds()
+        self._join_at = self._now + self._join_backoff_s * (
+            0.5 + self._rng.random()
+        )
+        self._join_backoff_s = min(
+            2 * self._join_backoff_s, const.JOIN_BACKOFF_MAX_S
+        )
+
+    def _contact_seeds(self) -> None:
+        count = min(const.JOIN_SEEDS, len(self._seeds))
+        for seed in self._rng.sample(self._seeds, count):
+            self._greet(seed, None)
+
+    def _heal(self) -> None:
+        if self._now < self._heal_at:
+            return
+        self._heal_at = self._now + const.HEAL_INTERVAL_S * (
+            0.5 + self._rng.random()
+        )
+        dead = [(_get_address(m), m) for m in self._members.list_dead()]
+        live = set(map(_get_address, self._members.live_members()))
+        known = live.union(address for address, _ in dead)
+        absent = [(seed, None) for seed in self._seeds if seed not in known]
+        if dead or absent:
+            self._greet(*self._rng.choice(dead + absent))
+
+    def _greet(
+        self, address: Address, member: members_module.Member | None
+    ) -> None:
+        """Sends the local record to a member that may not know it."""
+        record = records.encode_record(self._members.local)
+        self._send(
+            datagrams.Kind.PING, address, recipient=member, updates=[record]
+        )
+
+    def _remind(self) -> None:
+        """Tells one member that it is held for dead, so that it refutes."""
+        while self._reminders:
+            member_id = next(iter(self._reminders))
+            del self._reminders[member_id]
+            member = self._members.get(member_id)
+            if member is not None and not member.is_alive:
+                self._greet(_get_address(member), member)
+                return
+
+    def _synchronize(self) -> None:
+        priority = budget_module.Priority.MODES
+        if not len(self._synchronizer) or not self._budget.has_room(
+            priority, const.DATAGRAM_BYTES, self._now
+        ):
+            return
+        room = datagrams.compute_room(self._members.local.id)
+        batch = self._synchronizer.take(room)
+        recipient = batch and self._members.get(batch.recipient)
+        if recipient is None:
+            return
+        self._send(
+            batch.kind,
+            _get_address(recipient),
+            recipient=recipient,
+            extra=batch.extra,
+            updates=[r.encoded for r in batch.records if r.is_member],
+            entries=[r.encoded for r in batch.records if not r.is_member],
+            priority=priority,
+        )
+
+    def _keep_house(self) -> None:
+        if self._now < self._housekeeping_at:
+            return
+        self._housekeeping_at = self._now + const.HOUSEKEEPING_S
+        self._members.forget_dead(self._now)
+        # Entries may travel ahead of their origin's record, but not by more
+        # than the time after which the board drops those of a dead origin.
+        for origin in self._board.list_origins():
+            if self._members.get(origin) is None:
+                self._board.set_origin_dead(origin, self._now)
+        for origin in self._board.expire(self._now):
+            if self._members.get(origin) is None:
+                self._board.forget_origin(origin)
+
+    def _note_pause(self, late_s: float) -> None:
+        self._outbox.clear()
+        self._urgent = _Urgent()
+        self._reminders.clear()
+        self._synchronizer.clear()
+        self._synchronizer.hurry()
+        self._board.set_incarnation(self._members.local.incarnation, keep=False)
+        self._members.rejoin(self._compute_incarnation(), self._now)
+        self._join_backoff_s = const.JOIN_BACKOFF_S
+        self._join_at = self._now + self._join_backoff_s
+        self._contact_seeds()
+        for callback in tuple(self._pause_callbacks):
+            callback(late_s)
+
+    def _compute_incarnation(self) -> ids.Incarnation:
+        """Returns wall-clock milliseconds without reading the wall clock."""
+        elapsed_ms = int((self._now - self._opened_at) * 1000)
+        return ids.Incarnation(self._first_incarnation + elapsed_ms)
+
+    # Sending.
+
+    def _choose_peers(
+        self, excluded: set[ids.VmId]
+    ) -> list[members_module.Member]:
+        others = [
+            member
+            for member in self._members.live_members()
+            if member.id != self._members.local.id and member.id not in excluded
+        ]
+        return self._rng.sample(others, min(const.FANOUT, len(others)))
+
+    def _spread(
+        self,
+        peers: list[members_module.Member],
+        *,
+        updates: Iterable[bytes] = (),
+        entries: Iterable[bytes] = (),
+        priority: budget_module.Priority = budget_module.Priority.PROBES,
+    ) -> None:
+        for peer in peers:
+            self._send(
+                datagrams.Kind.SPREAD,
+                _get_address(peer),
+                recipient=peer,
+                updates=updates,
+                entries=entries,
+                priority=priority,
+            )
+
+    def _send_outgoing(
+        self, outgoing: messages.Outgoing, source: Address | None
+    ) -> None:
+        """Sends a message of the detector.
+
+        Args:
+            outgoing: The message.
+            source: Where the answered datagram came from; used when its
+                sender is not known.
+        """
+        recipient = self._members.get(outgoing.recipient)
+        if recipient is None and source is None:
+            return
+        address = source if recipient is None else _get_address(recipient)
+        kind, extra = _describe(outgoing.message)
+        if kind is datagrams.Kind.ACK:
+            # Asks a sender that is not known for its record.
+            extra = recipient is None
+        self._send(
+            kind,
+            address,
+            recipient=recipient,
+            probe=outgoing.message.probe,
+            extra=extra,
+        )
+
+    def _send(
+        self,
+        kind: datagrams.Kind,
+        destination: Address,
+        *,
+        recipient: members_module.Member | None = None,
+        probe: int = 0,
+        extra: Any = None,
+        updates: Iterable[bytes] = (),
+        entries: Iterable[bytes] = (),
+        priority: budget_module.Priority = budget_module.Priority.PROBES,
+    ) -> None:
+        updates = [*_list_claims(recipient), *updates]
+        entries = list(entries)
+        if not self._budget.has_room(priority, const.TAG_BYTES, self._now):
+            self._budget.note_dropped(priority, const.DATAGRAM_BYTES)
+            return
+        room = datagrams.compute_room(self._members.local.id, extra)
+        room -= sum(map(len, updates)) + sum(map(len, entries))
+        modes = self._add_waiting(room, updates, entries)
+        data = self._seal(
+            destination,
+            kind=kind,
+            probe=probe,
+            extra=extra,
+            updates=updates,
+            entries=[*entries, *modes],
+        )
+        size = len(data) + const.IP_UDP_HEADER_BYTES
+        mode_size = sum(map(len, modes))
+        if not self._budget.try_spend(priority, size - mode_size, self._now):
+            self._budget.note_dropped(priority, size - mode_size)
+            return
+        if modes:
+            self._budget.try_spend(
+                budget_module.Priority.MODES, mode_size, self._now
+            )
+        self.sent[kind] += 1
+        self.sent_bytes += size
+        self._outbox.append(Datagram(data=data, destination=destination))
+
+    def _add_waiting(
+        self, room: int, updates: list[bytes], entries: list[bytes]
+    ) -> list[bytes]:
+        """Adds waiting updates and registers; returns modes to send along."""
+        limit = piggyback.compute_limit(self._members.count_live())
+        taken = self._updates.take(room, limit)
+        room -= sum(map(len, taken))
+        updates.extend(taken)
+        taken = self._registers.take(room, limit)
+        room -= sum(map(len, taken))
+        entries.extend(taken)
+        if not self._budget.has_room(
+            budget_module.Priority.MODES, const.DATAGRAM_BYTES, self._now
+        ):
+            return []
+        return self._modes.take(room, limit)
+
+    def _seal(self, destination: Address, **fields: Any) -> bytes:
+        # Numbers start from the incarnation, so that they rise over
+        # restarts and peers need not forget the numbers of a former life.
+        floor = self._members.local.incarnation << _NUMBER_SHIFT
+        self._number = max(self._number + 1, floor)
+        body = datagrams.encode_message(
+            sender=self._members.local.id,
+            number=self._number,
+            digest=self._board.digest.root,
+            **fields,
+        )
+        return self._keys.seal(body, datagrams.encode_endpoint(*destination))
+
+    # Receiving.
+
+    def _open(self, data: bytes) -> datagrams.GossipMessage:
+        body = self._keys.open(data, self._context)
+        message = datagrams.decode_message(body)
+        if message.sender == self._members.local.id:
+            raise exceptions.OwnMessageError(message.sender)
+        self._replay.accept(message.sender, message.number)
+        return message
+
+    def _apply(self, message: datagrams.GossipMessage) -> None:
+        for fields in message.updates:
+            self._apply_update(fields, message)
+        entries = [self._decode_entry(fields) for fields in message.entries]
+        accepted = self._board.merge(filter(None, entries), self._now)
+        if message.kind is datagrams.Kind.SPREAD and accepted:
+            self._urgent.senders.add(message.sender)
+            for entry in accepted:
+                self._add_urgent_entry(entry)
+
+    def _apply_update(
+        self, fields: Any, message: datagrams.GossipMessage
+    ) -> None:
+        try:
+            update = records.decode_update(fields, self._members)
+            if update is None:
+                return
+            is_new = self._members.merge(update, self._now)
+        except membership_exceptions.MembersFullError:
+            self.dropped[exceptions.DropReason.FULL] += 1
+            return
+        except membership_exceptions.MemberRecordError:
+            self.dropped[exceptions.DropReason.MALFORMED] += 1
+            return
+        if is_new and message.kind is datagrams.Kind.SPREAD:
+            self._urgent.senders.add(message.sender)
+            self._add_urgent_update(self._members.get(update.id))
+        if message.kind is datagrams.Kind.RECORDS:
+            self._check_contradiction(update)
+
+    def _check_contradiction(self, update: members_module.Member) -> None:
+        """Reminds a dead member that a peer holds for alive.
+
+        This happens after a partition. Only the member itself can settle it;
+        telling the peer would make its side lose the member for a while.
+        """
+        known = self._members.get(update.id)
+        if known is not None and update.is_alive and not known.is_alive:
+            self._reminders[update.id] = None
+
+    def _decode_entry(self, fields: Any) -> board_module.Entry | None:
+        try:
+            return board_module.decode_entry(fields)
+        except exceptions.EntryError:
+            self.dropped[exceptions.DropReason.MALFORMED] += 1
+            return None
+
+    def _dispatch(
+        self, message: datagrams.GossipMessage, source: Address
+    ) -> None:
+        sender = message.sender
+        match message.kind:
+            case datagrams.Kind.SUMS:
+                self._synchronizer.handle_sums(sender, message.extra)
+            case datagrams.Kind.SUMMARY:
+                self._synchronizer.handle_summary(sender, message.extra)
+            case datagrams.Kind.WANT:
+                self._synchronizer.handle_want(sender, message.extra)
+            case (
+                datagrams.Kind.PING
+                | datagrams.Kind.PING_REQUEST
+                | datagrams.Kind.ACK
+            ):
+                self._handle_probe(message, source)
+
+    def _handle_probe(
+        self, message: datagrams.GossipMessage, source: Address
+    ) -> None:
+        for outgoing in self._detector.handle(_build_probe(message), self._now):
+            self._send_outgoing(outgoing, source)
+        is_ack = message.kind is datagrams.Kind.ACK
+        if is_ack and message.extra is True:
+            self._greet(source, self._members.get(message.sender))
+        self._consider_synchronization(message)
+
+    def _consider_synchronization(
+        self, message: datagrams.GossipMessage
+    ) -> None:
+        sender = self._members.get(message.sender)
+        if sender is None or not self._synchronizer.start(
+            message.digest, self._now
+        ):
+            return
+        self._send(
+            datagrams.Kind.SUMS,
+            _get_address(sender),
+            recipient=sender,
+            extra=self._board.digest.pack_sums(),
+        )
+
+
+@functools.singledispatch
+def _describe(message: messages.Message) -> tuple[datagrams.Kind, Any]:
+    """Returns the kind and the extra field of a message of the detector."""
+    raise NotImplementedError(type(message))
+
+
+@_describe.register
+def _describe_ping(message: messages.Ping) -> tuple[datagrams.Kind, Any]:
+    return datagrams.Kind.PING, None
+
+
+@_describe.register
+def _describe_ping_request(
+    message: messages.PingRequest,
+) -> tuple[datagrams.Kind, Any]:
+    return datagrams.Kind.PING_REQUEST, message.target
+
+
+@_describe.register
+def _describe_ack(message: messages.Ack) -> tuple[datagrams.Kind, Any]:
+    return datagrams.Kind.ACK, None
+
+
+def _build_probe(message: datagrams.GossipMessage) -> messages.Message:
+    if message.kind is datagrams.Kind.PING:
+        return messages.Ping(sender=message.sender, probe=message.probe)
+    if message.kind is datagrams.Kind.ACK:
+        return messages.Ack(sender=message.sender, probe=message.probe)
+    if not isinstance(message.extra, str):
+        raise exceptions.MessageError("the target of a request is not text")
+    return messages.PingRequest(
+        sender=message.sender,
+        probe=message.probe,
+        target=ids.VmId(message.extra),
+    )
+
+
+def _encode_update(member: members_module.Member) -> bytes:
+    if member.state < members_module.MemberState.SUSPECT:
+        return records.encode_record(member)
+    return records.encode_claim(member)
+
+
+def _list_claims(recipient: members_module.Member | None) -> list[bytes]:
+    """Returns what a suspect or dead recipient has to refute."""
+    if recipient is None or (
+        recipient.state < members_module.MemberState.SUSPECT
+    ):
+        return []
+    return [records.encode_claim(recipient)]
+
+
+def _pack(items: Iterable[bytes], room: int) -> list[list[bytes]]:
+    """Splits encoded items into groups that fit into one datagram."""
+    groups: list[list[bytes]] = []
+    left = 0
+    for item in items:
+        if not groups or len(item) > left:
+            groups.append([])
+            left = room
+        groups[-1].append(item)
+        left -= len(item)
+    return groups
+
+
+def _get_key(entry: board_module.Entry) -> Hashable:
+    return (entry.topic, entry.origin)
+
+
+def _get_address(member: members_module.Member) -> Address:
+    return (member.address, member.gossip_port)
+
+
+def _hash_member(member_id: ids.VmId) -> int:
+    return digest_module.compute_hash(f"{_MEMBER}\0{member_id}".encode())
--- /dev/null
+++ b/src/chivedoor/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which balancers are alive, and how this is decided."""
--- /dev/null
+++ b/src/chivedoor/membership/exceptions.py
@@ -0,0 +1,19 @@
+"""Errors of the membership package."""
+
+from chivedoor import exceptions
+
+
+class MembershipError(exceptions.ChivedoorError):
+    """Base of the errors of the membership package."""
+
+
+class MembersFullError(MembershipError):
+    """The table of members is full of members that are alive."""
+
+
+class UnknownMemberError(MembershipError):
+    """The member is not in the table."""
+
+
+class MemberRecordError(MembershipError):
+    """A received record of a member is malformed."""
--- /dev/null
+++ b/src/chivedoor/membership/members.py
@@ -0,0 +1,442 @@
+"""The members of the fleet as this balancer sees them."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import enum
+from typing import Any
+
+from chivedoor import ids
+from chivedoor.membership import const
+from chivedoor.membership import exceptions
+
+
+class MemberState(enum.IntEnum):
+    """State of a member; of two claims of one age the greater one wins."""
+
+    JOINING = 0
+    ACTIVE = 1
+    LEAVING = 2
+    SUSPECT = 3
+    DEAD = 4
+
+
+_OWN_STATES = frozenset(
+    (MemberState.JOINING, MemberState.ACTIVE, MemberState.LEAVING)
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Member:
+    """One life of one balancer.
+
+    Attributes:
+        id: Identifier of the VM; a restarted VM keeps it.
+        domain: Failure domain of the VM.
+        region: Region of the VM.
+        address: IPv4 or IPv6 address as text.
+        peer_port: UDP port for packets between balancers.
+        gossip_port: UDP port of the gossip.
+        channel_port: TCP port of the channels.
+        incarnation: Life of the member; rises on a restart and a rejoin.
+        state: State as this balancer believes it.
+        sequence: Rises within one incarnation whenever the member itself
+            changes its state or refutes a suspicion.
+        former_state: Last state that the member announced itself; set only
+            for `SUSPECT` and `DEAD`.
+    """
+
+    id: ids.VmId
+    domain: ids.DomainId
+    region: ids.RegionId
+    address: str
+    peer_port: int
+    gossip_port: int
+    channel_port: int
+    incarnation: ids.Incarnation
+    state: MemberState
+    sequence: int = 0
+    former_state: MemberState | None = None
+
+    @property
+    def role(self) -> MemberState:
+        """Last state that the member announced itself."""
+        if self.state in _OWN_STATES or self.former_state is None:
+            return self.state
+        return self.former_state
+
+    @property
+    def precedence(self) -> tuple[int, int, int]:
+        """Order of the claims about one member; the greatest one wins."""
+        return (self.incarnation, self.sequence, self.state)
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the member is not declared dead."""
+        return self.state is not MemberState.DEAD
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ListedVm:
+    """An entry VM in the platform's list."""
+
+    id: ids.VmId
+    domain: ids.DomainId
+    leaving: bool = False
+
+
+ChangeCallback = Callable[[Member | None, Member | None], None]
+
+
+def first_incarnation(wall_clock_s: float) -> ids.Incarnation:
+    """Returns the incarnation of a process that starts now.
+
+    No VM has a disk, so the wall clock makes incarnations rise over
+    restarts. When the clock went back, the member learns its former
+    incarnation from its peers and takes a higher one.
+
+    Args:
+        wall_clock_s: Seconds since 1970.
+    """
+    return ids.Incarnation(int(wall_clock_s * 1000))
+
+
+class Members:
+    """Aggregate of all members, including the local one.
+
+    Claims about a member are ordered by incarnation, then sequence, then
+    state, so replicas that saw the same claims agree in any order.
+    """
+
+    def __init__(
+        self,
+        *,
+        local: Member,
+        capacity: int = const.MEMBERS_CAPACITY,
+        forget_after_s: float = const.FORGET_DEAD_AFTER_S,
+    ):
+        self._local_id = local.id
+        self._capacity = capacity
+        self._forget_after_s = forget_after_s
+        self._members = {local.id: local}
+        self._dead_since: dict[ids.VmId, float] = {}
+        self._listed: dict[ids.VmId, ListedVm] | None = None
+        self._callbacks: list[ChangeCallback] = []
+        self._cache: dict[tuple[str, ids.DomainId], Any] = {}
+        self._revision = 0
+
+    @property
+    def local(self) -> Member:
+        """The member of this process."""
+        return self._members[self._local_id]
+
+    @property
+    def revision(self) -> int:
+        """Rises whenever candidates, counts or an incarnation changed."""
+        return self._revision
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def get(self, member_id: ids.VmId) -> Member | None:
+        """Returns the member, or None when it is not known."""
+        return self._members.get(member_id)
+
+    def list_members(self) -> tuple[Member, ...]:
+        """Returns all members, also the dead that are not yet forgotten."""
+        return tuple(self._members.values())
+
+    def live_members(
+        self, domain: ids.DomainId | None = None
+    ) -> tuple[Member, ...]:
+        """Returns the members not declared dead, by default of all domains."""
+        return tuple(
+            member
+            for member in self._members.values()
+            if member.is_alive and domain in (None, member.domain)
+        )
+
+    def count_live(self) -> int:
+        """Returns the number of members not declared dead."""
+        return len(self._members) - len(self._dead_since)
+
+    def list_dead(self) -> tuple[Member, ...]:
+        """Returns the dead members that did not leave as planned."""
+        dead = (self._members[member_id] for member_id in self._dead_since)
+        return tuple(
+            member for member in dead if member.role is not MemberState.LEAVING
+        )
+
+    def owner_candidates(self, domain: ids.DomainId) -> tuple[ids.VmId, ...]:
+        """Returns the ids that may own targets of the domain, sorted."""
+        return self._remember("owner", domain, self._find_owners)
+
+    def replica_candidates(self, domain: ids.DomainId) -> tuple[ids.VmId, ...]:
+        """Returns the ids that may hold replicas: owners and joining."""
+        return self._remember("replica", domain, self._find_replicas)
+
+    def count_visible(self, domain: ids.DomainId) -> int:
+        """Returns how many live members of the domain are on the list.
+
+        Members that are not on the platform's list do not count, because
+        otherwise both sides of a partition could hold more than half.
+        """
+        return self._remember("visible", domain, self._count_visible)
+
+    def count_listed(self, domain: ids.DomainId) -> int:
+        """Returns the number of entry VMs of the domain on the list.
+
+        Without a list, all members that were ever seen and did not leave
+        count.
+        """
+        return self._remember("listed", domain, self._count_listed)
+
+    def set_listed(self, vms: Iterable[ListedVm]) -> None:
+        """Takes over the platform's list of entry VMs."""
+        listed = {vm.id: vm for vm in vms}
+        if listed != self._listed:
+            self._listed = listed
+            self._invalidate()
+
+    def subscribe(self, callback: ChangeCallback) -> Callable[[], None]:
+        """Calls back with the previous and the current record of a member.
+
+        Returns:
+            A function that ends the subscription.
+        """
+        self._callbacks.append(callback)
+        return lambda: self._callbacks.remove(callback)
+
+    def merge(self, update: Member, now: float) -> bool:
+        """Takes over a claim received from a peer.
+
+        A claim about the local member that outranks its own record is
+        refuted instead of accepted.
+
+        Returns:
+            Whether any record changed.
+
+        Raises:
+            MembersFullError: The member is new and the table is full.
+        """
+        if update.id == self._local_id:
+            return self._refute(update)
+        known = self._members.get(update.id)
+        if known is None:
+            return self._add(update, now)
+        if update.precedence <= known.precedence:
+            return False
+        self._replace(update, now)
+        return True
+
+    def suspect(self, member_id: ids.VmId, now: float) -> bool:
+        """Marks a member as suspect; it keeps its role.
+
+        Returns:
+            Whether the state changed; a dead or suspect member stays as is.
+
+        Raises:
+            UnknownMemberError: The member is not known.
+        """
+        return self._downgrade(member_id, MemberState.SUSPECT, now)
+
+    def confirm_dead(self, member_id: ids.VmId, now: float) -> bool:
+        """Declares a member dead.
+
+        Returns:
+            Whether the state changed.
+
+        Raises:
+            UnknownMemberError: The member is not known.
+        """
+        return self._downgrade(member_id, MemberState.DEAD, now)
+
+    def activate(self, now: float) -> None:
+        """Makes the local member active."""
+        self._announce(MemberState.ACTIVE, now)
+
+    def leave(self, now: float) -> None:
+        """Announces that the local member is being stopped as planned."""
+        self._announce(MemberState.LEAVING, now)
+
+    def rejoin(self, incarnation: ids.Incarnation, now: float) -> None:
+        """Starts a new life of the local member as `JOINING`.
+
+        Args:
+            incarnation: Lower bound of the new incarnation.
+            now: Monotonic seconds.
+        """
+        self._replace(
+            dataclasses.replace(
+                self.local,
+                incarnation=max(incarnation, self.local.incarnation + 1),
+                sequence=0,
+                state=MemberState.JOINING,
+            ),
+            now,
+        )
+
+    def forget_dead(self, now: float) -> None:
+        """Forgets members that are dead for `forget_after_s`.
+
+        Without the platform's list they are kept, because they are the only
+        evidence of how many members the domain has; see `count_listed`.
+        """
+        for member_id, since in tuple(self._dead_since.items()):
+            has_left = self._members[member_id].role is MemberState.LEAVING
+            if self._listed is None and not has_left:
+                continue
+            if now - since >= self._forget_after_s:
+                self._remove(member_id)
+
+    def dump_state(self) -> dict[str, Any]:
+        """Returns the members as plain values for the operators' dump."""
+        return {
+            "local": self._local_id,
+            "revision": self._revision,
+            "listed": sorted(self._listed or ()),
+            "members": {
+                member.id: {
+                    "domain": member.domain,
+                    "address": member.address,
+                    "state": member.state.name,
+                    "role": member.role.name,
+                    "incarnation": member.incarnation,
+                    "sequence": member.sequence,
+                }
+                for member in self._members.values()
+            },
+        }
+
+    def _remember(
+        self,
+        question: str,
+        domain: ids.DomainId,
+        find: Callable[[ids.DomainId], Any],
+    ) -> Any:
+        key = (question, domain)
+        if key not in self._cache:
+            self._cache[key] = find(domain)
+        return self._cache[key]
+
+    def _find_owners(self, domain: ids.DomainId) -> tuple[ids.VmId, ...]:
+        return self._find_by_role(domain, (MemberState.ACTIVE,))
+
+    def _find_replicas(self, domain: ids.DomainId) -> tuple[ids.VmId, ...]:
+        roles = (MemberState.ACTIVE, MemberState.JOINING)
+        return self._find_by_role(domain, roles)
+
+    def _find_by_role(
+        self, domain: ids.DomainId, roles: tuple[MemberState, ...]
+    ) -> tuple[ids.VmId, ...]:
+        return tuple(
+            sorted(
+                member.id
+                for member in self.live_members(domain)
+                if member.role in roles and not self._is_listed_leaving(member)
+            )
+        )
+
+    def _is_listed_leaving(self, member: Member) -> bool:
+        listed = (self._listed or {}).get(member.id)
+        return listed is not None and listed.leaving
+
+    def _count_visible(self, domain: ids.DomainId) -> int:
+        return sum(
+            self._listed is None or member.id in self._listed
+            for member in self.live_members(domain)
+        )
+
+    def _count_listed(self, domain: ids.DomainId) -> int:
+        if self._listed is not None:
+            return sum(vm.domain == domain for vm in self._listed.values())
+        return sum(
+            member.domain == domain
+            and (member.is_alive or member.role is not MemberState.LEAVING)
+            for member in self._members.values()
+        )
+
+    def _add(self, update: Member, now: float) -> bool:
+        if not update.is_alive:
+            return False
+        if len(self._members) >= self._capacity:
+            self._make_room()
+        self._replace(update, now)
+        return True
+
+    def _make_room(self) -> None:
+        if not self._dead_since:
+            raise exceptions.MembersFullError(
+                f"the table holds {self._capacity} live members"
+            )
+        self._remove(min(self._dead_since, key=self._dead_since.__getitem__))
+
+    def _refute(self, claim: Member) -> bool:
+        local = self.local
+        if claim.precedence <= local.precedence:
+            return False
+        if claim.incarnation > local.incarnation:
+            refuted = dataclasses.replace(
+                local,
+                incarnation=ids.Incarnation(claim.incarnation + 1),
+                sequence=0,
+            )
+        else:
+            refuted = dataclasses.replace(local, sequence=claim.sequence + 1)
+        self._replace(refuted, 0.0)
+        return True
+
+    def _announce(self, state: MemberState, now: float) -> None:
+        local = self.local
+        if local.state is state:
+            return
+        self._replace(
+            dataclasses.replace(
+                local, state=state, sequence=local.sequence + 1
+            ),
+            now,
+        )
+
+    def _downgrade(
+        self, member_id: ids.VmId, state: MemberState, now: float
+    ) -> bool:
+        member = self._members.get(member_id)
+        if member is None:
+            raise exceptions.UnknownMemberError(member_id)
+        if member.state >= state or member_id == self._local_id:
+            return False
+        self._replace(
+            dataclasses.replace(member, state=state, former_state=member.role),
+            now,
+        )
+        return True
+
+    def _replace(self, member: Member, now: float) -> None:
+        previous = self._members.get(member.id)
+        self._members[member.id] = member
+        if member.is_alive:
+            self._dead_since.pop(member.id, None)
+        else:
+            self._dead_since.setdefault(member.id, now)
+        if previous is None or _answers(previous) != _answers(member):
+            self._invalidate()
+        self._notify(previous, member)
+
+    def _remove(self, member_id: ids.VmId) -> None:
+        previous = self._members.pop(member_id)
+        del self._dead_since[member_id]
+        self._invalidate()
+        self._notify(previous, None)
+
+    def _invalidate(self) -> None:
+        self._cache.clear()
+        self._revision += 1
+
+    def _notify(self, previous: Member | None, current: Member | None) -> None:
+        for callback in tuple(self._callbacks):
+            callback(previous, current)
+
+
+def _answers(member: Member) -> tuple[Any, ...]:
+    """Returns the parts of a record that the answers of `Members` use."""
+    return (member.domain, member.is_alive, member.role, member.incarnation)
--- /dev/null
+++ b/src/chivedoor/membership/records.py
@@ -0,0 +1,143 @@
+"""Encoding of member records for the gossip."""
+
+import dataclasses
+import ipaddress
+from typing import Any
+
+import cbor2
+
+from chivedoor import ids
+from chivedoor.membership import const
+from chivedoor.membership import exceptions
+from chivedoor.membership import members
+
+_CLAIM_FIELDS = 5
+_RECORD_FIELDS = 11
+_NAME_LIMIT = 64
+_PORT_LIMIT = 1 << 16
+
+
+def encode_claim(member: members.Member) -> bytes:
+    """Encodes what a peer that knows the member needs: its state."""
+    return cbor2.dumps(_list_claim(member))
+
+
+def encode_record(member: members.Member) -> bytes:
+    """Encodes the complete record of a member."""
+    address = ipaddress.ip_address(member.address).packed
+    return cbor2.dumps(
+        [
+            *_list_claim(member),
+            member.domain,
+            member.region,
+            address,
+            member.peer_port,
+            member.gossip_port,
+            member.channel_port,
+        ]
+    )
+
+
+def decode_update(fields: Any, table: members.Members) -> members.Member | None:
+    """Builds the member that a decoded claim or record describes.
+
+    Args:
+        fields: The decoded CBOR value.
+        table: Supplies the missing fields of a claim.
+
+    Returns:
+        The member, or None for a claim about a member that is not known.
+
+    Raises:
+        MemberRecordError: The value is malformed.
+    """
+    if not isinstance(fields, list):
+        raise exceptions.MemberRecordError("a record is not an array")
+    if len(fields) == _CLAIM_FIELDS:
+        return _complete_claim(fields, table)
+    if len(fields) == _RECORD_FIELDS:
+        return _parse_record(fields)
+    raise exceptions.MemberRecordError(f"a record has {len(fields)} fields")
+
+
+def _list_claim(member: members.Member) -> list[Any]:
+    return [
+        member.id,
+        member.incarnation,
+        member.sequence,
+        int(member.state),
+        int(member.role),
+    ]
+
+
+def _complete_claim(
+    fields: list[Any], table: members.Members
+) -> members.Member | None:
+    claim = _parse_claim(fields)
+    known = table.get(claim["id"])
+    return known and dataclasses.replace(known, **claim)
+
+
+def _parse_record(fields: list[Any]) -> members.Member:
+    domain, region, address, peer, gossip, channel = fields[_CLAIM_FIELDS:]
+    return members.Member(
+        **_parse_claim(fields),
+        domain=ids.DomainId(_check_name(domain)),
+        region=ids.RegionId(_check_name(region)),
+        address=_check_address(address),
+        peer_port=_check_number(peer, _PORT_LIMIT),
+        gossip_port=_check_number(gossip, _PORT_LIMIT),
+        channel_port=_check_number(channel, _PORT_LIMIT),
+    )
+
+
+def _parse_claim(fields: list[Any]) -> dict[str, Any]:
+    member_id, incarnation, sequence, state, role = fields[:_CLAIM_FIELDS]
+    parsed = _check_state(state)
+    is_own = parsed < members.MemberState.SUSPECT
+    return {
+        "id": ids.VmId(_check_name(member_id)),
+        "incarnation": ids.Incarnation(
+            _check_number(incarnation, const.INCARNATION_LIMIT)
+        ),
+        "sequence": _check_number(sequence, const.INCARNATION_LIMIT),
+        "state": parsed,
+        "former_state": None if is_own else _check_role(role),
+    }
+
+
+def _check_name(value: Any) -> str:
+    if not isinstance(value, str) or not 0 < len(value) <= _NAME_LIMIT:
+        raise exceptions.MemberRecordError("a name is malformed")
+    return value
+
+
+def _check_number(value: Any, limit: int) -> int:
+    if type(value) is not int or not 0 <= value < limit:
+        raise exceptions.MemberRecordError("a number is out of range")
+    return value
+
+
+def _check_state(value: Any) -> members.MemberState:
+    if type(value) is not int:
+        raise exceptions.MemberRecordError("a state is not a number")
+    try:
+        return members.MemberState(value)
+    except ValueError as error:
+        raise exceptions.MemberRecordError("unknown state") from error
+
+
+def _check_role(value: Any) -> members.MemberState:
+    role = _check_state(value)
+    if role >= members.MemberState.SUSPECT:
+        raise exceptions.MemberRecordError("a role is not announced")
+    return role
+
+
+def _check_address(value: Any) -> str:
+    if not isinstance(value, bytes):
+        raise exceptions.MemberRecordError("an address is not packed")
+    try:
+        return str(ipaddress.ip_address(value))
+    except ValueError as error:
+        raise exceptions.MemberRecordError("malformed address") from error
--- /dev/null
+++ b/src/chivedoor/registers/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' commands that take failure domains out and back in."""
