Route flows to targets with one owner per target

Cause: any balancer may get any packet of a flow. Change: routing tables, ownership, flow records, overrides and the decision path of a balancer, with tests on several balancers wired in memory.

--- a/src/chivedoor/balancer/balancer.py
+++ b/src/chivedoor/balancer/balancer.py
@@ -54,9 +54,7 @@
             replica_rankings={},
         )
         self._region = region
-        self._modes: dict[
-            ids.EndpointNumber, dict[ids.VmId, Mode]
-        ] = {}
+        self._modes: dict[ids.EndpointNumber, dict[ids.VmId, Mode]] = {}
         self._resolver = resolvers.Resolver(
             context=self.context, request_filter=duplicates.RequestFilter()
         )
@@ -175,6 +173,10 @@
             return self._resolver.record_target_copy(packet, source, now)
         return self._resolver.answer(packet, source, now)
 
+    def tick(self, now: float) -> None:
+        """Expires records; called several times a second."""
+        self._resolver.forget_flows(self.targets.tick(now))
+
     # Changes of what the balancer knows.
 
     def apply_document(
@@ -206,9 +208,7 @@
         announced[mode.identity.member] = mode
         self._update_direct((mode.number,))
 
-    def clear_mode(
-        self, number: ids.EndpointNumber, member: ids.VmId
-    ) -> None:
+    def clear_mode(self, number: ids.EndpointNumber, member: ids.VmId) -> None:
         """Takes a balancer's withdrawal of mode `DIRECT`."""
         self._modes.get(number, {}).pop(member, None)
         self._update_direct((number,))
--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -1,5 +1,6 @@
 """Decisions at the owner of a target, and at its replica."""
 
+from collections.abc import Iterable
 from collections.abc import Sequence
 import itertools
 
@@ -37,6 +38,11 @@
         self._context = context
         self._requests = request_filter
 
+    def forget_flows(self, keys: Iterable[ids.FlowKey]) -> None:
+        """Drops what is kept of flows whose records were dropped."""
+        for key in keys:
+            self._requests.forget(key)
+
     # Packets from callers.
 
     def resolve(
@@ -580,7 +586,7 @@
             return self._answer_datagram(packet, source, key, target, now)
         if packet.is_reset:
             if target.flows.is_adopted(key, now):
-                target.release(source.port.kind, target.flows.remove(key), now)
+                target.release(target.flows.remove(key), now)
                 return [actions.Drop(actions.RoutingDrop.STALE_RESET)]
             target.admission.note_reset(
                 target.flows.get_state(key) is records.FlowState.OPEN, now
@@ -704,9 +710,7 @@
 def _build_refusal(packet: packets.Packet) -> bytes:
     if packet.protocol == _TCP:
         return refusal.build_reset(packet)
-    return refusal.build_unreachable(
-        packet, refusal.UnreachableCode.ADMINISTRATIVELY_PROHIBITED
-    )
+    return refusal.build_unreachable(packet, refusal.UnreachableCode.PROHIBITED)
 
 
 def _deliver(
--- a/src/chivedoor/balancer/targets.py
+++ b/src/chivedoor/balancer/targets.py
@@ -226,10 +226,13 @@
                 settled.append((number, generation))
         return settled
 
-    def tick(self, now: float) -> None:
-        """Expires records of all targets."""
-        for target in self._context.targets.values():
-            target.tick(now)
+    def tick(self, now: float) -> list[ids.FlowKey]:
+        """Expires records of all targets; returns the dropped keys."""
+        return [
+            key
+            for target in self._context.targets.values()
+            for key in target.tick(now)
+        ]
 
 
 def _has_base(
--- a/src/chivedoor/daemon/traffic.py
+++ b/src/chivedoor/daemon/traffic.py
@@ -1,8 +1,8 @@
 """Packets between the sockets and the decision path."""
 
 import asyncio
-from collections.abc import Callable
 import collections
+from collections.abc import Callable
 import enum
 import functools
 
--- a/src/chivedoor/flows/const.py
+++ b/src/chivedoor/flows/const.py
@@ -14,9 +14,9 @@
 # against the target's health.
 HANDSHAKE_TIMEOUT_S: Final = 2.0
 
-# Longer than a caller waits before it uses a port again for an answer that
-# is still on its way, and than a retransmitted FIN needs.
-CLOSED_LINGER_S: Final = 30.0
+# Late packets of a closed flow find its record for this long. It exceeds the
+# time over which a caller repeats a datagram or a FIN.
+CLOSED_LINGER_S: Final = 60.0
 
 # A flow passed on to the owners of other endpoints is looked for along the
 # ranking until one of them reports that it has the flow.
--- a/src/chivedoor/flows/owner.py
+++ b/src/chivedoor/flows/owner.py
@@ -130,12 +130,7 @@
         self.admission.adopt(kind)
         self.flows.adopt(key, kind, now)
 
-    def release(
-        self,
-        kind: documents.PortKind,
-        freed: records.Freed,
-        now: float,
-    ) -> None:
+    def release(self, freed: records.Freed, now: float) -> None:
         """Gives back what the end of a flow frees."""
         if records.Freed.SLOT in freed:
             self.admission.release_slot(now)
@@ -144,18 +139,15 @@
 
     def close_caller(self, key: ids.FlowKey, now: float) -> None:
         """Notes the caller's FIN."""
-        kind = self.flows.get_kind(key)
-        self.release(kind, self.flows.close_caller(key, now), now)
+        self.release(self.flows.close_caller(key, now), now)
 
     def close_target(self, key: ids.FlowKey, now: float) -> None:
         """Notes the target's FIN."""
-        kind = self.flows.get_kind(key)
-        self.release(kind, self.flows.close_target(key, now), now)
+        self.release(self.flows.close_target(key, now), now)
 
     def close(self, key: ids.FlowKey, now: float) -> None:
         """Notes the end of a flow in both directions."""
-        kind = self.flows.get_kind(key)
-        self.release(kind, self.flows.close(key, now), now)
+        self.release(self.flows.close(key, now), now)
 
     # Flows of this base target elsewhere.
 
@@ -262,17 +254,17 @@
     # Time.
 
     def tick(self, now: float) -> list[ids.FlowKey]:
-        """Expires records; returns the keys of flows that timed out."""
+        """Expires records; returns the keys of dropped ones."""
         if self._recovered_at_s is not None and now >= self._recovered_at_s:
             self._recovered_at_s = None
             self.has_records = True
-        expired = self.flows.expire(
+        closed, dropped = self.flows.expire(
             now=now,
             idle_timeout_s=self._policy.idle_timeout_s,
             slot_timeout_s=self._policy.request_deadline_s,
         )
-        for _, kind, freed in expired:
-            self.release(kind, freed, now)
+        for freed in closed:
+            self.release(freed, now)
         for key in _list_expired(self.pending.items(), now):
             del self.pending[key]
         stale = _list_expired(
@@ -281,7 +273,7 @@
         for key in stale:
             del self.overrides[key]
         self._note_timeouts(now)
-        return [key for key, _, _ in expired]
+        return dropped
 
     def _note_timeouts(self, now: float) -> None:
         late = _list_expired(
--- a/src/chivedoor/flows/records.py
+++ b/src/chivedoor/flows/records.py
@@ -129,8 +129,11 @@
 
     def expire(
         self, *, now: float, idle_timeout_s: float, slot_timeout_s: float
-    ) -> list[tuple[ids.FlowKey, documents.PortKind, Freed]]:
-        """Drops old records, a bounded number of them at a call.
+    ) -> tuple[list[Freed], list[ids.FlowKey]]:
+        """Closes and drops old records, a bounded number of them at a call.
+
+        A flow that timed out stays as a closed one for the time of late
+        packets, so that a late copy of its request does not run again.
 
         Args:
           now: Monotonic seconds.
@@ -139,11 +142,11 @@
             ends; its target has given it up by then.
 
         Returns:
-          The key, the kind and what is freed, for each dropped record.
+          What the closed flows free, and the keys of dropped records.
         """
-        batch = self._next_batch()
+        closed = []
         dropped = []
-        for key in batch:
+        for key in self._next_batch():
             record = self._records.get(key)
             if record is None:
                 continue
@@ -152,8 +155,12 @@
             )
             if now - self._last_seen(record) < timeout_s + const.TICK_S:
                 continue
-            dropped.append((key, self.get_kind(key), self.remove(key)))
-        return dropped
+            if record & _STATE_MASK == FlowState.CLOSED:
+                del self._records[key]
+                dropped.append(key)
+            else:
+                closed.append(self.close(key, now))
+        return closed, dropped
 
     def _next_batch(self) -> Iterable[ids.FlowKey]:
         batch = _take(self._scan, const.EXPIRE_BATCH)
--- a/src/chivedoor/routing/const.py
+++ b/src/chivedoor/routing/const.py
@@ -13,6 +13,9 @@
 # its hops between balancers.
 MAX_CANDIDATES: Final = 3
 
+# Tables kept after their generation; each takes up to 32 KB.
+TABLES_KEPT: Final = 64
+
 # Separate seeds keep the ranking of endpoints independent of the flow hash.
 FLOW_HASH_SEED: Final = 0x43484956
 ENDPOINT_HASH_SEED: Final = 0x454E4450
--- a/src/chivedoor/routing/hashing.py
+++ b/src/chivedoor/routing/hashing.py
@@ -46,4 +46,6 @@
 
 def score_owner(number: int, member: ids.VmId) -> int:
     """Returns the rendezvous score of a balancer for an endpoint."""
-    return xxhash.xxh3_64_intdigest(f"{number}/{member}", const.OWNER_HASH_SEED)
+    return xxhash.xxh3_64_intdigest(
+        f"{number}/{member}".encode(), const.OWNER_HASH_SEED
+    )
--- a/src/chivedoor/routing/tables.py
+++ b/src/chivedoor/routing/tables.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
+import functools
 import math
 
 import xxhash
@@ -45,7 +46,9 @@
     inputs = ";".join(
         sorted(f"{e.number},{e.weight},{e.domain}" for e in endpoints)
     )
-    digest = xxhash.xxh3_64_intdigest(inputs, const.GENERATION_HASH_SEED)
+    digest = xxhash.xxh3_64_intdigest(
+        inputs.encode(), const.GENERATION_HASH_SEED
+    )
     return ids.Generation(digest >> 1)
 
 
@@ -67,7 +70,11 @@
         # Most services of a balancer at the planned size see no packet for a
         # long time, so their tables are built at first use.
         if self._first is None:
-            self._first = self._assign_buckets()
+            weights = tuple((e.number, e.weight) for e in self._endpoints)
+            self._first = [
+                self._endpoints[index]
+                for index in _assign_buckets(weights, self.mask + 1)
+            ]
         if not self._first:
             return None
         return self._first[key & self.mask]
@@ -79,35 +86,38 @@
         base = self.find_base(key)
         if base is None:
             return ()
-        ranking = self._rank_bucket(key & self.mask)
-        return (base, *(e for e in ranking if e is not base))
-
-    def _rank_bucket(self, bucket: int) -> list[documents.Endpoint]:
-        return sorted(
-            self._endpoints,
+        bucket = key & self.mask
+        others = sorted(
+            (e for e in self._endpoints if e is not base),
             key=lambda e: hashing.score_endpoint(bucket, e.number, e.weight),
             reverse=True,
         )
-
-    def _assign_buckets(self) -> list[documents.Endpoint]:
-        if not self._endpoints:
-            return []
-        if len(self._endpoints) == 1:
-            return list(self._endpoints)
-        size = self.mask + 1
-        total = sum(e.weight for e in self._endpoints)
-        room = {
-            e.number: math.ceil(size * e.weight / total * const.FIRST_PLACE_CAP)
-            for e in self._endpoints
-        }
-        first = []
-        for bucket in range(size):
-            choice = next(
-                e for e in self._rank_bucket(bucket) if room[e.number]
-            )
-            room[choice.number] -= 1
-            first.append(choice)
-        return first
+        return (base, *others)
+
+
+# A failure domain that is taken out and comes back brings back the table of
+# before, and building one takes tens of milliseconds of the loop.
+@functools.lru_cache(maxsize=const.TABLES_KEPT)
+def _assign_buckets(
+    weights: tuple[tuple[ids.EndpointNumber, int], ...], size: int
+) -> tuple[int, ...]:
+    """Returns the index of the first choice of each bucket."""
+    if len(weights) <= 1:
+        return (0,) * len(weights)
+    total = sum(weight for _, weight in weights)
+    room = [
+        math.ceil(size * weight / total * const.FIRST_PLACE_CAP)
+        for _, weight in weights
+    ]
+    first = []
+    for bucket in range(size):
+        choice = max(
+            (index for index in range(len(weights)) if room[index]),
+            key=lambda index: hashing.score_endpoint(bucket, *weights[index]),
+        )
+        room[choice] -= 1
+        first.append(choice)
+    return tuple(first)
 
 
 def _count_buckets(endpoint_count: int) -> int:
--- a/tests/balancer/fleet.py
+++ b/tests/balancer/fleet.py
@@ -168,7 +168,7 @@
         """Lets time pass, with the periodic work of each balancer."""
         self.now += seconds
         for balancer in self.balancers.values():
-            balancer.targets.tick(self.now)
+            balancer.tick(self.now)
 
     def kill(self, *names) -> None:
         """Removes balancers; the others see them dead at once."""
--- /dev/null
+++ b/tests/balancer/test_placement.py
@@ -0,0 +1,327 @@
+"""Tests of where packets of new and established flows go."""
+
+import pytest
+
+from chivedoor import ids
+from chivedoor.balancer import actions
+from chivedoor.configuration import document as documents
+from chivedoor.dataplane import encapsulation
+from standins import segments
+from tests.balancer import fleet as fleets
+
+_KIND = encapsulation.ForwardKind
+_NAMES = ("a0", "a1", "b0", "b1", "c0", "c1")
+
+
+def _endpoints():
+    return [
+        fleets.make_endpoint(number, domain)
+        for number, domain in enumerate("abcabca", 1)
+    ]
+
+
+@pytest.fixture
+def document():
+    return fleets.make_document(1, fleets.make_service(_endpoints()))
+
+
+@pytest.fixture
+def fleet(document):
+    result = fleets.Fleet(per_domain=2, document=document)
+    result.open_slots()
+    result.settle()
+    return result
+
+
+def _open_flow(fleet, name, caller_port, **options):
+    (delivered,) = fleet.send(
+        name, fleets.make_segment(caller_port, fleets.SYN, **options)
+    )
+    return delivered
+
+
+def test_syn_passes_owner_and_replica_before_the_target(fleet):
+    # Guards against a target that sees a flow which a single death forgets.
+    delivered = _open_flow(fleet, "a0", 5000)
+    number = delivered.packet.destination[3]
+    holders = [
+        name
+        for name, balancer in fleet.balancers.items()
+        if number in balancer.context.targets
+        and len(balancer.context.targets[number].flows)
+    ]
+    assert len(holders) == 2
+    assert delivered.member in holders
+
+
+def test_all_balancers_deliver_established_packets_to_one_target(fleet):
+    # Guards against balancers that compute different targets.
+    target = _open_flow(fleet, "a0", 5001).packet.destination
+    for name in _NAMES:
+        (delivered,) = fleet.send(name, fleets.make_segment(5001, fleets.ACK))
+        assert delivered.packet.destination == target
+
+
+def test_direct_mode_forwards_no_established_packet(fleet):
+    # Guards against forwarding that can be avoided.
+    _open_flow(fleet, "a0", 5002)
+    before = sum(fleet.forwards.values())
+    for name in _NAMES:
+        fleet.send(name, fleets.make_segment(5002, fleets.ACK))
+    assert sum(fleet.forwards.values()) == before
+
+
+def test_answer_gets_the_address_of_the_service(fleet):
+    # Guards against answers that the caller's connection does not match.
+    delivered = _open_flow(fleet, "a0", 5003)
+    for name in _NAMES:
+        (answer,) = fleet.send(name, fleets.make_answer(delivered))
+        assert answer.packet.source == fleets.SERVICE
+        assert answer.packet.source_port == fleets.STREAM_PORT
+
+
+def test_established_flows_stay_when_an_endpoint_joins(fleet, document):
+    # Guards against flows that move with the buckets of a changed table.
+    opened = {
+        port: _open_flow(fleet, _NAMES[port % 6], port).packet.destination
+        for port in range(6000, 6200)
+    }
+    grown = fleets.make_service([*_endpoints(), fleets.make_endpoint(8, "b")])
+    fleet.apply(fleets.make_document(2, grown))
+    for pulled in (False, True):
+        if pulled:
+            fleet.settle()
+        for port, target in opened.items():
+            (delivered,) = fleet.send(
+                _NAMES[(port + 1) % 6], fleets.make_segment(port, fleets.ACK)
+            )
+            assert delivered.packet.destination == target
+
+
+def test_flows_of_a_draining_endpoint_finish(fleet):
+    # Guards against a drain that cuts requests or admits new ones.
+    opened = {
+        port: _open_flow(fleet, _NAMES[port % 6], port).packet.destination
+        for port in range(6000, 6100)
+    }
+    endpoints = _endpoints()
+    endpoints[0] = fleets.make_endpoint(
+        1, "a", state=documents.EndpointState.DRAINING
+    )
+    fleet.apply(fleets.make_document(2, fleets.make_service(endpoints)))
+    fleet.settle()
+    for port, target in opened.items():
+        (delivered,) = fleet.send(
+            _NAMES[(port + 1) % 6], fleets.make_segment(port, fleets.ACK)
+        )
+        assert delivered.packet.destination == target
+    for port in range(7000, 7100):
+        assert _open_flow(fleet, "b0", port).packet.destination[3] != 1
+
+
+def test_mixed_documents_agree_on_existing_flows(fleet):
+    # Guards against balancers of two versions that use two targets.
+    opened = {
+        port: _open_flow(fleet, _NAMES[port % 6], port).packet.destination
+        for port in range(6000, 6100)
+    }
+    grown = fleets.make_service([*_endpoints(), fleets.make_endpoint(8, "b")])
+    fleet.apply(fleets.make_document(2, grown), only={"a0", "b0", "c1"})
+    for port, target in opened.items():
+        for name in _NAMES:
+            for delivered in fleet.send(
+                name, fleets.make_segment(port, fleets.ACK)
+            ):
+                assert delivered.packet.destination == target
+
+
+def test_death_of_an_owner_loses_no_record(fleet):
+    # Guards against flows or counts that die with one balancer.
+    opened = {
+        port: _open_flow(fleet, "b0", port).packet.destination
+        for port in range(6000, 6100)
+    }
+    counts = {n: fleet.get_target(n).admission.connections for n in range(1, 8)}
+    fleet.kill("a0")
+    fleet.settle()
+    for port, target in opened.items():
+        (delivered,) = fleet.send("c0", fleets.make_segment(port, fleets.ACK))
+        assert delivered.packet.destination == target
+    for number, count in counts.items():
+        assert fleet.get_target(number).admission.connections == count
+
+
+def test_death_of_a_whole_failure_domain_keeps_other_flows(fleet):
+    # Guards against new flows that wait for owners which are gone.
+    opened = {
+        port: _open_flow(fleet, "b0", port).packet.destination
+        for port in range(6000, 6100)
+    }
+    fleet.kill("a0", "a1")
+    fleet.settle()
+    for port, target in opened.items():
+        if target[3] in (1, 4, 7):
+            continue
+        (delivered,) = fleet.send("c0", fleets.make_segment(port, fleets.ACK))
+        assert delivered.packet.destination == target
+    for port in range(7000, 7050):
+        assert _open_flow(fleet, "b0", port).packet.destination[3] in (
+            2,
+            3,
+            5,
+            6,
+        )
+
+
+def test_retransmitted_syn_goes_to_the_same_target_after_a_death(fleet):
+    # Guards against a request that runs on two targets.
+    for port in range(6000, 6050):
+        first = _open_flow(fleet, "b0", port, port=fleets.REQUEST_PORT)
+        answer = fleets.make_answer(first, fleets.FIN | fleets.ACK)
+        if port % 2:
+            fleet.send("c1", answer)
+        again = _open_flow(fleet, "c0", port, port=fleets.REQUEST_PORT)
+        assert again.packet.destination == first.packet.destination
+        fleet.send("c1", answer)
+        fleet.send(
+            "c1",
+            fleets.make_segment(
+                port, fleets.FIN | fleets.ACK, port=fleets.REQUEST_PORT
+            ),
+        )
+    first = _open_flow(fleet, "b0", 6100, port=fleets.REQUEST_PORT)
+    fleet.kill(fleet.find_owner(first.packet.destination[3]))
+    again = _open_flow(fleet, "c0", 6100, port=fleets.REQUEST_PORT)
+    assert again.packet.destination == first.packet.destination
+
+
+def test_slots_are_never_exceeded_and_the_rest_is_refused(fleet):
+    # Guards against counts that each balancer keeps for itself.
+    delivered = [
+        fleet.send(
+            _NAMES[port % 6],
+            fleets.make_segment(port, fleets.SYN, port=fleets.REQUEST_PORT),
+        )[0]
+        for port in range(6000, 6060)
+    ]
+    running = [
+        d.packet.destination[3]
+        for d in delivered
+        if d.packet.destination != bytes((198, 51, 100, 7))
+    ]
+    assert max(running.count(n) for n in range(1, 8)) <= 4
+    assert len(running) >= 24
+    refused = [
+        d.packet
+        for d in delivered
+        if d.packet.destination == bytes((198, 51, 100, 7))
+    ]
+    assert all(packet.flags & fleets.RST for packet in refused)
+    assert len(refused) == 60 - len(running)
+
+
+def test_full_target_sends_flows_elsewhere_and_they_stay_there(fleet):
+    # Guards against established packets that go to the full base target.
+    opened = {}
+    for port in range(6000, 6028):
+        (delivered,) = fleet.send(
+            "a0",
+            fleets.make_segment(port, fleets.SYN, port=fleets.REQUEST_PORT),
+        )
+        if delivered.packet.destination[:2] == bytes((127, 1)):
+            opened[port] = delivered.packet.destination
+    fleet.announce()
+    assert any(fleet.get_target(number).overrides for number in range(1, 8))
+    for port, target in opened.items():
+        for name in _NAMES:
+            (delivered,) = fleet.send(
+                name,
+                fleets.make_segment(port, fleets.ACK, port=fleets.REQUEST_PORT),
+            )
+            assert delivered.packet.destination == target
+
+
+def test_slot_is_free_after_the_target_has_answered(fleet):
+    # Guards against slots that leak until an idle timeout.
+    for port in range(6000, 6200):
+        first = _open_flow(fleet, "b0", port, port=fleets.REQUEST_PORT)
+        assert first.packet.destination[:2] == bytes((127, 1))
+        fleet.send("c0", fleets.make_answer(first, fleets.FIN | fleets.ACK))
+        fleet.send(
+            "a0",
+            fleets.make_segment(
+                port, fleets.FIN | fleets.ACK, port=fleets.REQUEST_PORT
+            ),
+        )
+    assert all(fleet.get_target(n).admission.slots == 0 for n in range(1, 8))
+
+
+def test_reset_from_a_target_without_the_flow_is_dropped(fleet):
+    # Guards against a misrouted packet that breaks the flow it belongs to.
+    delivered = _open_flow(fleet, "a0", 5004)
+    wrong = delivered.packet.destination[3] % 7 + 1
+    delivered.packet.destination = bytes((127, 1, 0, wrong))
+    assert fleet.send("b0", fleets.make_answer(delivered, fleets.RST)) == []
+    assert fleet.drops[actions.RoutingDrop.STALE_RESET] == 1
+
+
+def test_reset_from_the_target_with_the_flow_reaches_the_caller(fleet):
+    # Guards against callers that never learn that their flow has ended.
+    delivered = _open_flow(fleet, "a0", 5005)
+    (answer,) = fleet.send("b0", fleets.make_answer(delivered, fleets.RST))
+    assert answer.packet.flags & fleets.RST
+    assert answer.packet.source == fleets.SERVICE
+
+
+def test_same_datagram_runs_once(fleet):
+    # Guards against a doubled request that is not idempotent.
+    first = fleet.send("a0", fleets.make_datagram(5006, b"request 1"))
+    assert len(first) == 1
+    for name in _NAMES:
+        assert fleet.send(name, fleets.make_datagram(5006, b"request 1")) == []
+    fleet.send("b0", fleets.make_answer(first[0], payload=b"answer"))
+    for name in _NAMES:
+        assert fleet.send(name, fleets.make_datagram(5006, b"request 1")) == []
+
+
+def test_same_datagram_runs_once_across_the_death_of_its_owner(fleet):
+    # Guards against a retransmission that the new owner takes for new.
+    (first,) = fleet.send("a0", fleets.make_datagram(5007, b"request 1"))
+    fleet.kill(fleet.find_owner(first.packet.destination[3]))
+    fleet.settle()
+    assert fleet.send("c1", fleets.make_datagram(5007, b"request 1")) == []
+
+
+def test_service_without_targets_refuses_only_new_flows(fleet):
+    # Guards against a refusal of work that may have been forwarded.
+    empty = fleets.make_service([])
+    fleet.apply(fleets.make_document(2, empty))
+    (refusal,) = fleet.send("a0", fleets.make_segment(5008, fleets.SYN))
+    assert refusal.packet.flags & fleets.RST
+    assert fleet.send("a0", fleets.make_segment(5009, fleets.ACK)) == []
+    (refusal,) = fleet.send("a0", fleets.make_datagram(5010, b"x"))
+    assert isinstance(refusal.packet, segments.Unreachable)
+
+
+def test_packet_of_another_service_is_never_delivered_here(fleet):
+    # Guards against an endpoint number that names another service's target
+    # at a balancer with an older document.
+    other = fleets.make_service(
+        [fleets.make_endpoint(9, "a")],
+        id=ids.ServiceId("other"),
+        addresses=(fleets.OTHER_SERVICE,),
+    )
+    service = fleets.make_service(_endpoints())
+    fleet.apply(fleets.make_document(2, service, other))
+    header = encapsulation.Header(_KIND.CHAIN, 1, 1, 9)
+    data = segments.build_packet(fleets.make_segment(5011, fleets.SYN))
+    result = fleet.balancers["a0"].handle_forwarded(header, data, fleet.now)
+    assert result == [actions.Drop(actions.RoutingDrop.NO_ENDPOINT)]
+
+
+def test_too_old_document_stops_sending(fleet):
+    # Guards against packets for an address that has a new service by now.
+    balancer = fleet.balancers["a0"]
+    balancer.context.may_send = False
+    assert fleet.send("a0", fleets.make_segment(5012, fleets.SYN)) == []
+    assert fleet.drops[actions.RoutingDrop.DOCUMENT_TOO_OLD] == 1
