Add the channel between balancers and the operators' interface

Cause: the daemon needs typed requests between balancers for documents, flow records and silent flows, and a separate interface for operators.

Change: the new package `rpc` holds what both interfaces share: a strict CBOR codec, an authenticated session over websockets, request matching and the server side. A session proves the key in both directions with keyed BLAKE2b over the whole transcript, and every frame carries a counter and a tag.

Conclusion: the daemon can register handlers and send requests.

--- /dev/null
+++ b/src/chivedoor/control/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between balancers and the operators' interface."""
--- /dev/null
+++ b/src/chivedoor/control/channel.py
@@ -0,0 +1,279 @@
+"""Requests and replies between balancers over websockets."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+from typing import Any
+
+from chivedoor import ids
+from chivedoor.control import messages
+from chivedoor.rpc import const
+from chivedoor.rpc import counts as counting
+from chivedoor.rpc import exceptions
+from chivedoor.rpc import link as links
+from chivedoor.rpc import responder
+from chivedoor.rpc import session as sessions
+from chivedoor.rpc import transport
+
+Event = counting.RpcEvent
+Location = tuple[str, int]
+Resolve = Callable[[ids.VmId], Location]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Peer:
+    """An open connection to a member and where it leads."""
+
+    link: links.Link
+    location: Location
+
+
+class Channel:
+    """Sends requests to other balancers and answers theirs.
+
+    Connections are opened on demand, shared by all requests to the same
+    member, and closed when they are idle for `LINK_IDLE_S`.
+    """
+
+    def __init__(
+        self,
+        *,
+        local_id: ids.VmId,
+        address: str,
+        port: int,
+        keys: Sequence[bytes],
+        resolve: Resolve,
+        budget: responder.Pace | None = None,
+    ) -> None:
+        """Creates a channel that is not open yet.
+
+        Args:
+            local_id: The id of this balancer.
+            address: The address to listen on.
+            port: The TCP port to listen on; 0 for any free port.
+            keys: The peer key in force, then the previous one if any.
+            resolve: Returns the channel address and port of a member, and
+                raises `LookupError` for one that it does not know.
+            budget: Waits until a message of some bytes may be sent; called
+                for every reply.
+
+        Raises:
+            InvalidKeyError: A key has a wrong length, or there are not one
+                or two.
+        """
+        self.counts = counting.Counts()
+        self._local_id = local_id
+        self._keys = sessions.check_keys(keys)
+        self._resolve = resolve
+        self._peers: dict[ids.VmId, _Peer] = {}
+        self._opening: dict[ids.VmId, asyncio.Task[links.Link]] = {}
+        self._idle_task: asyncio.Task[None] | None = None
+        self._responder = responder.Responder(
+            address=address,
+            port=port,
+            purpose=sessions.Purpose.PEER,
+            local_id=local_id,
+            keys=keys,
+            registry=messages.REGISTRY,
+            counts=self.counts,
+            links_max=const.INCOMING_LINKS_MAX,
+            pace=budget or responder.async_send_freely,
+        )
+
+    @property
+    def port(self) -> int:
+        """The TCP port that is bound."""
+        return self._responder.port
+
+    def register(self, request_type: type, handler: responder.Handler) -> None:
+        """Sets the coroutine function that answers a type of request.
+
+        The handler takes the request and returns its reply. It raises
+        `RequestRefusedError` to refuse.
+
+        Raises:
+            MessageError: The type is not a registered request.
+            ChannelStateError: The type has a handler already.
+        """
+        self._responder.register(request_type, handler)
+
+    async def async_open(self) -> None:
+        """Starts to listen and to close idle connections.
+
+        Raises:
+            ChannelStateError: The channel is open.
+            OSError: The address or port cannot be bound.
+        """
+        await self._responder.async_open()
+        self._idle_task = asyncio.create_task(self._async_close_idle())
+
+    async def async_close(self) -> None:
+        """Closes all connections; requests under way fail."""
+        if self._idle_task is None:
+            return
+        idle_task, self._idle_task = self._idle_task, None
+        tasks = [idle_task, *self._opening.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        peers, self._peers = self._peers, {}
+        closing = [peer.link.async_close() for peer in peers.values()]
+        await asyncio.gather(*closing)
+        await self._responder.async_close()
+
+    async def async_request(
+        self,
+        member_id: ids.VmId,
+        request: Any,
+        timeout_s: float = const.REQUEST_TIMEOUT_S,
+    ) -> Any:
+        """Sends a request to a member and returns its reply.
+
+        Args:
+            member_id: The member that answers.
+            request: A registered request.
+            timeout_s: Seconds for connecting, sending and waiting together.
+
+        Raises:
+            RequestTimeoutError: No reply came in time.
+            PeerUnreachableError: The member is not known, cannot be reached,
+                or closed the connection.
+            AuthenticationError: The member and this balancer share no key,
+                or another member answers there.
+            RequestRefusedError: The member refused the request.
+            LinksExhaustedError: All connections are in use.
+            MessageError: The request or the reply does not match its type.
+            ChannelStateError: The channel is not open.
+        """
+        if self._idle_task is None:
+            raise exceptions.ChannelStateError("the channel is not open")
+        started_s = asyncio.get_running_loop().time()
+        try:
+            async with asyncio.timeout(timeout_s):
+                link = await self._async_link(member_id)
+                return await link.async_request(request)
+        except TimeoutError as error:
+            self.counts.add(Event.TIMEOUTS)
+            self._drop_if_silent(member_id, started_s)
+            raise exceptions.RequestTimeoutError(
+                f"{member_id} did not answer within {timeout_s} s"
+            ) from error
+
+    def close_idle(self, now: float) -> None:
+        """Drops connections that had no request for `LINK_IDLE_S`.
+
+        Args:
+            now: Loop time in seconds.
+        """
+        for member_id, peer in list(self._peers.items()):
+            idle_s = now - peer.link.last_used_s
+            expired = peer.link.idle and idle_s >= const.LINK_IDLE_S
+            if peer.link.closed or expired:
+                self._drop(member_id)
+
+    def dump_state(self) -> dict[str, Any]:
+        """Returns connections and counters as plain values."""
+        return {
+            "outgoing": sorted(self._peers),
+            "incoming": self._responder.links,
+            "counts": self.counts.dump_state(),
+        }
+
+    async def _async_close_idle(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(const.IDLE_CHECK_INTERVAL_S)
+            self.close_idle(loop.time())
+
+    async def _async_link(self, member_id: ids.VmId) -> links.Link:
+        """Returns an open connection to a member."""
+        location = self._locate(member_id)
+        peer = self._peers.get(member_id)
+        if peer and not peer.link.closed and peer.location == location:
+            return peer.link
+        if peer:
+            self._drop(member_id)
+        task = self._opening.get(member_id)
+        if task is None:
+            task = self._start_opening(member_id, location)
+        # Other requests may wait for the same connection, so the timeout of
+        # one of them must not cancel it.
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if task.cancelled():
+                raise exceptions.LinkClosedError("channel closed") from None
+            raise
+
+    def _locate(self, member_id: ids.VmId) -> Location:
+        try:
+            return self._resolve(member_id)
+        except LookupError as error:
+            raise exceptions.PeerUnreachableError(
+                f"{member_id} is not a known member"
+            ) from error
+
+    def _start_opening(
+        self, member_id: ids.VmId, location: Location
+    ) -> asyncio.Task[links.Link]:
+        self._make_room()
+        task = asyncio.create_task(self._async_connect(member_id, location))
+        self._opening[member_id] = task
+        task.add_done_callback(lambda done: self._finish(member_id, done))
+        return task
+
+    def _finish(
+        self, member_id: ids.VmId, task: asyncio.Task[links.Link]
+    ) -> None:
+        self._opening.pop(member_id, None)
+        # Marks the error as seen when all requests have given up.
+        if not task.cancelled() and task.exception() is not None:
+            self.counts.add(Event.LINKS_FAILED)
+
+    async def _async_connect(
+        self, member_id: ids.VmId, location: Location
+    ) -> links.Link:
+        connection = await transport.async_connect(*location)
+        try:
+            session = await sessions.async_initiate(
+                connection,
+                purpose=sessions.Purpose.PEER,
+                local_id=self._local_id,
+                keys=self._keys,
+                expected_id=member_id,
+            )
+        except BaseException as error:
+            connection.transport.abort()
+            if isinstance(error, exceptions.AuthenticationError):
+                self.counts.add(error.fault)
+            raise
+        self.counts.add(Event.LINKS_OPENED)
+        link = links.Link(
+            session=session, registry=messages.REGISTRY, counts=self.counts
+        )
+        self._peers[member_id] = _Peer(link=link, location=location)
+        return link
+
+    def _make_room(self) -> None:
+        """Drops the least recently used idle connection when all are open."""
+        if len(self._peers) + len(self._opening) < const.OUTGOING_LINKS_MAX:
+            return
+        idle = [item for item in self._peers.items() if item[1].link.idle]
+        if not idle:
+            raise exceptions.LinksExhaustedError("all connections are in use")
+        oldest, _ = min(idle, key=lambda item: item[1].link.last_used_s)
+        self._drop(oldest)
+
+    def _drop(self, member_id: ids.VmId) -> None:
+        self._peers.pop(member_id).link.abort()
+
+    def _drop_if_silent(self, member_id: ids.VmId, since_s: float) -> None:
+        """Drops a connection on which nothing came since a request began.
+
+        The peer may have died without closing it; the next request then
+        opens a new one instead of waiting on the dead one.
+        """
+        peer = self._peers.get(member_id)
+        if peer and peer.link.last_received_s < since_s:
+            self._drop(member_id)
--- /dev/null
+++ b/src/chivedoor/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Typed requests and replies over authenticated websocket sessions."""
--- /dev/null
+++ b/src/chivedoor/rpc/envelope.py
@@ -0,0 +1,103 @@
+"""Envelopes that carry requests, replies and refusals over a session."""
+
+import dataclasses
+import enum
+from typing import Any
+
+from chivedoor.rpc import codec
+from chivedoor.rpc import const
+from chivedoor.rpc import exceptions
+
+Fault = exceptions.MessageFault
+
+# An envelope is `[kind, request id, name, body]`.
+_ENVELOPE_ITEMS = 4
+
+
+class Kind(enum.IntEnum):
+    """The kinds of envelopes."""
+
+    REQUEST = 0
+    REPLY = 1
+    REFUSAL = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Envelope:
+    """A message with the number of its request on this connection.
+
+    Attributes:
+        kind: What the envelope holds.
+        request_id: Chosen by the client, unique on its connection.
+        name: The message type, or the code of a refusal.
+        body: The fields of the message, or the detail of a refusal.
+    """
+
+    kind: Kind
+    request_id: int
+    name: str
+    body: Any
+
+
+def pack_envelope(
+    registry: codec.MessageRegistry,
+    kind: Kind,
+    request_id: int,
+    message: Any,
+) -> bytes:
+    """Returns the bytes of a request or a reply.
+
+    Raises:
+        MessageError: The message does not match its type or is too large.
+    """
+    name, fields = registry.pack(message)
+    items = [int(kind), request_id, name, fields]
+    return codec.encode_value(items, const.MESSAGE_MAX_BYTES)
+
+
+def pack_refusal(
+    request_id: int, code: exceptions.RefusalCode, detail: str
+) -> bytes:
+    """Returns the bytes of a refusal."""
+    text = detail[: const.ERROR_TEXT_MAX_CHARS]
+    items = [int(Kind.REFUSAL), request_id, code.value, text]
+    return codec.encode_value(items, const.MESSAGE_MAX_BYTES)
+
+
+def parse_envelope(data: bytes) -> Envelope:
+    """Returns the envelope in the data; its body is not checked yet.
+
+    Raises:
+        MessageError: The data is not an envelope.
+    """
+    items = codec.decode_value(data, const.MESSAGE_MAX_BYTES)
+    if type(items) is not list or len(items) != _ENVELOPE_ITEMS:
+        raise _malformed("not an envelope")
+    kind, request_id, name, body = items
+    if type(kind) is not int or kind not in set(Kind):
+        raise _malformed("unknown kind of envelope")
+    if type(request_id) is not int or not 0 <= request_id < 2**63:
+        raise _malformed("request id out of range")
+    if type(name) is not str:
+        raise _malformed("name is not a string")
+    return Envelope(
+        kind=Kind(kind), request_id=request_id, name=name, body=body
+    )
+
+
+def parse_refusal(envelope: Envelope) -> exceptions.RequestRefusedError:
+    """Returns the error that a refusal stands for.
+
+    Raises:
+        MessageError: The code is unknown or the detail is not a string.
+    """
+    codes = {code.value: code for code in exceptions.RefusalCode}
+    if envelope.name not in codes or type(envelope.body) is not str:
+        raise _malformed("unknown refusal")
+    return exceptions.RequestRefusedError(
+        code=codes[envelope.name], detail=envelope.body
+    )
+
+
+def _malformed(detail: str) -> exceptions.MessageError:
+    return exceptions.MessageError(fault=Fault.MALFORMED, detail=detail)
--- /dev/null
+++ b/src/chivedoor/rpc/responder.py
@@ -0,0 +1,291 @@
+"""Answers the requests of authenticated clients."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+from typing import Any
+
+from websockets.asyncio import server
+
+from chivedoor.rpc import codec
+from chivedoor.rpc import const
+from chivedoor.rpc import counts as counting
+from chivedoor.rpc import envelope as envelopes
+from chivedoor.rpc import exceptions
+from chivedoor.rpc import session as sessions
+from chivedoor.rpc import transport
+
+Event = counting.RpcEvent
+Handler = Callable[[Any], Awaitable[Any]]
+# Waits until a message of some bytes may be sent.
+Pace = Callable[[Any, int], Awaitable[None]]
+
+
+async def async_send_freely(message: Any, size_bytes: int) -> None:
+    """Paces nothing; for interfaces without a budget."""
+
+
+@dataclasses.dataclass(eq=False, kw_only=True, slots=True)
+class _Client:
+    """One authenticated client and its requests under way."""
+
+    session: sessions.Session
+    tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
+
+
+class Responder:
+    """Listens on one port and passes typed requests to their handlers."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        port: int,
+        purpose: sessions.Purpose,
+        local_id: str,
+        keys: Sequence[bytes],
+        registry: codec.MessageRegistry,
+        counts: counting.Counts,
+        links_max: int,
+        pace: Pace = async_send_freely,
+    ) -> None:
+        self._address = address
+        self._port = port
+        self._purpose = purpose
+        self._local_id = local_id
+        self._keys = sessions.check_keys(keys)
+        self._registry = registry
+        self._counts = counts
+        self._links_max = links_max
+        self._pace = pace
+        self._handlers: dict[type, Handler] = {}
+        self._server: server.Server | None = None
+        self._clients: set[_Client] = set()
+        self._handshakes = 0
+        self._requests = 0
+        self._large_turn = asyncio.Semaphore(const.LARGE_REPLIES_MAX)
+
+    @property
+    def port(self) -> int:
+        """The port that is bound, or the one asked for before opening."""
+        if self._server is None:
+            return self._port
+        return next(iter(self._server.sockets)).getsockname()[1]
+
+    @property
+    def links(self) -> int:
+        """The number of authenticated clients."""
+        return len(self._clients)
+
+    def register(self, request_type: type, handler: Handler) -> None:
+        """Sets the coroutine function that answers a type of request.
+
+        Raises:
+            MessageError: The type is not a registered request.
+            ChannelStateError: The type has a handler already.
+        """
+        self._registry.reply_type(request_type)
+        if request_type in self._handlers:
+            raise exceptions.ChannelStateError(
+                f"{request_type.__name__} has a handler"
+            )
+        self._handlers[request_type] = handler
+
+    async def async_open(self) -> None:
+        """Starts to listen.
+
+        Raises:
+            ChannelStateError: It listens already.
+            OSError: The address or port cannot be bound.
+        """
+        if self._server is not None:
+            raise exceptions.ChannelStateError("it listens already")
+        self._server = await transport.async_listen(
+            self._async_serve, self._address, self._port
+        )
+
+    async def async_close(self) -> None:
+        """Stops listening, drops requests under way, closes all sessions."""
+        if self._server is None:
+            return
+        listener, self._server = self._server, None
+        for client in list(self._clients):
+            _cancel_tasks(client)
+        listener.close()
+        await listener.wait_closed()
+
+    async def _async_serve(self, connection: server.ServerConnection) -> None:
+        session = await self._async_admit(connection)
+        if session is None:
+            return
+        client = _Client(session=session)
+        self._clients.add(client)
+        self._counts.add(Event.LINKS_ACCEPTED)
+        try:
+            await self._async_read(client)
+        except exceptions.LinkClosedError:
+            pass
+        except exceptions.AuthenticationError as error:
+            self._counts.add(error.fault)
+            session.abort()
+        except exceptions.MessageError as error:
+            self._counts.add(error.fault)
+        except TimeoutError:
+            # The client is idle for too long; it opens a new session later.
+            pass
+        finally:
+            self._clients.discard(client)
+            _cancel_tasks(client)
+
+    async def _async_admit(
+        self, connection: server.ServerConnection
+    ) -> sessions.Session | None:
+        """Returns the session of a client, or None when it is rejected."""
+        full = len(self._clients) >= self._links_max
+        if full or self._handshakes >= const.HANDSHAKES_MAX:
+            self._counts.add(Event.LINKS_REFUSED)
+            await connection.close(const.CLOSE_TRY_LATER)
+            return None
+        self._handshakes += 1
+        try:
+            return await sessions.async_accept(
+                connection,
+                purpose=self._purpose,
+                local_id=self._local_id,
+                keys=self._keys,
+            )
+        except exceptions.LinkClosedError:
+            self._counts.add(Event.LINKS_REFUSED)
+        except exceptions.AuthenticationError as error:
+            self._counts.add(Event.LINKS_REFUSED)
+            self._counts.add(error.fault)
+            await connection.close(const.CLOSE_NOT_AUTHENTICATED)
+        finally:
+            self._handshakes -= 1
+        return None
+
+    async def _async_read(self, client: _Client) -> None:
+        while True:
+            async with asyncio.timeout(const.SERVED_IDLE_S):
+                payload = await client.session.async_receive()
+            self._counts.add(Event.BYTES_RECEIVED, len(payload))
+            envelope = envelopes.parse_envelope(payload)
+            if envelope.kind is not envelopes.Kind.REQUEST:
+                raise exceptions.MessageError(
+                    fault=exceptions.MessageFault.UNKNOWN_TYPE,
+                    detail="a client sends requests only",
+                )
+            self._counts.add(Event.REQUESTS_RECEIVED)
+            await self._async_start(client, envelope)
+
+    async def _async_start(
+        self, client: _Client, envelope: envelopes.Envelope
+    ) -> None:
+        """Starts the task of one request, or refuses it."""
+        full = len(client.tasks) >= const.LINK_REQUESTS_MAX
+        if full or self._requests >= const.REQUESTS_MAX:
+            code = exceptions.RefusalCode.BUSY
+            await self._async_refuse(
+                client, envelope, code, "too many requests"
+            )
+            return
+        task = asyncio.create_task(self._async_answer(client, envelope))
+        self._requests += 1
+        client.tasks.add(task)
+        task.add_done_callback(lambda done: self._finish_task(client, done))
+
+    def _finish_task(self, client: _Client, task: asyncio.Task[None]) -> None:
+        self._requests -= 1
+        client.tasks.discard(task)
+
+    async def _async_answer(
+        self, client: _Client, envelope: envelopes.Envelope
+    ) -> None:
+        """Answers one request with a reply or a refusal."""
+        try:
+            reply = await self._async_handle(envelope)
+            await self._async_reply(client, envelope.request_id, reply)
+        except exceptions.RequestRefusedError as error:
+            await self._async_refuse(client, envelope, error.code, error.detail)
+        except exceptions.MessageError as error:
+            self._counts.add(Event.HANDLER_FAILURES)
+            code = exceptions.RefusalCode.FAILED
+            await self._async_refuse(client, envelope, code, str(error))
+        except (exceptions.LinkClosedError, TimeoutError):
+            client.session.abort()
+
+    async def _async_handle(self, envelope: envelopes.Envelope) -> Any:
+        try:
+            request = self._registry.unpack(envelope.name, envelope.body)
+        except exceptions.MessageError as error:
+            self._counts.add(error.fault)
+            raise exceptions.RequestRefusedError(
+                code=exceptions.RefusalCode.BAD_REQUEST, detail=str(error)
+            ) from error
+        handler = self._handlers.get(type(request))
+        if handler is None:
+            raise exceptions.RequestRefusedError(
+                code=exceptions.RefusalCode.NO_HANDLER, detail=envelope.name
+            )
+        return await self._async_run(handler, request)
+
+    async def _async_run(self, handler: Handler, request: Any) -> Any:
+        try:
+            return await handler(request)
+        except exceptions.RequestRefusedError:
+            raise
+        except Exception as error:
+            # A fault in a handler must not end the session or the daemon.
+            self._counts.add(Event.HANDLER_FAILURES)
+            raise exceptions.RequestRefusedError(
+                code=exceptions.RefusalCode.FAILED, detail=type(error).__name__
+            ) from error
+
+    async def _async_reply(
+        self, client: _Client, request_id: int, reply: Any
+    ) -> None:
+        payload = self._pack_reply(request_id, reply)
+        if len(payload) <= const.LARGE_REPLY_BYTES:
+            await self._async_send(client, reply, payload)
+            return
+        del payload
+        async with self._large_turn:
+            payload = self._pack_reply(request_id, reply)
+            await self._async_send(client, reply, payload)
+
+    def _pack_reply(self, request_id: int, reply: Any) -> bytes:
+        return envelopes.pack_envelope(
+            self._registry, envelopes.Kind.REPLY, request_id, reply
+        )
+
+    async def _async_send(
+        self, client: _Client, reply: Any, payload: bytes
+    ) -> None:
+        await self._pace(reply, len(payload))
+        async with asyncio.timeout(const.SEND_TIMEOUT_S):
+            await client.session.async_send(payload)
+        self._counts.add(Event.REPLIES_SENT)
+        self._counts.add(Event.BYTES_SENT, len(payload))
+
+    async def _async_refuse(
+        self,
+        client: _Client,
+        envelope: envelopes.Envelope,
+        code: exceptions.RefusalCode,
+        detail: str,
+    ) -> None:
+        payload = envelopes.pack_refusal(envelope.request_id, code, detail)
+        self._counts.add(Event.REFUSALS_SENT)
+        self._counts.add(Event.BYTES_SENT, len(payload))
+        try:
+            async with asyncio.timeout(const.SEND_TIMEOUT_S):
+                await client.session.async_send(payload)
+        except (exceptions.LinkClosedError, TimeoutError):
+            client.session.abort()
+
+
+def _cancel_tasks(client: _Client) -> None:
+    for task in client.tasks:
+        task.cancel()
--- /dev/null
+++ b/src/chivedoor/rpc/transport.py
@@ -0,0 +1,67 @@
+"""Websocket connections with the limits of this package."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+from typing import Any
+
+from websockets import exceptions as websocket_exceptions
+from websockets.asyncio import client
+from websockets.asyncio import server
+
+from chivedoor.rpc import const
+from chivedoor.rpc import exceptions
+
+# The library writes to standard error from the loop, once for every hostile
+# connection. The failures are counted here instead.
+_SILENT_LOGGER = logging.getLogger("chivedoor.websockets")
+_SILENT_LOGGER.disabled = True
+
+# Compression is off: it would let a stranger spend memory and time before
+# the handshake. Keepalive pings are off: idle connections are closed and
+# every request has a timeout.
+_OPTIONS: dict[str, Any] = {
+    "compression": None,
+    "ping_interval": None,
+    "open_timeout": const.HANDSHAKE_TIMEOUT_S,
+    "close_timeout": const.CLOSE_TIMEOUT_S,
+    "max_size": const.HANDSHAKE_MAX_BYTES,
+    "max_queue": const.RECEIVE_QUEUE_FRAMES,
+    "logger": _SILENT_LOGGER,
+}
+
+
+async def async_connect(address: str, port: int) -> client.ClientConnection:
+    """Opens a connection.
+
+    Raises:
+        PeerUnreachableError: Nobody answers there, or not with websockets.
+    """
+    host = f"[{address}]" if ":" in address else address
+    try:
+        # Environment variables that name a proxy do not apply to peers.
+        return await client.connect(
+            f"ws://{host}:{port}/",
+            proxy=None,
+            user_agent_header=None,
+            **_OPTIONS,
+        )
+    except (OSError, websocket_exceptions.WebSocketException) as error:
+        raise exceptions.PeerUnreachableError(
+            f"{host}:{port}: {error}"
+        ) from error
+
+
+async def async_listen(
+    handler: Callable[[server.ServerConnection], Awaitable[None]],
+    address: str,
+    port: int,
+) -> server.Server:
+    """Listens for connections and runs the handler for each.
+
+    Raises:
+        OSError: The address or port cannot be bound.
+    """
+    return await server.serve(
+        handler, address, port, server_header=None, **_OPTIONS
+    )
--- /dev/null
+++ b/tests/control/test_channel.py
@@ -0,0 +1,602 @@
+"""Tests of requests between balancers over real connections."""
+
+import asyncio
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+from websockets import exceptions as websocket_exceptions
+from websockets.asyncio import client as websocket_client
+
+from chivedoor.control import channel
+from chivedoor.control import messages
+from chivedoor.rpc import const
+from chivedoor.rpc import counts
+from chivedoor.rpc import envelope
+from chivedoor.rpc import exceptions
+from chivedoor.rpc import session
+from chivedoor.rpc import transport
+
+Event = counts.RpcEvent
+OTHER_KEY = bytes(range(32, 64))
+SILENCE = messages.SilenceRequest(flow=1, since_s=10.0)
+SEEN = messages.SilenceReply(answer_seen=True)
+
+
+async def async_answer(request):
+    return SEEN
+
+
+@pytest.fixture
+async def pair(fleet):
+    """A channel that asks and one that answers."""
+    asking = await fleet.async_add("a")
+    answering = await fleet.async_add("b")
+    answering.register(messages.SilenceRequest, async_answer)
+    return asking, answering
+
+
+async def async_join(fleet, member_id, local_id="x"):
+    """Returns a session, to send what a channel never does."""
+    connection = await transport.async_connect(*fleet.locations[member_id])
+    joined = await session.async_initiate(
+        connection,
+        purpose=session.Purpose.PEER,
+        local_id=local_id,
+        keys=[fleet.key],
+        expected_id=member_id,
+    )
+    return joined, connection
+
+
+async def test_reply_answers_the_request(pair):
+    # Guards against a channel that does not work at all.
+    asking, answering = pair
+    assert await asking.async_request("b", SILENCE, 30) == SEEN
+    assert answering.counts.get(Event.REPLIES_SENT) == 1
+
+
+async def test_concurrent_requests_share_one_connection(fleet, pair):
+    # Guards against replies that reach the wrong request, and against a
+    # connection for each request.
+    asking, answering = pair
+
+    async def async_echo(request):
+        await asyncio.sleep(0 if request.known_version % 2 else 0.01)
+        return messages.DocumentReply(
+            version=request.known_version,
+            change=None,
+            document=None,
+            confirmed_age_s=0.0,
+        )
+
+    answering.register(messages.DocumentRequest, async_echo)
+    requests = [messages.DocumentRequest(known_version=n) for n in range(20)]
+    replies = await asyncio.gather(
+        *(asking.async_request("b", request, 30) for request in requests)
+    )
+    assert [reply.version for reply in replies] == list(range(20))
+    assert asking.counts.get(Event.LINKS_OPENED) == 1
+
+
+async def test_large_document_passes(pair):
+    # Guards against a limit below the largest document.
+    asking, answering = pair
+    document = bytes(1_048_576)
+
+    async def async_document(request):
+        return messages.DocumentReply(
+            version=2, change=None, document=document, confirmed_age_s=1.0
+        )
+
+    answering.register(messages.DocumentRequest, async_document)
+    request = messages.DocumentRequest(known_version=1)
+    reply = await asking.async_request("b", request, 60)
+    assert reply.document == document
+
+
+async def test_late_reply_is_a_timeout_and_then_ignored(pair, async_wait_until):
+    # Guards against a late reply that answers the next request.
+    asking, answering = pair
+    release = asyncio.Event()
+
+    async def async_late(request):
+        await release.wait()
+        return messages.DocumentReply(
+            version=1, change=None, document=None, confirmed_age_s=0.0
+        )
+
+    answering.register(messages.DocumentRequest, async_late)
+    await asking.async_request("b", SILENCE, 30)
+    late = asyncio.create_task(
+        asking.async_request(
+            "b", messages.DocumentRequest(known_version=1), 0.2
+        )
+    )
+    # Replies to other requests show that the connection is alive.
+    while not late.done():
+        await asking.async_request("b", SILENCE, 30)
+        await asyncio.sleep(0.01)
+    with pytest.raises(exceptions.RequestTimeoutError):
+        await late
+    release.set()
+    await async_wait_until(lambda: asking.counts.get(Event.REPLIES_LATE) == 1)
+    assert await asking.async_request("b", SILENCE, 30) == SEEN
+    assert asking.counts.get(Event.LINKS_OPENED) == 1
+
+
+async def test_silent_connection_is_replaced_after_a_timeout(pair):
+    # Guards against requests that wait on a connection to a dead peer.
+    asking, answering = pair
+    asked = []
+
+    async def async_hang_once(request):
+        asked.append(request)
+        if len(asked) == 1:
+            await asyncio.Event().wait()
+        return messages.DocumentReply(
+            version=1, change=None, document=None, confirmed_age_s=0.0
+        )
+
+    answering.register(messages.DocumentRequest, async_hang_once)
+    request = messages.DocumentRequest(known_version=1)
+    await asking.async_request("b", SILENCE, 30)
+    with pytest.raises(exceptions.RequestTimeoutError):
+        await asking.async_request("b", request, 0.1)
+    reply = await asking.async_request("b", request, 30)
+    assert reply.version == 1
+    assert asking.counts.get(Event.LINKS_OPENED) == 2
+
+
+async def test_wrong_key_is_rejected_and_counted(fleet):
+    # Guards against requests from anybody on the network.
+    asking = await fleet.async_add("a", OTHER_KEY)
+    answering = await fleet.async_add("b")
+    with pytest.raises(exceptions.AuthenticationError):
+        await asking.async_request("b", SILENCE, 30)
+    fault = exceptions.AuthenticationFault.NO_COMMON_KEY
+    assert answering.counts.get(fault) == 1
+    assert answering.counts.get(Event.REQUESTS_RECEIVED) == 0
+
+
+async def test_previous_key_works_during_rotation(fleet):
+    # Guards against a rotation that needs all balancers to change at once.
+    old = await fleet.async_add("a", fleet.key)
+    new = await fleet.async_add("b", OTHER_KEY, fleet.key)
+    for member in (old, new):
+        member.register(messages.SilenceRequest, async_answer)
+    assert await old.async_request("b", SILENCE, 30) == SEEN
+    assert await new.async_request("a", SILENCE, 30) == SEEN
+
+
+async def test_member_that_took_over_an_address_is_rejected(fleet, pair):
+    # Guards against an answer from a VM that reuses the address.
+    asking, answering = pair
+    fleet.locations["former"] = fleet.locations["b"]
+    with pytest.raises(exceptions.AuthenticationError) as caught:
+        await asking.async_request("former", SILENCE, 30)
+    assert caught.value.fault is exceptions.AuthenticationFault.WRONG_MEMBER
+
+
+async def test_changed_address_opens_a_new_connection(fleet, pair):
+    # Guards against requests to the old address of a replaced member.
+    asking, answering = pair
+    await asking.async_request("b", SILENCE, 30)
+    await answering.async_close()
+    replaced = await fleet.async_add("b")
+    replaced.register(messages.SilenceRequest, async_answer)
+    assert await asking.async_request("b", SILENCE, 30) == SEEN
+    assert replaced.counts.get(Event.REPLIES_SENT) == 1
+
+
+async def test_unreachable_and_unknown_members_give_typed_errors(fleet, pair):
+    # Guards against errors of the operating system out of the channel.
+    asking, answering = pair
+    await answering.async_close()
+    with pytest.raises(exceptions.PeerUnreachableError):
+        await asking.async_request("b", SILENCE, 30)
+    with pytest.raises(exceptions.PeerUnreachableError):
+        await asking.async_request("unknown", SILENCE, 30)
+
+
+async def test_server_that_speaks_no_websockets_is_unreachable(fleet, pair):
+    # Guards against an error of the library out of the channel.
+    asking, _ = pair
+
+    async def async_hang_up(reader, writer):
+        writer.write(b"220 mail.example ESMTP\r\n")
+        writer.close()
+
+    other = await asyncio.start_server(async_hang_up, "127.0.0.1", 0)
+    async with other:
+        fleet.locations["c"] = other.sockets[0].getsockname()
+        with pytest.raises(exceptions.PeerUnreachableError):
+            await asking.async_request("c", SILENCE, 30)
+
+
+async def test_peer_that_closes_fails_its_requests(pair, async_wait_until):
+    # Guards against a request that waits for a peer that is gone.
+    asking, answering = pair
+    asked = asyncio.Event()
+
+    async def async_hang(request):
+        asked.set()
+        await asyncio.Event().wait()
+
+    answering.register(messages.DocumentRequest, async_hang)
+    request = messages.DocumentRequest(known_version=1)
+    waiting = asyncio.create_task(asking.async_request("b", request, 60))
+    await asked.wait()
+    await answering.async_close()
+    with pytest.raises(exceptions.PeerUnreachableError):
+        await waiting
+
+
+async def test_closing_fails_requests_under_way(fleet, pair):
+    # Guards against a stop that cancels the caller or leaves it waiting.
+    asking, answering = pair
+    asked = asyncio.Event()
+
+    async def async_hang(request):
+        asked.set()
+        await asyncio.Event().wait()
+
+    answering.register(messages.DocumentRequest, async_hang)
+    request = messages.DocumentRequest(known_version=1)
+    waiting = asyncio.create_task(asking.async_request("b", request, 60))
+    await asked.wait()
+    await asking.async_close()
+    with pytest.raises(exceptions.LinkClosedError):
+        await waiting
+    with pytest.raises(exceptions.ChannelStateError):
+        await asking.async_request("b", SILENCE, 30)
+
+
+async def test_closing_while_connecting_fails_the_request(fleet, pair):
+    # Guards against a stop that cancels the tasks of callers.
+    asking, _ = pair
+    connected = asyncio.Event()
+
+    async def async_accept(reader, writer):
+        connected.set()
+        await reader.read()
+        writer.close()
+
+    silent = await asyncio.start_server(async_accept, "127.0.0.1", 0)
+    async with silent:
+        fleet.locations["c"] = silent.sockets[0].getsockname()
+        waiting = asyncio.create_task(asking.async_request("c", SILENCE, 60))
+        await connected.wait()
+        await asking.async_close()
+        with pytest.raises(exceptions.LinkClosedError):
+            await waiting
+
+
+async def test_refusals_are_typed(pair):
+    # Guards against a handler's fault that ends the session or leaks text.
+    asking, answering = pair
+    with pytest.raises(exceptions.RequestRefusedError) as caught:
+        await asking.async_request(
+            "b", messages.DocumentRequest(known_version=1), 30
+        )
+    assert caught.value.code is exceptions.RefusalCode.NO_HANDLER
+
+    async def async_fail(request):
+        raise ZeroDivisionError("inner detail")
+
+    answering.register(messages.DocumentRequest, async_fail)
+    with pytest.raises(exceptions.RequestRefusedError) as caught:
+        await asking.async_request(
+            "b", messages.DocumentRequest(known_version=1), 30
+        )
+    assert caught.value.code is exceptions.RefusalCode.FAILED
+    assert "inner detail" not in str(caught.value)
+    assert answering.counts.get(Event.HANDLER_FAILURES) == 1
+    assert await asking.async_request("b", SILENCE, 30) == SEEN
+
+
+async def test_reply_of_the_wrong_type_is_refused(pair):
+    # Guards against a reply that the caller would read as another type.
+    asking, answering = pair
+
+    async def async_confuse(request):
+        return SEEN
+
+    answering.register(messages.DocumentRequest, async_confuse)
+    with pytest.raises(exceptions.MessageError):
+        await asking.async_request(
+            "b", messages.DocumentRequest(known_version=1), 30
+        )
+
+
+async def test_handler_timeout_does_not_end_the_session(pair):
+    # Guards against a handler whose own timeout drops all its neighbours.
+    asking, answering = pair
+
+    async def async_time_out(request):
+        raise TimeoutError
+
+    answering.register(messages.DocumentRequest, async_time_out)
+    with pytest.raises(exceptions.RequestRefusedError):
+        await asking.async_request(
+            "b", messages.DocumentRequest(known_version=1), 30
+        )
+    assert await asking.async_request("b", SILENCE, 30) == SEEN
+    assert asking.counts.get(Event.LINKS_OPENED) == 1
+
+
+async def test_requests_of_one_client_are_bounded(
+    fleet, pair, async_wait_until
+):
+    # Guards against one peer that takes all the memory for replies.
+    asking, answering = pair
+    release = asyncio.Event()
+
+    async def async_wait(request):
+        await release.wait()
+        return messages.DocumentReply(
+            version=1, change=None, document=None, confirmed_age_s=0.0
+        )
+
+    answering.register(messages.DocumentRequest, async_wait)
+    request = messages.DocumentRequest(known_version=1)
+    waiting = [
+        asyncio.create_task(asking.async_request("b", request, 60))
+        for _ in range(const.LINK_REQUESTS_MAX)
+    ]
+    received = Event.REQUESTS_RECEIVED
+    await async_wait_until(
+        lambda: answering.counts.get(received) == const.LINK_REQUESTS_MAX
+    )
+    with pytest.raises(exceptions.RequestRefusedError) as caught:
+        await asking.async_request("b", SILENCE, 60)
+    assert caught.value.code is exceptions.RefusalCode.BUSY
+    release.set()
+    await asyncio.gather(*waiting)
+    assert await asking.async_request("b", SILENCE, 60) == SEEN
+
+
+async def test_outgoing_connections_are_bounded(fleet, monkeypatch):
+    # Guards against one connection for each of 830 members.
+    monkeypatch.setattr(const, "OUTGOING_LINKS_MAX", 2)
+    asking = await fleet.async_add("a")
+    for name in "bcd":
+        member = await fleet.async_add(name)
+        member.register(messages.SilenceRequest, async_answer)
+        await asking.async_request(name, SILENCE, 30)
+    assert asking.dump_state()["outgoing"] == ["c", "d"]
+
+
+async def test_busy_connections_do_not_give_way(fleet, pair, monkeypatch):
+    # Guards against a request that is lost because another one begins.
+    asking, answering = pair
+    monkeypatch.setattr(const, "OUTGOING_LINKS_MAX", 1)
+    asked = asyncio.Event()
+    release = asyncio.Event()
+
+    async def async_wait(request):
+        asked.set()
+        await release.wait()
+        return messages.DocumentReply(
+            version=1, change=None, document=None, confirmed_age_s=0.0
+        )
+
+    answering.register(messages.DocumentRequest, async_wait)
+    request = messages.DocumentRequest(known_version=1)
+    waiting = asyncio.create_task(asking.async_request("b", request, 60))
+    await asked.wait()
+    await fleet.async_add("c")
+    with pytest.raises(exceptions.LinksExhaustedError):
+        await asking.async_request("c", SILENCE, 30)
+    release.set()
+    assert (await waiting).version == 1
+
+
+async def test_incoming_connections_are_bounded(
+    fleet, monkeypatch, async_wait_until
+):
+    # Guards against a fleet that takes all descriptors of one balancer.
+    monkeypatch.setattr(const, "INCOMING_LINKS_MAX", 1)
+    answering = await fleet.async_add("b")
+    answering.register(messages.SilenceRequest, async_answer)
+    first = await fleet.async_add("a")
+    second = await fleet.async_add("c")
+    assert await first.async_request("b", SILENCE, 30) == SEEN
+    with pytest.raises(exceptions.PeerUnreachableError):
+        await second.async_request("b", SILENCE, 30)
+    assert answering.counts.get(Event.LINKS_REFUSED) == 1
+    await first.async_close()
+    await async_wait_until(lambda: answering.dump_state()["incoming"] == 0)
+    assert await second.async_request("b", SILENCE, 30) == SEEN
+
+
+async def test_idle_connections_are_closed(pair, async_wait_until):
+    # Guards against connections that stay open for ever.
+    asking, answering = pair
+    await asking.async_request("b", SILENCE, 30)
+    now = asyncio.get_running_loop().time()
+    asking.close_idle(now)
+    assert asking.dump_state()["outgoing"] == ["b"]
+    asking.close_idle(now + const.LINK_IDLE_S)
+    assert asking.dump_state()["outgoing"] == []
+    await async_wait_until(lambda: answering.dump_state()["incoming"] == 0)
+    assert asking.counts.get(Event.LINKS_LOST) == 0
+
+
+async def test_replayed_frame_is_not_run(fleet, pair, async_wait_until):
+    # Guards against a recorded request that an attacker sends again.
+    _, answering = pair
+    joined, connection = await async_join(fleet, "b")
+    payload = envelope.pack_envelope(
+        messages.REGISTRY, envelope.Kind.REQUEST, 0, SILENCE
+    )
+    frame = joined._seal(payload)
+    await connection.send(frame)
+    await connection.send(frame)
+    await connection.wait_closed()
+    fault = exceptions.AuthenticationFault.WRONG_COUNTER
+    await async_wait_until(lambda: answering.counts.get(fault) == 1)
+    assert answering.counts.get(Event.REQUESTS_RECEIVED) == 1
+
+
+@pytest.mark.parametrize(
+    ("name", "fields", "fault"),
+    [
+        ("Unknown", {}, exceptions.MessageFault.UNKNOWN_TYPE),
+        ("SilenceRequest", {}, exceptions.MessageFault.MISSING_FIELD),
+        (
+            "SilenceRequest",
+            {"flow": 1, "since_s": 1.0, "more": 1},
+            exceptions.MessageFault.SURPLUS_FIELD,
+        ),
+        (
+            "SilenceRequest",
+            {"flow": "1", "since_s": 1.0},
+            exceptions.MessageFault.WRONG_TYPE,
+        ),
+    ],
+)
+async def test_bad_request_of_a_member_is_refused(
+    fleet, pair, name, fields, fault
+):
+    # Guards against a member of another version that stops the channel.
+    _, answering = pair
+    joined, _ = await async_join(fleet, "b")
+    await joined.async_send(
+        envelope.codec.encode_value([0, 5, name, fields], 999)
+    )
+    refusal = envelope.parse_envelope(await joined.async_receive())
+    error = envelope.parse_refusal(refusal)
+    assert error.code is exceptions.RefusalCode.BAD_REQUEST
+    assert refusal.request_id == 5
+    assert answering.counts.get(fault) == 1
+    await joined.async_close()
+
+
+@pytest.mark.parametrize(
+    "payload", [b"", b"\xff", b"\x80", b"\x84\x01\x01\x60\xa0"]
+)
+async def test_malformed_envelope_closes_the_connection(
+    fleet, pair, payload, async_wait_until
+):
+    # Guards against a broken member that keeps a connection busy.
+    _, answering = pair
+    joined, connection = await async_join(fleet, "b")
+    await joined.async_send(payload)
+    await connection.wait_closed()
+    await async_wait_until(lambda: answering.dump_state()["incoming"] == 0)
+    faults = [
+        exceptions.MessageFault.MALFORMED,
+        exceptions.MessageFault.UNKNOWN_TYPE,
+    ]
+    assert sum(map(answering.counts.get, faults)) == 1
+
+
+@pytest.mark.parametrize("size", [const.HANDSHAKE_MAX_BYTES + 1, 1_000_000])
+async def test_stranger_cannot_send_large_messages(fleet, pair, size):
+    # Guards against memory that anybody on the network can fill.
+    _, answering = pair
+    location = fleet.locations["b"]
+    connection = await transport.async_connect(*location)
+    with pytest.raises(websocket_exceptions.ConnectionClosed):
+        await connection.send(bytes(size))
+        await connection.recv()
+    assert connection.close_code == 1009
+
+
+async def test_member_cannot_send_oversized_messages(fleet, pair):
+    # Guards against memory that one broken member can fill.
+    joined, connection = await async_join(fleet, "b")
+    with pytest.raises(exceptions.LinkClosedError):
+        await joined.async_send(bytes(const.MESSAGE_MAX_BYTES + 1))
+        await joined.async_receive()
+    assert connection.close_code == 1009
+
+
+async def test_text_frame_of_a_stranger_is_rejected(
+    fleet, pair, async_wait_until
+):
+    # Guards against an exception for frames of the other websocket type.
+    _, answering = pair
+    connection = await transport.async_connect(*fleet.locations["b"])
+    await connection.send("hello")
+    await connection.wait_closed()
+    refused = Event.LINKS_REFUSED
+    await async_wait_until(lambda: answering.counts.get(refused) == 1)
+
+
+@hypothesis.settings(max_examples=25)
+@hypothesis.given(
+    strategies.lists(strategies.binary(max_size=300), min_size=1, max_size=3)
+)
+def test_channel_survives_hostile_strangers(frames):
+    # Guards against bytes that end the server or reach a handler.
+    async def async_run():
+        member = channel.Channel(
+            local_id="b",
+            address="127.0.0.1",
+            port=0,
+            keys=[bytes(32)],
+            resolve={}.__getitem__,
+        )
+        await member.async_open()
+        try:
+            connection = await transport.async_connect("127.0.0.1", member.port)
+            with pytest.raises(websocket_exceptions.ConnectionClosed):
+                for frame in frames:
+                    await connection.send(b"P" + frame)
+                await connection.recv()
+            assert member.counts.get(Event.REQUESTS_RECEIVED) == 0
+            assert member.counts.get(Event.LINKS_REFUSED) == 1
+        finally:
+            await member.async_close()
+
+    asyncio.run(async_run())
+
+
+async def test_silent_stranger_is_dropped(
+    fleet, pair, monkeypatch, async_wait_until
+):
+    # Guards against connections that never authenticate.
+    monkeypatch.setattr(const, "HANDSHAKE_TIMEOUT_S", 0.05)
+    _, answering = pair
+    connection = await websocket_client.connect(
+        "ws://{}:{}/".format(*fleet.locations["b"]), proxy=None
+    )
+    await connection.wait_closed()
+    fault = exceptions.AuthenticationFault.TIMEOUT
+    await async_wait_until(lambda: answering.counts.get(fault) == 1)
+
+
+async def test_replies_are_paced(fleet):
+    # Guards against replies that bypass the budget.
+    paced = []
+
+    async def async_pace(message, size_bytes):
+        paced.append((message, size_bytes))
+
+    asking = await fleet.async_add("a")
+    answering = await fleet.async_add("b", budget=async_pace)
+    answering.register(messages.SilenceRequest, async_answer)
+    await asking.async_request("b", SILENCE, 30)
+    assert paced == [(SEEN, answering.counts.get(Event.BYTES_SENT))]
+
+
+async def test_second_handler_and_second_opening_are_refused(pair):
+    # Guards against a composition fault that replaces a handler silently.
+    _, answering = pair
+    with pytest.raises(exceptions.ChannelStateError):
+        answering.register(messages.SilenceRequest, async_answer)
+    with pytest.raises(exceptions.MessageError):
+        answering.register(messages.SilenceReply, async_answer)
+    with pytest.raises(exceptions.ChannelStateError):
+        await answering.async_open()
+
+
+async def test_channel_opens_again_after_closing(fleet, pair):
+    # Guards against a setup without its unload.
+    asking, answering = pair
+    await asking.async_close()
+    await asking.async_close()
+    await asking.async_open()
+    assert await asking.async_request("b", SILENCE, 30) == SEEN
--- /dev/null
+++ b/tests/rpc/test_session.py
@@ -0,0 +1,265 @@
+"""Tests of the handshake and of sealed frames."""
+
+import asyncio
+import contextlib
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from chivedoor.rpc import const
+from chivedoor.rpc import exceptions
+from chivedoor.rpc import session
+
+KEY = bytes(range(32))
+OTHER = bytes(range(32, 64))
+THIRD = bytes(range(64, 96))
+Fault = exceptions.AuthenticationFault
+Purpose = session.Purpose
+
+
+async def async_handshake(
+    pipes,
+    *,
+    client_keys=(KEY,),
+    server_keys=(KEY,),
+    client_purpose=Purpose.PEER,
+    expected_id="server",
+):
+    """Returns both results: sessions, or the errors of either side."""
+    client, server = pipes
+    accepting = asyncio.create_task(
+        session.async_accept(
+            server,
+            purpose=Purpose.PEER,
+            local_id="server",
+            keys=server_keys,
+        )
+    )
+    initiating = asyncio.create_task(
+        session.async_initiate(
+            client,
+            purpose=client_purpose,
+            local_id="client",
+            keys=client_keys,
+            expected_id=expected_id,
+        )
+    )
+    await asyncio.wait(
+        [accepting, initiating], return_when=asyncio.FIRST_EXCEPTION
+    )
+    for task in (accepting, initiating):
+        task.cancel()
+    return await asyncio.gather(initiating, accepting, return_exceptions=True)
+
+
+async def test_both_sides_learn_the_proved_ids(pipes):
+    # Guards against ids that are taken from anything but the transcript.
+    client, server = await async_handshake(pipes)
+    assert (client.remote_id, server.remote_id) == ("server", "client")
+    await client.async_send(b"question")
+    assert await server.async_receive() == b"question"
+    await server.async_send(b"answer")
+    assert await client.async_receive() == b"answer"
+
+
+async def test_message_limit_rises_after_the_handshake(pipes):
+    # Guards against a large first message that the limit still cuts off.
+    await async_handshake(pipes)
+    for pipe in pipes:
+        assert pipe.protocol.max_message_size > const.MESSAGE_MAX_BYTES
+
+
+@pytest.mark.parametrize(
+    ("client_keys", "server_keys"),
+    [
+        ([KEY], [OTHER, KEY]),
+        ([OTHER, KEY], [KEY]),
+        ([OTHER, KEY], [OTHER, KEY]),
+        ([OTHER, KEY], [KEY, OTHER]),
+        ([OTHER], [OTHER, KEY]),
+    ],
+)
+async def test_rotation_connects_every_pair_of_steps(
+    pipes, client_keys, server_keys
+):
+    # Guards against a rotation that splits the fleet half-way.
+    client, server = await async_handshake(
+        pipes, client_keys=client_keys, server_keys=server_keys
+    )
+    await client.async_send(b"x")
+    assert await server.async_receive() == b"x"
+
+
+async def test_retired_key_is_rejected(pipes):
+    # Guards against a rotation that never ends.
+    _, server = await async_handshake(
+        pipes, client_keys=[KEY], server_keys=[THIRD, OTHER]
+    )
+    assert server.fault is Fault.NO_COMMON_KEY
+    assert not pipes[1].sent
+
+
+async def test_key_id_without_the_key_proves_nothing(pipes):
+    # Guards against a client that copies the key id from the network.
+    client, server = pipes
+    accepting = asyncio.create_task(
+        session.async_accept(
+            server, purpose=Purpose.PEER, local_id="server", keys=[KEY]
+        )
+    )
+    await client.send(
+        session._pack_hello(Purpose.PEER, bytes(32), "client", [KEY])
+    )
+    await client.recv()
+    await client.send(bytes(const.PROOF_BYTES))
+    with pytest.raises(exceptions.AuthenticationError) as caught:
+        await accepting
+    assert caught.value.fault is Fault.WRONG_PROOF
+    assert server.protocol.max_message_size == 0
+
+
+async def test_server_without_the_key_is_rejected(pipes):
+    # Guards against a client that authenticates itself to anybody.
+    client, server = pipes
+    initiating = asyncio.create_task(
+        session.async_initiate(
+            client,
+            purpose=Purpose.PEER,
+            local_id="client",
+            keys=[KEY],
+            expected_id="server",
+        )
+    )
+    await server.recv()
+    prefix = bytes(32) + b"\x06server" + session._key_id(KEY)
+    await server.send(prefix + bytes(const.PROOF_BYTES))
+    with pytest.raises(exceptions.AuthenticationError) as caught:
+        await initiating
+    assert caught.value.fault is Fault.WRONG_PROOF
+    assert len(client.sent) == 1
+
+
+async def test_server_cannot_reflect_the_client_proof(pipes):
+    # Guards against one proof that is valid in both directions.
+    client, _ = pipes
+    await async_handshake(pipes)
+    challenge = pipes[1].sent[0]
+    assert client.sent[1] != challenge[-const.PROOF_BYTES :]
+
+
+async def test_other_member_at_the_address_is_rejected(pipes):
+    # Guards against a reused address that answers for the former member.
+    client, _ = await async_handshake(pipes, expected_id="former")
+    assert client.fault is Fault.WRONG_MEMBER
+
+
+async def test_operator_session_is_not_a_peer_session(pipes):
+    # Guards against one interface that accepts the other's clients when
+    # both keys are equal by mistake.
+    _, server = await async_handshake(pipes, client_purpose=Purpose.OPERATOR)
+    assert server.fault is Fault.WRONG_PURPOSE
+
+
+async def test_replayed_frame_ends_the_session(pipes):
+    # Guards against a request that runs twice.
+    client, server = await async_handshake(pipes)
+    await client.async_send(b"once")
+    assert await server.async_receive() == b"once"
+    await pipes[1].received.put(pipes[0].sent[-1])
+    with pytest.raises(exceptions.AuthenticationError) as caught:
+        await server.async_receive()
+    assert caught.value.fault is Fault.WRONG_COUNTER
+
+
+async def test_frame_of_another_session_is_rejected(pipes):
+    # Guards against keys that do not depend on the nonces.
+    client, _ = await async_handshake(pipes)
+    await client.async_send(b"old")
+    old = pipes[0].sent[-1]
+    for pipe in pipes:
+        while not pipe.received.empty():
+            pipe.received.get_nowait()
+    _, server = await async_handshake(pipes)
+    await pipes[1].received.put(old)
+    with pytest.raises(exceptions.AuthenticationError) as caught:
+        await server.async_receive()
+    assert caught.value.fault is Fault.WRONG_TAG
+
+
+async def test_frame_is_not_valid_in_the_other_direction(pipes):
+    # Guards against reflection of a frame to its sender.
+    client, _ = await async_handshake(pipes)
+    await client.async_send(b"x")
+    await pipes[0].received.put(pipes[0].sent[-1])
+    with pytest.raises(exceptions.AuthenticationError):
+        await client.async_receive()
+
+
+async def test_lost_frame_ends_the_session(pipes):
+    # Guards against messages that are removed on the way.
+    client, server = await async_handshake(pipes)
+    await client.async_send(b"first")
+    await client.async_send(b"second")
+    pipes[1].received.get_nowait()
+    with pytest.raises(exceptions.AuthenticationError) as caught:
+        await server.async_receive()
+    assert caught.value.fault is Fault.WRONG_COUNTER
+
+
+@hypothesis.given(
+    position=strategies.integers(0, 30), bit=strategies.integers(0, 7)
+)
+def test_changed_frame_is_rejected(position, bit):
+    # Guards against a part of the frame that the tag does not cover.
+    sender = session.Session(
+        connection=None, remote_id="b", send_key=KEY, receive_key=KEY
+    )
+    frame = bytearray(sender._seal(b"payload"))
+    frame[position] ^= 1 << bit
+    receiver = session.Session(
+        connection=None, remote_id="a", send_key=KEY, receive_key=KEY
+    )
+    with pytest.raises(exceptions.AuthenticationError) as caught:
+        receiver._open(bytes(frame))
+    assert caught.value.fault is Fault.WRONG_TAG
+
+
+@hypothesis.given(strategies.binary(max_size=const.HANDSHAKE_MAX_BYTES))
+def test_hostile_handshake_gives_a_typed_error(data):
+    # Guards against an exception out of the accepting task.
+    for parse in (
+        lambda: session._parse_hello(data, Purpose.PEER),
+        lambda: session._parse_hello(Purpose.PEER.value + data, Purpose.PEER),
+        lambda: session._parse_challenge(data),
+        lambda: session._parse_challenge(bytes(32) + b"\x01" + data),
+    ):
+        with contextlib.suppress(exceptions.AuthenticationError):
+            parse()
+
+
+async def test_cancelled_send_ends_the_session(pipes):
+    # Guards against a frame that is numbered but never written, after
+    # which the other side would reject all others.
+    client, _ = await async_handshake(pipes)
+    started = asyncio.Event()
+
+    async def async_hang(frame):
+        started.set()
+        await asyncio.Event().wait()
+
+    pipes[0].send = async_hang
+    sending = asyncio.create_task(client.async_send(b"x"))
+    await started.wait()
+    sending.cancel()
+    await asyncio.wait([sending])
+    assert pipes[0].transport.aborted
+
+
+@pytest.mark.parametrize(
+    "keys", [[], [KEY, OTHER, THIRD], [bytes(15)], [bytes(65)], [KEY, b""]]
+)
+def test_keys_outside_the_limits_are_refused(keys):
+    # Guards against an empty key, which anyone knows.
+    with pytest.raises(exceptions.InvalidKeyError):
+        session.check_keys(keys)
