Charge channel traffic to the byte budget

Cause: replies were paced by a callable, and requests not at all.

Change: `Channel` takes the `ByteBudget`. Requests, replies and the opening of connections are charged with their headers, in the class that belongs to the message. Large messages take their bytes in parts of 1,024, because a single charge overdraws the bucket and delays probes.

Conclusion: pulls share the control budget with gossip.

--- a/src/chivedoor/control/channel.py
+++ b/src/chivedoor/control/channel.py
@@ -7,11 +7,14 @@
 from typing import Any
 
 from chivedoor import ids
+from chivedoor.control import budget as budgets
 from chivedoor.control import messages
+from chivedoor.control import pacing
 from chivedoor.rpc import const
 from chivedoor.rpc import counts as counting
 from chivedoor.rpc import exceptions
 from chivedoor.rpc import link as links
+from chivedoor.rpc import pacing as rpc_pacing
 from chivedoor.rpc import responder
 from chivedoor.rpc import session as sessions
 from chivedoor.rpc import transport
@@ -44,7 +47,7 @@
         port: int,
         keys: Sequence[bytes],
         resolve: Resolve,
-        budget: responder.Pace | None = None,
+        budget: budgets.ByteBudget | None = None,
     ) -> None:
         """Creates a channel that is not open yet.
 
@@ -55,8 +58,8 @@
             keys: The peer key in force, then the previous one if any.
             resolve: Returns the channel address and port of a member, and
                 raises `LookupError` for one that it does not know.
-            budget: Waits until a message of some bytes may be sent; called
-                for every reply.
+            budget: Paces requests, replies and the opening of connections;
+                None paces nothing.
 
         Raises:
             InvalidKeyError: A key has a wrong length, or there are not one
@@ -66,6 +69,7 @@
         self._local_id = local_id
         self._keys = sessions.check_keys(keys)
         self._resolve = resolve
+        self._pace = _create_pace(budget)
         self._peers: dict[ids.VmId, _Peer] = {}
         self._opening: dict[ids.VmId, asyncio.Task[links.Link]] = {}
         self._idle_task: asyncio.Task[None] | None = None
@@ -78,7 +82,7 @@
             registry=messages.REGISTRY,
             counts=self.counts,
             links_max=const.INCOMING_LINKS_MAX,
-            pace=budget or responder.async_send_freely,
+            pace=self._pace,
         )
 
     @property
@@ -234,6 +238,7 @@
     async def _async_connect(
         self, member_id: ids.VmId, location: Location
     ) -> links.Link:
+        await self._pace(None, const.LINK_OPENING_BYTES)
         connection = await transport.async_connect(*location)
         try:
             session = await sessions.async_initiate(
@@ -250,7 +255,10 @@
             raise
         self.counts.add(Event.LINKS_OPENED)
         link = links.Link(
-            session=session, registry=messages.REGISTRY, counts=self.counts
+            session=session,
+            registry=messages.REGISTRY,
+            counts=self.counts,
+            pace=self._pace,
         )
         self._peers[member_id] = _Peer(link=link, location=location)
         return link
@@ -277,3 +285,9 @@
         peer = self._peers.get(member_id)
         if peer and peer.link.last_received_s < since_s:
             self._drop(member_id)
+
+
+def _create_pace(budget: budgets.ByteBudget | None) -> rpc_pacing.Pace:
+    if budget is None:
+        return rpc_pacing.async_send_freely
+    return pacing.Pacer(budget).async_pace
--- /dev/null
+++ b/src/chivedoor/control/pacing.py
@@ -0,0 +1,52 @@
+"""Pacing of channel messages by the byte budget."""
+
+import functools
+from typing import Any
+
+from chivedoor.control import budget as budgets
+from chivedoor.control import messages
+from chivedoor.rpc import const
+
+Priority = budgets.Priority
+
+
+@functools.singledispatch
+def classify_message(message: Any) -> Priority:
+    """Returns the class of control traffic of a message."""
+    return Priority.MODES
+
+
+@classify_message.register
+def _(message: messages.DocumentReply) -> Priority:
+    return Priority.DOCUMENTS
+
+
+@classify_message.register
+def _(message: messages.FlowsReply) -> Priority:
+    complete = message.base is None
+    return Priority.CONNECTIONS if complete else Priority.OVERRIDES
+
+
+class Pacer:
+    """Takes the bytes of messages from a budget, in small parts.
+
+    A large message that took all its bytes at once would overdraw the
+    budget, and probes would wait until it is full again.
+    """
+
+    def __init__(self, budget: budgets.ByteBudget) -> None:
+        self._budget = budget
+
+    async def async_pace(self, message: Any, size_bytes: int) -> None:
+        """Waits until a message may be sent.
+
+        Args:
+            message: Decides on the class of traffic.
+            size_bytes: The size of its payload, without headers.
+        """
+        priority = classify_message(message)
+        rest = size_bytes + const.FRAME_OVERHEAD_BYTES
+        while rest > 0:
+            part = min(rest, const.PACED_PART_BYTES)
+            await self._budget.async_spend(priority, part)
+            rest -= part
--- a/src/chivedoor/rpc/const.py
+++ b/src/chivedoor/rpc/const.py
@@ -60,6 +60,14 @@
 # Frames buffered for one connection before TCP flow control applies.
 RECEIVE_QUEUE_FRAMES: Final = 4
 
+# Headers of a short message: IP and TCP with options 52, websocket 8, counter
+# and tag 24.
+FRAME_OVERHEAD_BYTES: Final = 84
+# Opening a connection: about 600 bytes of HTTP and handshake messages and 11
+# segments in both directions.
+LINK_OPENING_BYTES: Final = 1_200
+PACED_PART_BYTES: Final = 1_024
+
 # Close codes from the range that RFC 6455 leaves to applications, and "try
 # again later".
 CLOSE_NOT_AUTHENTICATED: Final = 4401
--- a/src/chivedoor/rpc/link.py
+++ b/src/chivedoor/rpc/link.py
@@ -8,6 +8,7 @@
 from chivedoor.rpc import counts as counting
 from chivedoor.rpc import envelope as envelopes
 from chivedoor.rpc import exceptions
+from chivedoor.rpc import pacing
 from chivedoor.rpc import session as sessions
 
 Event = counting.RpcEvent
@@ -28,6 +29,7 @@
         session: sessions.Session,
         registry: codec.MessageRegistry,
         counts: counting.Counts,
+        pace: pacing.Pace = pacing.async_send_freely,
     ) -> None:
         self.closed = False
         self._loop = asyncio.get_running_loop()
@@ -36,6 +38,7 @@
         self._session = session
         self._registry = registry
         self._counts = counts
+        self._pace = pace
         self._request_ids = itertools.count()
         self._pending: dict[int, tuple[type, asyncio.Future[Any]]] = {}
         self._reader = asyncio.create_task(self._async_read())
@@ -70,6 +73,7 @@
         self._pending[request_id] = (reply_type, future)
         self.last_used_s = self._loop.time()
         try:
+            await self._pace(request, len(payload))
             await self._session.async_send(payload)
             self._counts.add(Event.REQUESTS_SENT)
             self._counts.add(Event.BYTES_SENT, len(payload))
--- a/src/chivedoor/rpc/responder.py
+++ b/src/chivedoor/rpc/responder.py
@@ -14,17 +14,12 @@
 from chivedoor.rpc import counts as counting
 from chivedoor.rpc import envelope as envelopes
 from chivedoor.rpc import exceptions
+from chivedoor.rpc import pacing
 from chivedoor.rpc import session as sessions
 from chivedoor.rpc import transport
 
 Event = counting.RpcEvent
 Handler = Callable[[Any], Awaitable[Any]]
-# Waits until a message of some bytes may be sent.
-Pace = Callable[[Any, int], Awaitable[None]]
-
-
-async def async_send_freely(message: Any, size_bytes: int) -> None:
-    """Paces nothing; for interfaces without a budget."""
 
 
 @dataclasses.dataclass(eq=False, kw_only=True, slots=True)
@@ -49,7 +44,7 @@
         registry: codec.MessageRegistry,
         counts: counting.Counts,
         links_max: int,
-        pace: Pace = async_send_freely,
+        pace: pacing.Pace = pacing.async_send_freely,
     ) -> None:
         self._address = address
         self._port = port
--- a/tests/control/test_channel.py
+++ b/tests/control/test_channel.py
@@ -8,6 +8,7 @@
 from websockets import exceptions as websocket_exceptions
 from websockets.asyncio import client as websocket_client
 
+from chivedoor.control import budget as budgets
 from chivedoor.control import channel
 from chivedoor.control import messages
 from chivedoor.rpc import const
@@ -568,18 +569,23 @@
     await async_wait_until(lambda: answering.counts.get(fault) == 1)
 
 
-async def test_replies_are_paced(fleet):
-    # Guards against replies that bypass the budget.
-    paced = []
-
-    async def async_pace(message, size_bytes):
-        paced.append((message, size_bytes))
-
-    asking = await fleet.async_add("a")
-    answering = await fleet.async_add("b", budget=async_pace)
+async def test_traffic_is_charged_to_the_budget(fleet):
+    # Guards against messages that bypass the budget.
+    spent = {
+        name: budgets.ByteBudget(rate_bytes_per_s=1e6, clock=lambda: 0.0)
+        for name in "ab"
+    }
+    asking = await fleet.async_add("a", budget=spent["a"])
+    answering = await fleet.async_add("b", budget=spent["b"])
     answering.register(messages.SilenceRequest, async_answer)
     await asking.async_request("b", SILENCE, 30)
-    assert paced == [(SEEN, answering.counts.get(Event.BYTES_SENT))]
+    for name, member, opening in (
+        ("a", asking, const.FRAME_OVERHEAD_BYTES + const.LINK_OPENING_BYTES),
+        ("b", answering, 0),
+    ):
+        payload = member.counts.get(Event.BYTES_SENT)
+        total = payload + const.FRAME_OVERHEAD_BYTES + opening
+        assert sum(spent[name].sent_bytes.values()) == total
 
 
 async def test_second_handler_and_second_opening_are_refused(pair):
--- /dev/null
+++ b/tests/control/test_pacing.py
@@ -0,0 +1,63 @@
+"""Tests of the pacing of channel messages."""
+
+import pytest
+
+from chivedoor.control import budget as budgets
+from chivedoor.control import messages
+from chivedoor.control import pacing
+from chivedoor.rpc import const
+
+Priority = budgets.Priority
+
+
+def create_flows_reply(base):
+    return messages.FlowsReply(
+        endpoint=1,
+        base=base,
+        known=True,
+        keys=[],
+        targets=[],
+        kinds=[],
+        cursor=None,
+    )
+
+
+DOCUMENT = messages.DocumentReply(
+    version=1, change=None, document=b"", confirmed_age_s=0.0
+)
+
+
+@pytest.mark.parametrize(
+    ("message", "priority"),
+    [
+        (DOCUMENT, Priority.DOCUMENTS),
+        (create_flows_reply(2), Priority.OVERRIDES),
+        (create_flows_reply(None), Priority.CONNECTIONS),
+        (messages.SilenceReply(answer_seen=True), Priority.MODES),
+        (messages.DocumentRequest(known_version=1), Priority.MODES),
+    ],
+)
+def test_message_has_its_class(message, priority):
+    # Guards against documents that delay the pull of overrides.
+    assert pacing.classify_message(message) is priority
+
+
+async def test_large_message_leaves_room_for_probes():
+    # Guards against a document that overdraws the budget, so that probes
+    # wait and members are suspected.
+    clock = [0.0]
+    budget = budgets.ByteBudget(rate_bytes_per_s=4_000, clock=lambda: clock[0])
+    rooms = []
+    spend = budget.async_spend
+
+    async def async_spend(priority, size):
+        while not budget.has_room(priority, size, clock[0]):
+            clock[0] += 0.05
+        await spend(priority, size)
+        rooms.append(budget.has_room(Priority.PROBES, 1_200, clock[0]))
+
+    budget.async_spend = async_spend
+    await pacing.Pacer(budget).async_pace(DOCUMENT, 50_000)
+    assert all(rooms)
+    spent = budget.sent_bytes[Priority.DOCUMENTS]
+    assert spent == 50_000 + const.FRAME_OVERHEAD_BYTES
