--- a/src/chivedoor/configuration/const.py
+++ b/src/chivedoor/configuration/const.py
@@ -36,6 +36,10 @@
 # Year 2286; a larger number is a time in milliseconds.
 MAX_WALL_CLOCK_S: Final = 9_999_999_999
 
+# The console computes and drops reservations by its own clock; a balancer whose
+# clock differs by less than this accepts the document.
+RESERVATION_TOLERANCE_S: Final = 60
+
 # A longer list does not help an operator and floods the log.
 MAX_FAULTS_IN_MESSAGE: Final = 50
 
--- a/src/chivedoor/configuration/document.py
+++ b/src/chivedoor/configuration/document.py
@@ -165,7 +165,7 @@
         domains: Failure domains by id.
         policies: Policies by id.
         services: Services by id.
-        retired: Addresses that are still reserved.
+        retired: Addresses that are still reserved, by address and service.
     """
 
     version: ids.Version
@@ -175,6 +175,11 @@
     services: Mapping[ids.ServiceId, Service]
     retired: tuple[Retired, ...]
 
+    def __post_init__(self) -> None:
+        """Sorts the reserved addresses, so that equal documents compare so."""
+        ordered = tuple(sorted(self.retired, key=get_retired_key))
+        object.__setattr__(self, "retired", ordered)
+
 
 PROTOCOLS: Final = types.MappingProxyType(
     {protocol.name.lower(): protocol for protocol in Protocol}
@@ -247,10 +252,26 @@
     Raises:
         exceptions.DocumentError: Lists all faults of the document.
     """
-    return _DocumentParser().parse(_load_value(data))
+    return _parse_value(load_value(data))
+
+
+def get_retired_key(entry: Retired) -> tuple[bytes, ids.ServiceId]:
+    """Returns what a document may list only once among its reservations."""
+    return entry.address, entry.service
+
+
+def load_value(data: bytes) -> Any:
+    """Returns the JSON value of a text of limited size.
+
+    Args:
+        data: JSON text in UTF-8.
 
+    Returns:
+        The value; every object in it is a `fields.JsonObject`.
 
-def _load_value(data: bytes) -> Any:
+    Raises:
+        exceptions.DocumentError: The text is too long or not JSON.
+    """
     if len(data) > const.MAX_DOCUMENT_BYTES:
         detail = f"{len(data)} bytes, at most {const.MAX_DOCUMENT_BYTES}"
         raise _build_error(FaultReason.TOO_LARGE, detail)
@@ -268,41 +289,52 @@
     return exceptions.DocumentError(faults=[fault])
 
 
-class _DocumentParser:
-    """Builds a document from a JSON value, collecting all faults."""
+def _parse_value(value: object) -> Document:
+    reader = fields.FieldReader()
+    sections = SectionParser(reader=reader)
+    top = reader.open_object(value, "", _DOCUMENT_FIELDS)
+    top.read("format", reader.read_integer, const.FORMAT, const.FORMAT)
+    version = top.read("version", sections.parse_version)
+    reuse_delay_s = top.read("reuse_delay_s", sections.parse_reuse_delay)
+    domains = top.read("regions", sections.parse_regions)
+    policies = top.read("policies", sections.parse_policies)
+    services = top.read("services", sections.parse_services, policies)
+    retired = top.read("retired", sections.parse_retired)
+    if reader.faults:
+        raise exceptions.DocumentError(faults=reader.faults)
+    return Document(
+        version=version,
+        reuse_delay_s=reuse_delay_s,
+        domains=types.MappingProxyType(domains),
+        policies=types.MappingProxyType(policies),
+        services=types.MappingProxyType(services),
+        retired=retired,
+    )
+
+
+class SectionParser:
+    """Reads the sections of a document; the reader collects the faults.
+
+    A result is only usable when the reader has no faults.
+    """
 
-    def __init__(self) -> None:
-        self._reader = fields.FieldReader()
+    def __init__(self, *, reader: fields.FieldReader) -> None:
+        self._reader = reader
 
-    def parse(self, value: object) -> Document:
-        reader = self._reader
-        top = reader.open_object(value, "", _DOCUMENT_FIELDS)
-        top.read("format", reader.read_integer, const.FORMAT, const.FORMAT)
-        version = top.read("version", reader.read_integer, 1, const.MAX_VERSION)
-        reuse_delay_s = top.read(
-            "reuse_delay_s",
-            reader.read_number,
-            const.MIN_REUSE_DELAY_S,
-            const.MAX_REUSE_DELAY_S,
-        )
-        domains = top.read("regions", self._parse_regions)
-        policies = top.read("policies", self._parse_policies)
-        services = top.read("services", self._parse_services, policies)
-        retired = top.read("retired", self._parse_retired)
-        if reader.faults:
-            raise exceptions.DocumentError(faults=reader.faults)
-        return Document(
-            version=version,
-            reuse_delay_s=reuse_delay_s,
-            domains=types.MappingProxyType(domains),
-            policies=types.MappingProxyType(policies),
-            services=types.MappingProxyType(services),
-            retired=retired,
+    def parse_version(self, value: object, path: str) -> Any:
+        """Returns a version."""
+        return self._reader.read_integer(value, path, 1, const.MAX_VERSION)
+
+    def parse_reuse_delay(self, value: object, path: str) -> Any:
+        """Returns the reuse delay in seconds."""
+        return self._reader.read_number(
+            value, path, const.MIN_REUSE_DELAY_S, const.MAX_REUSE_DELAY_S
         )
 
-    def _parse_regions(
+    def parse_regions(
         self, value: object, path: str
     ) -> dict[ids.DomainId, Domain]:
+        """Returns the failure domains of all regions."""
         domains: dict[ids.DomainId, Domain] = {}
         for region, region_path, members in self._read_entries(value, path):
             for name, path, member in self._read_entries(members, region_path):
@@ -318,9 +350,10 @@
                 )
         return domains
 
-    def _parse_policies(
+    def parse_policies(
         self, value: object, path: str
     ) -> dict[PolicyId, Policy]:
+        """Returns the policies."""
         return {
             PolicyId(name): self._parse_policy(name, member, member_path)
             for name, member_path, member in self._read_entries(value, path)
@@ -346,12 +379,13 @@
             self._reader.read_id(name, member_path)
             yield name, member_path, member
 
-    def _parse_services(
+    def parse_services(
         self,
         value: object,
         path: str,
         policies: Mapping[PolicyId, Policy] | None,
     ) -> dict[ids.ServiceId, Service]:
+        """Returns the services, with their policies resolved."""
         services = self._reader.read_items(
             value,
             path,
@@ -444,12 +478,13 @@
             return None
         return self._reader.read_integer(value, path, 1, const.MAX_PORT)
 
-    def _parse_retired(self, value: object, path: str) -> tuple[Retired, ...]:
+    def parse_retired(self, value: object, path: str) -> tuple[Retired, ...]:
+        """Returns the reserved addresses."""
         return self._reader.read_items(
             value,
             path,
             self._parse_retired_entry,
-            operator.attrgetter("address", "service"),
+            get_retired_key,
         )
 
     def _parse_retired_entry(self, value: object, path: str) -> Retired | None:
--- /dev/null
+++ b/tests/configuration/test_document.py
@@ -0,0 +1,257 @@
+"""Tests of the document's parser."""
+
+import copy
+
+import pytest
+
+from chivedoor.configuration import const
+from chivedoor.configuration import document
+from chivedoor.configuration import encoding
+from chivedoor.configuration import exceptions
+from chivedoor.configuration import faults
+
+FaultReason = faults.FaultReason
+
+
+def list_faults(data):
+    with pytest.raises(exceptions.DocumentError) as caught:
+        document.parse_document(data)
+    return [(fault.path, fault.reason) for fault in caught.value.faults]
+
+
+def set_value(value, path, content):
+    """Returns a copy of `value` with another content at a path of keys."""
+    changed = copy.deepcopy(value)
+    parent = changed
+    for key in path[:-1]:
+        parent = parent[key]
+    parent[path[-1]] = content
+    return changed
+
+
+def test_document_has_the_values_of_the_text(value, encode):
+    # Guards against fields that are swapped or left out.
+    parsed = document.parse_document(encode(value))
+    service = parsed.services["listening"]
+    assert parsed.version == 7
+    assert parsed.domains["b"].out
+    assert parsed.domains["b"].region == "r1"
+    assert service.policy is parsed.policies["streams"]
+    assert service.addresses == (bytes([203, 0, 113, 10]),)
+    assert service.ports[1] == document.ServicePort(
+        protocol=document.Protocol.UDP,
+        port=8000,
+        target_port=9000,
+        kind=document.PortKind.REQUEST,
+        idempotent=False,
+    )
+    assert service.endpoints[1] == document.Endpoint(
+        number=2,
+        address=bytes([127, 1, 0, 2]),
+        domain="b",
+        weight=50,
+        state=document.EndpointState.DRAINING,
+        health_port=None,
+    )
+    assert parsed.retired == (
+        document.Retired(
+            address=bytes([127, 1, 9, 9]), service="listening", until_s=2000
+        ),
+    )
+
+
+def test_encoded_document_reads_back_the_same(value, encode):
+    # Guards against a newcomer that gets another document from a peer than
+    # from the platform.
+    parsed = document.parse_document(encode(value))
+    encoded = encoding.format_document(parsed)
+    assert document.parse_document(encoded) == parsed
+
+
+@pytest.mark.parametrize(
+    ("path", "content", "fault_path", "reason"),
+    [
+        (["format"], 2, "format", FaultReason.OUT_OF_RANGE),
+        (["version"], "7", "version", FaultReason.WRONG_TYPE),
+        (["version"], True, "version", FaultReason.WRONG_TYPE),
+        (["version"], 7.0, "version", FaultReason.WRONG_TYPE),
+        (["version"], 0, "version", FaultReason.OUT_OF_RANGE),
+        (["version"], 2**32, "version", FaultReason.OUT_OF_RANGE),
+        (["version"], None, "version", FaultReason.WRONG_TYPE),
+        (["reuse_delay_s"], 0, "reuse_delay_s", FaultReason.OUT_OF_RANGE),
+        (["extra"], 1, "extra", FaultReason.UNKNOWN_FIELD),
+        (["regions"], [], "regions", FaultReason.WRONG_TYPE),
+        (["regions", "r 2"], {}, 'regions."r 2"', FaultReason.INVALID_VALUE),
+        (
+            ["regions", "r2"],
+            {"a": {"out": False}},
+            "regions.r2.a",
+            FaultReason.DUPLICATE,
+        ),
+        (
+            ["regions", "r1", "a", "out"],
+            0,
+            "regions.r1.a.out",
+            FaultReason.WRONG_TYPE,
+        ),
+        (
+            ["policies", "streams", "slots"],
+            0,
+            "policies.streams.slots",
+            FaultReason.OUT_OF_RANGE,
+        ),
+        (
+            ["policies", "streams", "ramp_step_s"],
+            10**400,
+            "policies.streams.ramp_step_s",
+            FaultReason.OUT_OF_RANGE,
+        ),
+        (
+            ["services", 1, "id"],
+            "listening",
+            "services[1]",
+            FaultReason.DUPLICATE,
+        ),
+        (
+            ["services", 1, "policy"],
+            "absent",
+            "services[1].policy",
+            FaultReason.UNKNOWN_REFERENCE,
+        ),
+        (
+            ["services", 0, "addresses", 0],
+            "203.0.113.010",
+            "services[0].addresses[0]",
+            FaultReason.INVALID_VALUE,
+        ),
+        (
+            ["services", 0, "ports", 1, 0],
+            "tcp",
+            "services[0].ports[1]",
+            FaultReason.DUPLICATE,
+        ),
+        (
+            ["services", 0, "ports", 1, 3],
+            "other",
+            "services[0].ports[1].kind",
+            FaultReason.INVALID_VALUE,
+        ),
+        (
+            ["services", 0, "ports", 1, 2],
+            65536,
+            "services[0].ports[1].target_port",
+            FaultReason.OUT_OF_RANGE,
+        ),
+        (
+            ["services", 0, "endpoints", 1, 0],
+            1,
+            "services[0].endpoints[1]",
+            FaultReason.DUPLICATE,
+        ),
+        (
+            ["services", 1, "endpoints", 0, 3],
+            0,
+            "services[1].endpoints[0].weight",
+            FaultReason.OUT_OF_RANGE,
+        ),
+        (
+            ["services", 1, "endpoints", 0],
+            [3, "127.1.0.1"],
+            "services[1].endpoints[0]",
+            FaultReason.INVALID_VALUE,
+        ),
+        (
+            ["retired", 0, 2],
+            1796000000000,
+            "retired[0].until_s",
+            FaultReason.OUT_OF_RANGE,
+        ),
+    ],
+)
+def test_fault_has_path_and_reason(
+    value, encode, path, content, fault_path, reason
+):
+    # Guards against a malformed value that comes into force or that an
+    # operator cannot find.
+    changed = set_value(value, path, content)
+    assert list_faults(encode(changed)) == [(fault_path, reason)]
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "format",
+        "version",
+        "reuse_delay_s",
+        "regions",
+        "policies",
+        "services",
+        "retired",
+    ],
+)
+def test_missing_field_is_one_fault(value, encode, name):
+    # Guards against defaults that nobody wrote, and against follow-up faults
+    # that hide the cause.
+    del value[name]
+    assert list_faults(encode(value)) == [(name, FaultReason.MISSING)]
+
+
+def test_all_faults_are_listed_together(value, encode):
+    # Guards against operators who correct one fault per attempt.
+    value["version"] = -1
+    value["services"][0]["endpoints"][0][3] = "heavy"
+    del value["services"][1]["ports"]
+    del value["policies"]["uploads"]["slots"]
+    assert list_faults(encode(value)) == [
+        ("version", FaultReason.OUT_OF_RANGE),
+        ("policies.uploads.slots", FaultReason.MISSING),
+        ("services[0].endpoints[0].weight", FaultReason.WRONG_TYPE),
+        ("services[1].ports", FaultReason.MISSING),
+    ]
+
+
+def test_repeated_key_is_a_fault(value, encode):
+    # Guards against the second of two equal keys winning in silence.
+    text = encode(value).replace(b'"slots": 4', b'"slots": 4, "slots": 5', 1)
+    assert list_faults(text) == [
+        ("policies.streams.slots", FaultReason.DUPLICATE)
+    ]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff",
+        b"{",
+        b'{"format": NaN}',
+        b"[" * 100_000,
+        b'{"version": ' + b"9" * 5_000 + b"}",
+    ],
+)
+def test_text_that_is_not_json_is_a_fault(data):
+    # Guards against an untyped error that ends the daemon.
+    assert list_faults(data) == [("", FaultReason.SYNTAX)]
+
+
+def test_text_that_is_not_an_object_is_a_fault():
+    # Guards against an untyped error on a valid JSON text.
+    assert list_faults(b"[]") == [("", FaultReason.WRONG_TYPE)]
+
+
+def test_size_is_limited(value, encode):
+    # Guards against a value that the platform or a peer cannot carry.
+    data = encode(value)
+    padding = b" " * (const.MAX_DOCUMENT_BYTES - len(data))
+    assert document.parse_document(data + padding).version == 7
+    assert list_faults(data + padding + b" ") == [("", FaultReason.TOO_LARGE)]
+
+
+def test_message_of_many_faults_is_bounded(value, encode):
+    # Guards against a document that floods the log.
+    value["services"][0]["endpoints"] = [None] * 10_000
+    with pytest.raises(exceptions.DocumentError) as caught:
+        document.parse_document(encode(value))
+    lines = str(caught.value).splitlines()
+    assert len(caught.value.faults) == 10_000
+    assert len(lines) == const.MAX_FAULTS_IN_MESSAGE + 2
