--- a/standins/caller.py
+++ b/standins/caller.py
@@ -6,7 +6,6 @@
 import random
 
 from chivedoor.configuration import document as documents
-
 from standins import caller_flows
 from standins import exceptions
 from standins import host as hosts
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -9,7 +9,6 @@
 import time
 
 from chivedoor.configuration import document as documents
-
 from standins import administration
 from standins import caller as caller_module
 from standins import exceptions
--- a/standins/content.py
+++ b/standins/content.py
@@ -24,7 +24,7 @@
 
 def tag_flow(flow: str) -> int:
     """Returns the 64-bit tag by which records name their flow."""
-    return xxhash.xxh3_64_intdigest(flow)
+    return xxhash.xxh3_64_intdigest(flow.encode())
 
 
 def build_record(tag: int, number: int, size_bytes: int) -> bytes:
--- a/standins/requests.py
+++ b/standins/requests.py
@@ -22,7 +22,7 @@
         aiohttp.ClientSession() as session,
         session.post(url, json=arguments or {}) as response,
     ):
-        body = await response.json(content_type=None)
         if response.status != 200:
-            raise exceptions.PlanError(f"{name}: {body}")
-        return body
+            text = await response.text()
+            raise exceptions.PlanError(f"{name}: {response.status} {text}")
+        return await response.json()
--- a/standins/sessions.py
+++ b/standins/sessions.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 from chivedoor.configuration import document
-
 from standins import connection as connections
 from standins import content
 from standins import host as hosts
--- a/standins/target.py
+++ b/standins/target.py
@@ -8,7 +8,6 @@
 import socket
 
 from chivedoor.configuration import document
-
 from standins import content
 from standins import exceptions
 from standins import host as hosts
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -9,8 +9,8 @@
 import time
 
 from aiohttp import web
-from chivedoor.configuration import document as documents
 
+from chivedoor.configuration import document as documents
 from standins import administration
 from standins import exceptions
 from standins import host as hosts
