--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -172,7 +172,7 @@
             "drops": dict(self._drops),
             "received": dict(self._received),
             "last_delivery": [
-                [domain, socket.inet_ntoa(address), when]
+                [domain, unpack_address(address), when]
                 for (domain, address), when in self._last_delivery.items()
             ],
             "balancers": [balancer.name for balancer in self._balancers],
@@ -197,7 +197,7 @@
     def _is_silent(self, address: bytes, direction: str) -> bool:
         if not self.faults.silent:
             return False
-        return (socket.inet_ntoa(address), direction) in self.faults.silent
+        return (unpack_address(address), direction) in self.faults.silent
 
     def _deliver(
         self,
@@ -278,6 +278,12 @@
     return socket.inet_pton(family, text)
 
 
+def unpack_address(address: bytes) -> str:
+    """Returns the text of a packed IPv4 or IPv6 address."""
+    family = socket.AF_INET6 if len(address) == 16 else socket.AF_INET
+    return socket.inet_ntop(family, address)
+
+
 def _read_addresses(data: bytes) -> tuple[bytes, bytes] | None:
     version = data[0] >> 4 if data else 0
     if version == 4 and len(data) >= const.IPV4_HEADER_BYTES:
@@ -289,7 +295,7 @@
 
 def _list_counter(counter: collections.Counter) -> list:
     return [
-        [domain, socket.inet_ntoa(address), count]
+        [domain, unpack_address(address), count]
         for (domain, address), count in counter.items()
     ]
 
