--- a/standins/administration.py
+++ b/standins/administration.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
+import inspect
 import signal
 from typing import Any
 
@@ -11,6 +12,8 @@
 from standins import exceptions
 from standins import link
 
+_REQUEST_ERRORS = (exceptions.StandinError, KeyError, ValueError, OSError)
+
 Operation = Callable[[dict], Any]
 
 
@@ -18,8 +21,8 @@
     """Serves operations as `POST /NAME`, and also `GET` without arguments.
 
     An operation gets the JSON object of the request (empty for GET) and
-    returns a plain value; a `StandinError` or a missing key becomes status
-    400 with the reason.
+    returns a plain value or an awaitable; a `StandinError`, a missing key or
+    a refusal of the system becomes status 400 with the reason.
     """
 
     def __init__(
@@ -51,9 +54,12 @@
             raise web.HTTPNotFound
         arguments = await request.json() if request.can_read_body else {}
         try:
-            return web.json_response(operation(arguments))
-        except (exceptions.StandinError, KeyError, ValueError) as error:
+            result = operation(arguments)
+            if inspect.isawaitable(result):
+                result = await result
+        except _REQUEST_ERRORS as error:
             return web.json_response({"error": repr(error)}, status=400)
+        return web.json_response(result)
 
 
 async def async_wait_for_signal() -> None:
