Add logs as JSON lines and metrics over HTTP

Cause: operators need one log schema and one list of figures.

Change: `telemetry.events` declares all log events as typed classes, `telemetry.logs` writes them through eliot from a thread with a bounded queue and a rate per type, `telemetry.catalogue` declares all metrics, and `telemetry.metrics` serves them with aioprometheus after collecting them at each scrape. docs/metrics.md and examples/alerts.rules are compared with the declarations by tests.

With a stream that never reads, the caller queues events up to the bound and goes on.

Conclusion: packages count with plain integers and the daemon copies the totals at each scrape.

--- /dev/null
+++ b/src/chivedoor/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs as JSON lines and metrics over HTTP."""
--- /dev/null
+++ b/src/chivedoor/telemetry/events.py
@@ -0,0 +1,295 @@
+"""All log events, as typed classes.
+
+An event's `message_type`, level and fields are its schema; `EVENTS` lists
+them all. Fields hold no keys, no payloads and no addresses of callers.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import enum
+from typing import Any
+from typing import ClassVar
+
+
+class Level(enum.Enum):
+    """How urgent an event is."""
+
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class Event:
+    """Base of all log events.
+
+    Attributes:
+        message_type: The name of the event in the log.
+        level: The level of the event in the log.
+    """
+
+    __slots__ = ()
+
+    message_type: ClassVar[str]
+    level: ClassVar[Level]
+
+
+EVENTS: dict[str, type[Event]] = {}
+
+
+def _event(message_type: str, level: Level) -> Callable[[type[Any]], type[Any]]:
+    """Registers an event and makes it a frozen dataclass."""
+
+    def register(event_type: type[Any]) -> type[Any]:
+        event_type.message_type = message_type
+        event_type.level = level
+        decorate = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+        EVENTS[message_type] = decorate(event_type)
+        return EVENTS[message_type]
+
+    return register
+
+
+@_event("daemon-started", Level.INFO)
+class DaemonStarted(Event):
+    """The daemon has opened all its ports."""
+
+    version: str
+    incarnation: int
+
+
+@_event("daemon-leaving", Level.INFO)
+class DaemonLeaving(Event):
+    """A planned stop began; backups take over the targets."""
+
+    targets_owned: int
+
+
+@_event("daemon-stopped", Level.INFO)
+class DaemonStopped(Event):
+    """All ports are closed."""
+
+    waited_s: float
+
+
+@_event("settings-rejected", Level.ERROR)
+class SettingsRejected(Event):
+    """The settings file has faults; the daemon does not start."""
+
+    path: str
+    faults: list[str]
+
+
+@_event("state-changed", Level.INFO)
+class StateChanged(Event):
+    """The member state of this balancer changed."""
+
+    before: str
+    after: str
+
+
+@_event("pause-detected", Level.WARNING)
+class PauseDetected(Event):
+    """The loop did not run for over 1 s; the balancer rejoins."""
+
+    pause_s: float
+    discarded_packets: int
+
+
+@_event("pull-completed", Level.INFO)
+class PullCompleted(Event):
+    """The records of a target were pulled from another balancer."""
+
+    endpoint: int
+    member: str
+    records: int
+
+
+@_event("pull-failed", Level.WARNING)
+class PullFailed(Event):
+    """A pull of records failed and will be retried."""
+
+    endpoint: int
+    member: str
+    error: str
+
+
+@_event("document-accepted", Level.INFO)
+class DocumentAccepted(Event):
+    """A document came into force."""
+
+    document_version: int
+    source: str
+    services: int
+    endpoints: int
+
+
+@_event("document-rejected", Level.ERROR)
+class DocumentRejected(Event):
+    """A document has faults; the former one stays in force."""
+
+    document_version: int
+    source: str
+    faults: list[str]
+
+
+@_event("document-older", Level.WARNING)
+class DocumentOlder(Event):
+    """An older document than the one in force was offered and ignored."""
+
+    document_version: int
+    source: str
+
+
+@_event("confirmation-expired", Level.ERROR)
+class ConfirmationExpired(Event):
+    """The document is older than the reuse delay; no target is served."""
+
+    document_version: int
+    confirmed_age_s: float
+
+
+@_event("platform-lost", Level.WARNING)
+class PlatformLost(Event):
+    """The platform's service does not answer."""
+
+    error: str
+
+
+@_event("platform-found", Level.INFO)
+class PlatformFound(Event):
+    """The platform's service answers again."""
+
+    lost_s: float
+
+
+@_event("member-changed", Level.INFO)
+class MemberChanged(Event):
+    """Another balancer's state changed in this balancer's view."""
+
+    member: str
+    member_domain: str
+    before: str
+    after: str
+
+
+@_event("domain-changed", Level.WARNING)
+class DomainChanged(Event):
+    """A failure domain was taken out or brought back."""
+
+    changed_domain: str
+    out: bool
+    origin: str
+
+
+@_event("target-owned", Level.INFO)
+class TargetOwned(Event):
+    """This balancer became the owner of a target."""
+
+    endpoint: int
+    records: int
+
+
+@_event("target-released", Level.INFO)
+class TargetReleased(Event):
+    """This balancer is no longer the owner of a target."""
+
+    endpoint: int
+    member: str
+
+
+@_event("target-cold", Level.WARNING)
+class TargetCold(Event):
+    """A target is in cold start; its ramp begins."""
+
+    endpoint: int
+    reason: str
+
+
+@_event("target-health-changed", Level.WARNING)
+class TargetHealthChanged(Event):
+    """The health estimate of a target changed."""
+
+    endpoint: int
+    before: str
+    after: str
+
+
+@_event("flow-silent", Level.WARNING)
+class FlowSilent(Event):
+    """No balancer saw a reply packet of a flow; both ends are reset."""
+
+    endpoint: int
+    silent_s: float
+
+
+@_event("peer-unreachable", Level.WARNING)
+class PeerUnreachable(Event):
+    """A request to another balancer could not be sent or answered."""
+
+    member: str
+    error: str
+
+
+@_event("authentication-failed", Level.WARNING)
+class AuthenticationFailed(Event):
+    """Someone without a valid key used one of the control ports."""
+
+    interface: str
+    fault: str
+
+
+@_event("message-rejected", Level.WARNING)
+class MessageRejected(Event):
+    """An authenticated message does not match its declared type."""
+
+    interface: str
+    fault: str
+
+
+@_event("handler-failed", Level.ERROR)
+class HandlerFailed(Event):
+    """A fault of the software; the request was refused."""
+
+    interface: str
+    request: str
+    error: str
+
+
+@_event("task-failed", Level.ERROR)
+class TaskFailed(Event):
+    """A fault of the software ended a periodic task, which starts again."""
+
+    task: str
+    error: str
+
+
+@_event("operator-command", Level.WARNING)
+class OperatorCommand(Event):
+    """An operator changed something."""
+
+    command: str
+    argument: str
+
+
+@_event("budget-exceeded", Level.WARNING)
+class BudgetExceeded(Event):
+    """Control traffic was dropped because the byte budget is used up."""
+
+    traffic_class: str
+    dropped_bytes: int
+
+
+@_event("table-full", Level.WARNING)
+class TableFull(Event):
+    """A bounded table is full; new entries are refused."""
+
+    table: str
+    capacity: int
+
+
+@_event("events-suppressed", Level.WARNING)
+class EventsSuppressed(Event):
+    """Events of one type exceeded their rate or the queue was full."""
+
+    suppressed_type: str
+    count: int
--- /dev/null
+++ b/src/chivedoor/telemetry/logs.py
@@ -0,0 +1,190 @@
+"""Logs as JSON lines, written by a thread of their own."""
+
+from collections.abc import Callable
+import dataclasses
+import pathlib
+import queue
+import sys
+import threading
+import time
+from typing import Any
+from typing import BinaryIO
+from typing import TextIO
+
+import eliot
+
+from chivedoor import ids
+from chivedoor.telemetry import const
+from chivedoor.telemetry import events
+from chivedoor.telemetry import exceptions
+
+Clock = Callable[[], float]
+
+
+class Logs:
+    """Writes events without blocking or raising.
+
+    The caller's thread only puts the event into a bounded queue. Events
+    that exceed the rate of their type or do not fit into the queue are
+    counted; an `events-suppressed` event follows when there is room again.
+
+    Attributes:
+        written: Events written to the file.
+        suppressed: Events over the rate of their type or over the queue.
+        failed: Events that could not be encoded or written.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: ids.VmId,
+        domain: ids.DomainId,
+        stream: BinaryIO | TextIO,
+        close_stream: bool,
+        clock: Clock = time.monotonic,
+    ) -> None:
+        """Starts the writer.
+
+        Args:
+            vm: The id of this VM, part of every event.
+            domain: Its failure domain, part of every event.
+            stream: Where the lines go.
+            close_stream: Whether `unload` closes the stream.
+            clock: Returns monotonic seconds.
+        """
+        self.written = 0
+        self.suppressed = 0
+        self.failed = 0
+        self._common = {"vm": vm, "domain": domain}
+        self._stream = stream
+        self._close_stream = close_stream
+        self._limits = _RateLimits(clock=clock)
+        self._destination = eliot.FileDestination(file=stream)
+        self._queue: queue.Queue[dict[str, Any] | None] = queue.Queue(
+            const.LOG_QUEUE_EVENTS
+        )
+        self._closed = False
+        self._thread = threading.Thread(
+            target=self._run, name="chivedoor-logs", daemon=True
+        )
+        self._thread.start()
+
+    def write_event(self, event: events.Event) -> None:
+        """Queues an event; never blocks and never raises."""
+        if self._closed or not self._limits.admit(event.message_type):
+            self.suppressed += 1
+            return
+        self._enqueue(event)
+        missed = self._limits.take_missed(event.message_type)
+        if missed:
+            self._enqueue(
+                events.EventsSuppressed(
+                    suppressed_type=event.message_type, count=missed
+                )
+            )
+
+    def unload(self) -> None:
+        """Writes what is queued, stops the writer and closes the stream."""
+        if self._closed:
+            return
+        self._closed = True
+        try:
+            self._queue.put(None, timeout=const.LOG_CLOSE_TIMEOUT_S)
+        except queue.Full:
+            # The stream is stuck; the thread ends with the process.
+            return
+        self._thread.join(const.LOG_CLOSE_TIMEOUT_S)
+        if self._close_stream and not self._thread.is_alive():
+            self._stream.close()
+
+    def dump_state(self) -> dict[str, Any]:
+        """Returns the counters as plain values."""
+        return {
+            "written": self.written,
+            "suppressed": self.suppressed,
+            "failed": self.failed,
+        }
+
+    def write(self, dictionary: dict[str, Any], serializer: Any = None) -> None:
+        """Queues a message of eliot; this object is an eliot logger."""
+        try:
+            self._queue.put_nowait(dict(dictionary))
+        except queue.Full:
+            self.suppressed += 1
+            self._limits.note_missed(dictionary.get("message_type", ""))
+
+    def _enqueue(self, event: events.Event) -> None:
+        fields = {
+            field.name: getattr(event, field.name)
+            for field in dataclasses.fields(event)  # type: ignore[arg-type]
+        }
+        message = {
+            "message_type": event.message_type,
+            "level": event.level.value,
+            **self._common,
+            **fields,
+        }
+        eliot.Message(message).write(logger=self)
+
+    def _run(self) -> None:
+        while (message := self._queue.get()) is not None:
+            try:
+                self._destination(message)
+                self.written += 1
+            except Exception:
+                # A full disk or a closed pipe; the next event may succeed.
+                self.failed += 1
+
+
+class _RateLimits:
+    """A token bucket for each type of event."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        # Tokens and the time of their last change.
+        self._buckets: dict[str, tuple[float, float]] = {}
+        self._missed: dict[str, int] = {}
+
+    def admit(self, message_type: str) -> bool:
+        now = self._clock()
+        full = float(const.LOG_BURST_EVENTS)
+        tokens, changed_s = self._buckets.get(message_type, (full, now))
+        tokens = min(full, tokens + (now - changed_s) * const.LOG_RATE_PER_S)
+        admitted = tokens >= 1.0
+        self._buckets[message_type] = (tokens - admitted, now)
+        if not admitted:
+            self.note_missed(message_type)
+        return admitted
+
+    def note_missed(self, message_type: str) -> None:
+        self._missed[message_type] = self._missed.get(message_type, 0) + 1
+
+    def take_missed(self, message_type: str) -> int:
+        return self._missed.pop(message_type, 0)
+
+
+def setup_logs(
+    *,
+    vm: ids.VmId,
+    domain: ids.DomainId,
+    path: pathlib.Path | None = None,
+) -> Logs:
+    """Opens the logs of the daemon; `Logs.unload` closes them.
+
+    Args:
+        vm: The id of this VM.
+        domain: Its failure domain.
+        path: The file to append to; None for standard output.
+
+    Raises:
+        LogFileError: The file cannot be opened.
+    """
+    if path is None:
+        return Logs(
+            vm=vm, domain=domain, stream=sys.stdout.buffer, close_stream=False
+        )
+    try:
+        stream = path.open("ab")
+    except OSError as error:
+        raise exceptions.LogFileError(f"{path}: {error.strerror}") from error
+    return Logs(vm=vm, domain=domain, stream=stream, close_stream=True)
--- /dev/null
+++ b/tests/telemetry/test_metrics.py
@@ -0,0 +1,212 @@
+"""Tests of the metrics and their server."""
+
+import enum
+import pathlib
+import re
+import socket
+
+import aiohttp
+import pytest
+
+from chivedoor.telemetry import catalogue
+from chivedoor.telemetry import const
+from chivedoor.telemetry import exceptions
+from chivedoor.telemetry import metrics
+
+Metric = catalogue.Metric
+UNITS = {
+    "packets",
+    "bytes",
+    "flows",
+    "targets",
+    "seconds",
+    "documents",
+    "members",
+    "messages",
+    "events",
+    "requests",
+    "pauses",
+    "failures",
+    "number",
+    "state",
+}
+
+
+class Reason(enum.Enum):
+    TOO_SHORT = "too_short"
+    CONFLICT = "address not retired"
+    NUMBERED = 3
+
+
+@pytest.fixture
+async def server():
+    values = metrics.Metrics()
+    served = metrics.MetricsServer(
+        address="127.0.0.1",
+        port=0,
+        metrics=values,
+        collect=lambda target: target.set_value(Metric.OVERRIDE_FLOWS, 42),
+    )
+    await served.async_open()
+    yield served
+    await served.async_close()
+
+
+async def async_scrape(server):
+    async with (
+        aiohttp.ClientSession() as client,
+        client.get(server.url) as response,
+    ):
+        assert response.status == 200
+        return await response.text()
+
+
+async def test_scrape_collects_before_it_answers(server):
+    # Guards against figures that are one scrape old.
+    text = await async_scrape(server)
+    assert "chivedoor_override_flows 42" in text
+    assert re.search(
+        r"^chivedoor_process_cpu_seconds_total [0-9.]+$", text, re.M
+    )
+
+
+async def test_failing_collection_still_serves_and_is_counted():
+    # Guards against a fault in one figure that hides all of them.
+    def collect(values):
+        values.set_value(Metric.OVERRIDE_FLOWS, 1)
+        raise ZeroDivisionError
+
+    values = metrics.Metrics()
+    server = metrics.MetricsServer(
+        address="127.0.0.1", port=0, metrics=values, collect=collect
+    )
+    await server.async_open()
+    try:
+        text = await async_scrape(server)
+        assert "chivedoor_override_flows 1" in text
+        assert "chivedoor_scrape_failures_total 1" in text
+    finally:
+        await server.async_close()
+
+
+async def test_server_frees_its_port(server):
+    # Guards against a setup without its unload.
+    port = int(server.url.split(":")[2].split("/")[0])
+    with pytest.raises(exceptions.TelemetryStateError):
+        await server.async_open()
+    await server.async_close()
+    await server.async_close()
+    with socket.create_server(("127.0.0.1", port)):
+        pass
+    with pytest.raises(exceptions.TelemetryStateError):
+        assert server.url
+
+
+async def test_used_port_is_an_error_and_leaves_nothing_open():
+    # Guards against a daemon that runs without metrics unnoticed.
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        port = taken.getsockname()[1]
+        server = metrics.MetricsServer(
+            address="127.0.0.1",
+            port=port,
+            metrics=metrics.Metrics(),
+            collect=lambda values: None,
+        )
+        with pytest.raises(OSError, match="address already in use"):
+            await server.async_open()
+    await server.async_open()
+    await server.async_close()
+
+
+def test_labels_must_match_the_declaration():
+    # Guards against series that no rule or page knows.
+    values = metrics.Metrics()
+    with pytest.raises(exceptions.MetricLabelError):
+        values.set_value(Metric.DROPPED_PACKETS, 1)
+    with pytest.raises(exceptions.MetricLabelError):
+        values.add(Metric.DROPPED_PACKETS, 1, cause="x")
+    with pytest.raises(exceptions.MetricLabelError):
+        values.set_values(Metric.OVERRIDE_FLOWS, {"x": 1})
+
+
+def test_series_of_one_metric_are_bounded():
+    # Guards against memory that grows with what is put into a label.
+    values = metrics.Metrics()
+    for number in range(const.METRIC_SERIES_MAX):
+        values.add(Metric.DROPPED_PACKETS, 1, reason=str(number))
+    with pytest.raises(exceptions.MetricLabelError):
+        values.add(Metric.DROPPED_PACKETS, 1, reason="one more")
+    values.add(Metric.DROPPED_PACKETS, 1, reason="0")
+    assert values.get_value(Metric.DROPPED_PACKETS, reason="0") == 2
+
+
+def test_enum_members_become_labels():
+    # Guards against labels with spaces, and against numbers without names.
+    values = metrics.Metrics()
+    values.set_values(
+        Metric.DROPPED_PACKETS,
+        {
+            Reason.TOO_SHORT: 1,
+            Reason.CONFLICT: 2,
+            Reason.NUMBERED: 3,
+            "plain": 4,
+        },
+    )
+    names = ["too-short", "address-not-retired", "numbered", "plain"]
+    found = [
+        values.get_value(Metric.DROPPED_PACKETS, reason=name) for name in names
+    ]
+    assert found == [1, 2, 3, 4]
+
+
+@pytest.mark.parametrize("metric", Metric)
+def test_metric_name_carries_its_unit(metric):
+    # Guards against figures whose unit has to be guessed.
+    name = metric.value.name
+    counter = metric.value.kind is catalogue.MetricKind.COUNTER
+    assert name.startswith(const.METRIC_PREFIX)
+    assert name.endswith("_total") == counter
+    assert name.removesuffix("_total").rsplit("_", 1)[1] in UNITS
+
+
+def test_metric_names_are_unique():
+    # Guards against two declarations that become one enum member.
+    declared = re.findall(
+        r"^    [A-Z_]+ = _(?:counter|gauge)\(",
+        pathlib.Path(catalogue.__file__).read_text(),
+        re.M,
+    )
+    assert len({metric.value.name for metric in Metric}) == len(declared)
+
+
+@pytest.mark.parametrize("metric", Metric)
+def test_metric_is_documented(metric):
+    # Guards against a metric whose meaning operators cannot look up.
+    page = pathlib.Path("docs/metrics.md").read_text()
+    declared = metric.value
+    labels = ", ".join(f"`{label}`" for label in declared.labels) or "none"
+    row = f"| `{declared.name}` | {declared.kind.value} | {labels} | "
+    assert row + declared.meaning in page
+
+
+def test_pages_name_no_metric_that_does_not_exist():
+    # Guards against rules that never fire because of a wrong name.
+    known = {metric.value.name for metric in Metric}
+    rules = pathlib.Path("examples/alerts.rules")
+    for path in (rules, *pathlib.Path("docs").glob("*.md")):
+        named = set(re.findall(r"\bchivedoor_[a-z_]+[a-z]", path.read_text()))
+        assert named <= known, path
+
+
+def test_every_alert_rule_is_complete():
+    # Guards against a rule that lacks the line operators act on.
+    text = pathlib.Path("examples/alerts.rules").read_text()
+    blocks = [
+        block
+        for block in text.split("\n\n")
+        if not block.lstrip().startswith("#")
+    ]
+    assert len(blocks) >= 8
+    for block in blocks:
+        keys = [line.split(":")[0] for line in block.strip().splitlines()]
+        assert keys == ["alert", "when", "for", "level", "means", "do"], block
