Compose the daemon from its parts

Cause: the packages were built apart. Change: the application with documents, domains, modes, transfers, health polls, operators' commands and metrics; entry point chivedoord. Conclusion: not yet run as a process; the decision path's tests pass.

--- a/src/chivedoor/balancer/balancer.py
+++ b/src/chivedoor/balancer/balancer.py
@@ -202,6 +202,12 @@
         self.targets.update_roles(now)
         self._update_direct(self.context.directory.by_number)
 
+    def restart(self, now: float) -> None:
+        """Drops all records, which may be old, after a pause."""
+        self.context.targets.clear()
+        self.forget_modes()
+        self.update_members(now)
+
     def set_mode(self, mode: Mode) -> None:
         """Takes an owner's announcement of mode `DIRECT`."""
         announced = self._modes.setdefault(mode.number, {})
--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -358,7 +358,7 @@
     ) -> list[actions.Action]:
         if entry.port.kind is documents.PortKind.REQUEST:
             self._requests.forget(key)
-            self._requests.accept(key, bytes(packet.payload))
+            self._requests.check(key, packet.payload)
         return self._chain(packet, entry, endpoint)
 
     def _continue(
@@ -429,17 +429,18 @@
         now: float,
     ) -> list[actions.Action]:
         target = self._context.targets[endpoint.number]
-        payload = bytes(packet.payload)
         port = entry.port
         is_request = port.kind is documents.PortKind.REQUEST
         runs_once = is_request and not port.idempotent
-        if runs_once and not self._requests.accept(key, payload):
-            return [actions.Drop(actions.RoutingDrop.DUPLICATE_REQUEST)]
+        if runs_once:
+            passage = self._requests.check(key, packet.payload)
+            if passage is not duplicates.Passage.PASS:
+                return [actions.Drop(actions.RoutingDrop.DUPLICATE_REQUEST)]
         if target.flows.get_state(key) is records.FlowState.CLOSED:
             share = self._context.find_share(endpoint.domain)
             verdict = target.admit(key, port.kind, share, now)
             if verdict is not admissions.Verdict.ADMIT:
-                self._requests.withdraw(key, payload)
+                self._requests.withdraw(key, packet.payload)
                 return refuse_new_flow(packet, actions.Refusal.TARGETS_FULL)
             return self._chain(packet, entry, endpoint)
         target.flows.touch(key, now)
@@ -528,7 +529,7 @@
         if target is not None:
             target.replicate(key, entry.port.kind, now)
             if entry.port.kind is documents.PortKind.REQUEST:
-                self._requests.accept(key, bytes(packet.payload))
+                self._requests.check(key, packet.payload)
         return _deliver(packet, entry, found[1])
 
     def record_caller_copy(
@@ -640,7 +641,8 @@
         target: owners.TargetOwner,
         now: float,
     ) -> list[actions.Action]:
-        target.flows.confirm(key, now)
+        if target.flows.confirm(key, now):
+            target.note_handshake(key, now, is_timed=False)
         if source.port.kind is documents.PortKind.STREAM:
             target.flows.touch(key, now)
             return _deliver_answer(packet, source)
@@ -660,7 +662,7 @@
         elif packet.is_fin:
             target.close_target(key, now)
         elif target.flows.confirm(key, now):
-            target.note_handshake(key, now)
+            target.note_handshake(key, now, is_timed=True)
 
 
 def find_peers(
--- a/src/chivedoor/balancer/targets.py
+++ b/src/chivedoor/balancer/targets.py
@@ -226,6 +226,15 @@
                 settled.append((number, generation))
         return settled
 
+    def cool_domains(
+        self, domains: frozenset[ids.DomainId], now: float
+    ) -> None:
+        """Treats the targets of failure domains that returned as cold."""
+        for number, target in self._context.targets.items():
+            _, endpoint = self._context.directory.by_number[number]
+            if endpoint.domain in domains:
+                target.admission.become_cold(now)
+
     def tick(self, now: float) -> list[ids.FlowKey]:
         """Expires records of all targets; returns the dropped keys."""
         return [
--- /dev/null
+++ b/src/chivedoor/daemon/application.py
@@ -0,0 +1,402 @@
+"""The daemon: all parts of a balancer, set up and unloaded in order."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+import time
+from typing import Any
+
+from chivedoor import exceptions as base_exceptions
+from chivedoor import ids
+from chivedoor.admission import target as admissions
+from chivedoor.balancer import balancer as balancers
+from chivedoor.configuration import document as documents
+from chivedoor.configuration import settings as settings_module
+from chivedoor.control import authentication
+from chivedoor.control import board as boards
+from chivedoor.control import budget as budgets
+from chivedoor.control import channel as channels
+from chivedoor.control import gossip as gossips
+from chivedoor.control import operators
+from chivedoor.control import pacing
+from chivedoor.daemon import commands as commands_module
+from chivedoor.daemon import const
+from chivedoor.daemon import documents as document_keeping
+from chivedoor.daemon import domains as domains_module
+from chivedoor.daemon import figures
+from chivedoor.daemon import health
+from chivedoor.daemon import modes
+from chivedoor.daemon import traffic as traffic_module
+from chivedoor.daemon import transfers as transfers_module
+from chivedoor.dataplane import encapsulation
+from chivedoor.membership import members as memberships
+from chivedoor.platform import client as clients
+from chivedoor.telemetry import events
+from chivedoor.telemetry import logs as logs_module
+from chivedoor.telemetry import metrics as metrics_module
+
+_MemberState = memberships.MemberState
+
+
+class Application:
+    """One balancer on one event loop."""
+
+    def __init__(
+        self, *, settings: settings_module.Settings, logs: logs_module.Logs
+    ) -> None:
+        self._settings = settings
+        self._logs = logs
+        self._clock = time.monotonic
+        self._started_at_s = self._clock()
+        self._stopping = asyncio.Event()
+        self._out_domains: frozenset[ids.DomainId] = frozenset()
+        self._seen_domains: frozenset[ids.DomainId] = frozenset()
+        self._unloads: list[Callable[[], Awaitable[None]]] = []
+        self._create_control()
+        self._create_decisions()
+        self._create_interfaces()
+
+    def _create_control(self) -> None:
+        settings = self._settings
+        vm = settings.vm
+        local = memberships.Member(
+            id=vm.id,
+            domain=vm.domain,
+            region=vm.region,
+            address=vm.address,
+            peer_port=vm.peer_port,
+            gossip_port=vm.gossip_port,
+            channel_port=vm.channel_port,
+            incarnation=memberships.first_incarnation(time.time()),
+            state=_MemberState.JOINING,
+        )
+        self._members = memberships.Members(local=local)
+        self._board = boards.Board(
+            local_id=vm.id, incarnation=local.incarnation
+        )
+        self._budget = budgets.ByteBudget(
+            rate_bytes_per_s=settings.limits.control_bytes_per_s,
+            clock=self._clock,
+        )
+        security = settings.security
+        self._gossip = gossips.Gossip(
+            local=local,
+            members=self._members,
+            board=self._board,
+            budget=self._budget,
+            keys=authentication.Keys(
+                current=security.peer_key,
+                previous=security.previous_peer_key,
+            ),
+            rng=random.Random(),
+            clock=self._clock,
+            seeds=[tuple(seed) for seed in settings.peers.seeds],
+        )
+        self._gossip.on_pause(lambda _: self._rejoin())
+        self._gossip.on_members_changed(self._update_members)
+        keys = [security.peer_key, security.previous_peer_key]
+        self._channel = channels.Channel(
+            local_id=vm.id,
+            address=vm.address,
+            port=vm.channel_port,
+            keys=[key for key in keys if key is not None],
+            resolve=self._resolve_member,
+            budget=pacing.Pacer(self._budget).async_pace,
+        )
+
+    def _create_decisions(self) -> None:
+        settings = self._settings
+        self._balancer = balancers.Balancer(
+            members=self._members,
+            region=settings.vm.region,
+            admission_factory=self._create_admission,
+            salt=random.getrandbits(63),
+        )
+        self._traffic = traffic_module.Traffic(
+            settings=settings,
+            balancer=self._balancer,
+            keys=encapsulation.Keys(
+                current=settings.security.peer_key,
+                previous=settings.security.previous_peer_key,
+            ),
+            clock=self._clock,
+            handle_pause=self._handle_pause,
+        )
+        self._modes = modes.ModeAnnouncer(
+            balancer=self._balancer, board=self._board
+        )
+        self._transfers = transfers_module.Transfers(
+            balancer=self._balancer, channel=self._channel, clock=self._clock
+        )
+        self._health = health.HealthPoller(
+            balancer=self._balancer, clock=self._clock
+        )
+        self._domains = domains_module.Domains(
+            local_id=settings.vm.id,
+            board=self._board,
+            clock=self._clock,
+            handle_change=self._apply_document,
+        )
+        self._platform = clients.PlatformClient(
+            url=settings.platform.url, rng=random.Random()
+        )
+        self._documents = document_keeping.DocumentKeeper(
+            members=self._members,
+            board=self._board,
+            channel=self._channel,
+            platform=self._platform,
+            clock=self._clock,
+            logs=self._logs,
+            handle_change=self._apply_document,
+        )
+
+    def _create_interfaces(self) -> None:
+        vm = self._settings.vm
+        collector = figures.MetricsCollector(
+            balancer=self._balancer,
+            members=self._members,
+            store=self._documents.store,
+            traffic=self._traffic,
+            budget=self._budget,
+            clock=self._clock,
+        )
+        self._metrics = metrics_module.MetricsServer(
+            address=vm.address,
+            port=vm.metrics_port,
+            metrics=metrics_module.Metrics(),
+            collect=collector.collect,
+        )
+        handlers = commands_module.Commands(
+            members=self._members,
+            board=self._board,
+            domains=self._domains,
+            collect_figures=self._collect_figures,
+            dump_state=self.dump_state,
+            find_domains=self._find_domains,
+            logs=self._logs,
+        ).list_handlers()
+        self._operators = operators.OperatorServer(
+            address=vm.address,
+            port=vm.operator_port,
+            key=self._settings.security.operator_key,
+            commands=handlers,
+            local_id=vm.id,
+        )
+
+    # Lifetime.
+
+    async def async_run(self) -> None:
+        """Runs until `stop` was called and the drain is over."""
+        await self.async_open()
+        try:
+            await self._stopping.wait()
+            await self._async_drain()
+        finally:
+            await self.async_close()
+
+    def stop(self) -> None:
+        """Begins a planned stop."""
+        self._stopping.set()
+
+    async def async_open(self) -> None:
+        """Opens all ports; on an error closes those that are open."""
+        parts = (
+            self._channel,
+            self._gossip,
+            self._platform,
+            self._traffic,
+            self._health,
+            self._metrics,
+            self._operators,
+        )
+        try:
+            for part in parts:
+                await part.async_open()
+                self._unloads.append(part.async_close)
+        except BaseException:
+            await self.async_close()
+            raise
+        self._unloads.append(self._documents.async_close)
+        self._unloads.append(self._transfers.async_close)
+        self._start(self._async_tick)
+        self._start(self._async_list_vms)
+        self._publish_port()
+        self._logs.write_event(
+            events.DaemonStarted(
+                version="0.1.0",
+                incarnation=self._members.local.incarnation,
+            )
+        )
+
+    async def async_close(self) -> None:
+        """Closes what was opened, last first."""
+        failures = []
+        while self._unloads:
+            try:
+                await self._unloads.pop()()
+            except Exception as error:  # noqa: BLE001
+                failures.append(error)
+        self._modes.unload()
+        self._domains.unload()
+        waited_s = self._clock() - self._started_at_s
+        self._logs.write_event(events.DaemonStopped(waited_s=waited_s))
+        if failures:
+            raise ExceptionGroup("parts failed to close", failures)
+
+    def _start(self, work: Callable[[], Awaitable[None]]) -> None:
+        task = asyncio.create_task(work())
+
+        async def async_cancel() -> None:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        self._unloads.append(async_cancel)
+
+    async def _async_drain(self) -> None:
+        """Routes packets on while the others take over its targets."""
+        self._logs.write_event(
+            events.DaemonLeaving(
+                targets_owned=self._collect_figures().targets_owned
+            )
+        )
+        self._members.leave(self._clock())
+        self._update_members()
+        started_s = self._clock()
+        while self._clock() - started_s < const.DRAIN_LIMIT_S:
+            await asyncio.sleep(const.TICK_S)
+            last_s = max(started_s, self._traffic.last_packet_s)
+            if self._clock() - last_s >= const.DRAIN_QUIET_S:
+                return
+
+    # Periodic work.
+
+    async def _async_tick(self) -> None:
+        while True:
+            now = self._clock()
+            self._balancer.tick(now)
+            self._balancer.context.may_send = self._documents.store.may_send(
+                now
+            )
+            self._modes.announce(now)
+            self._documents.update_role()
+            missing = self._transfers.start_pulls()
+            self._activate_when_ready(missing, now)
+            await asyncio.sleep(const.TICK_S)
+
+    def _activate_when_ready(self, missing: int, now: float) -> None:
+        if self._stopping.is_set():
+            return
+        if self._members.local.state is not _MemberState.JOINING:
+            return
+        waited_s = now - self._started_at_s
+        if not self._documents.store.version or waited_s < const.JOIN_SETTLE_S:
+            return
+        if missing and waited_s < const.JOIN_LIMIT_S:
+            return
+        self._members.activate(now)
+        self._update_members()
+
+    async def _async_list_vms(self) -> None:
+        while True:
+            try:
+                listed = await self._platform.async_list_vms()
+            except base_exceptions.ChivedoorError:
+                listed = None
+            if listed is not None:
+                self._members.set_listed(
+                    memberships.ListedVm(
+                        id=vm.id, domain=vm.domain, leaving=vm.leaving
+                    )
+                    for vm in listed
+                )
+                self._update_members()
+            await asyncio.sleep(const.VM_LIST_POLL_S)
+
+    # Changes.
+
+    def _apply_document(self) -> None:
+        document = self._documents.store.document
+        if document is None:
+            return
+        out_domains = self._domains.find_out(document)
+        returned = self._out_domains - out_domains
+        self._out_domains = out_domains
+        now = self._clock()
+        self._balancer.apply_document(
+            document=document, out_domains=out_domains, now=now
+        )
+        self._balancer.targets.cool_domains(returned, now)
+
+    def _update_members(self) -> None:
+        self._balancer.update_members(self._clock())
+
+    def _handle_pause(self) -> None:
+        """Starts a new life after the loop stood still."""
+        now = self._clock()
+        self._traffic.counters["pauses"] += 1
+        self._members.rejoin(memberships.first_incarnation(time.time()), now)
+        self._board.set_incarnation(self._members.local.incarnation, keep=False)
+        self._rejoin()
+
+    def _rejoin(self) -> None:
+        self._traffic.discard_waiting()
+        self._started_at_s = self._clock()
+        self._modes.forget()
+        self._balancer.restart(self._clock())
+        self._publish_port()
+
+    def _publish_port(self) -> None:
+        self._board.publish(
+            commands_module.PORT_TOPIC,
+            self._settings.vm.operator_port,
+            False,
+            self._clock(),
+        )
+
+    def _create_admission(
+        self,
+        *,
+        endpoint: documents.Endpoint,
+        policy: documents.Policy,
+        now: float,
+    ) -> admissions.TargetAdmission:
+        # Until this balancer has seen the failure domain for a while, an
+        # unknown target is more likely warm than started with the balancer.
+        del endpoint
+        return admissions.TargetAdmission(policy=policy, cold=False, now=now)
+
+    # State.
+
+    def _resolve_member(self, member_id: ids.VmId) -> tuple[str, int]:
+        member = self._members.get(member_id)
+        if member is None:
+            raise LookupError(member_id)
+        return (member.address, member.channel_port)
+
+    def _find_domains(self) -> frozenset[ids.DomainId]:
+        document = self._documents.store.document
+        return frozenset() if document is None else frozenset(document.domains)
+
+    def _collect_figures(self) -> figures.Figures:
+        return figures.collect_figures(
+            balancer=self._balancer,
+            store=self._documents.store,
+            traffic=self._traffic,
+            out_domains=self._out_domains,
+            now=self._clock(),
+        )
+
+    def dump_state(self) -> dict[str, Any]:
+        """Returns the whole state as plain values."""
+        return {
+            "members": self._members.dump_state(),
+            "board": self._board.dump_state(),
+            "budget": self._budget.dump_state(),
+            "gossip": self._gossip.dump_state(),
+            "channel": self._channel.dump_state(),
+            "document": self._documents.store.dump_state(),
+            "registers": self._domains.registers.dump_state(),
+            "balancer": dict(self._balancer.dump_state()),
+            "traffic": dict(self._traffic.counters),
+        }
--- a/src/chivedoor/daemon/const.py
+++ b/src/chivedoor/daemon/const.py
@@ -32,3 +32,13 @@
 # and no longer than the second.
 DRAIN_QUIET_S: Final = 2.0
 DRAIN_LIMIT_S: Final = 30.0
+
+# How often a reader tells peers that the version is confirmed.
+CONFIRMATION_INTERVAL_S: Final = 30.0
+# CBOR has no use for an infinite age in an entry of a few bytes.
+MAX_CONFIRMED_AGE_S: Final = 1e9
+# Differences are JSON texts, in which a line feed is always escaped.
+CHANGE_SEPARATOR: Final = b"\n"
+
+# Faults of one document in a log event.
+LOGGED_FAULTS: Final = 20
--- /dev/null
+++ b/src/chivedoor/daemon/documents.py
@@ -0,0 +1,253 @@
+"""How documents reach this balancer, and how it passes them on."""
+
+import asyncio
+from collections.abc import Callable
+import time
+
+from chivedoor import exceptions as base_exceptions
+from chivedoor import ids
+from chivedoor.configuration import difference as differences
+from chivedoor.configuration import encoding
+from chivedoor.configuration import exceptions as configuration_errors
+from chivedoor.configuration import store as stores
+from chivedoor.control import board as boards
+from chivedoor.control import channel as channels
+from chivedoor.control import messages
+from chivedoor.daemon import const
+from chivedoor.daemon import traffic
+from chivedoor.membership import members as memberships
+from chivedoor.platform import client as clients
+from chivedoor.routing import ownership
+from chivedoor.telemetry import events
+from chivedoor.telemetry import logs as logs_module
+
+_TOPIC = "document"
+# Selects the readers of a failure domain by the ranking that also selects
+# the owners of targets.
+_READER_RANK = ids.EndpointNumber(0)
+
+
+class DocumentKeeper:
+    """Reads documents from the platform or from peers, newest first.
+
+    Two balancers of each failure domain watch the platform. They announce
+    the version over the gossip, and the others pull it from the announcer.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: memberships.Members,
+        board: boards.Board,
+        channel: channels.Channel,
+        platform: clients.PlatformClient,
+        clock: traffic.Clock,
+        logs: logs_module.Logs,
+        handle_change: Callable[[], None],
+    ) -> None:
+        self.store = stores.DocumentStore()
+        self._members = members
+        self._board = board
+        self._channel = channel
+        self._platform = platform
+        self._clock = clock
+        self._logs = logs
+        self._handle_change = handle_change
+        self._watch: asyncio.Task[None] | None = None
+        self._pull: asyncio.Task[None] | None = None
+        self._announced_at_s = -const.CONFIRMATION_INTERVAL_S
+        self._unsubscribe = board.subscribe(_TOPIC, self._take_entry)
+        channel.register(messages.DocumentRequest, self._async_reply)
+
+    async def async_close(self) -> None:
+        """Ends the watch, the pull and the subscription."""
+        self._unsubscribe()
+        tasks = [task for task in (self._watch, self._pull) if task]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def update_role(self) -> None:
+        """Starts or ends the watch when this balancer's role changed."""
+        is_reader = self._is_reader()
+        if is_reader and (self._watch is None or self._watch.done()):
+            self._watch = asyncio.create_task(self._async_watch())
+        elif not is_reader and self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
+        self._start_pull()
+
+    def _is_reader(self) -> bool:
+        local = self._members.local
+        candidates = self._members.replica_candidates(local.domain)
+        readers = ownership.rank_owners(
+            _READER_RANK, candidates, const.READERS_PER_DOMAIN
+        )
+        return local.id in readers
+
+    # From the platform.
+
+    async def _async_watch(self) -> None:
+        while True:
+            try:
+                found = await self._platform.async_watch_document(
+                    self.store.version
+                )
+            except base_exceptions.ChivedoorError:
+                await asyncio.sleep(const.DOCUMENT_RETRY_S)
+                continue
+            if found is not None and found.version > self.store.version:
+                self._accept(found.body)
+            elif found is None:
+                self.store.confirm(self.store.version, 0.0, self._clock())
+            self._announce()
+            # A stale platform answers at once with an old version.
+            if found is not None and found.version <= self.store.version:
+                await asyncio.sleep(const.DOCUMENT_RETRY_S)
+
+    def _accept(self, body: bytes) -> None:
+        try:
+            self.store.accept_data(
+                body, self._clock(), wall_s=time.time(), age_s=0.0
+            )
+        except configuration_errors.DocumentError as error:
+            self._reject(error, "platform")
+            return
+        self._note_accepted("platform")
+
+    # From and to peers.
+
+    def _announce(self) -> None:
+        now = self._clock()
+        entry = self._board.get_from(_TOPIC, self._members.local.id)
+        is_new = entry is None or entry.value[0] < self.store.version
+        waited_s = now - self._announced_at_s
+        if not self.store.version:
+            return
+        if is_new or waited_s >= const.CONFIRMATION_INTERVAL_S:
+            self._announced_at_s = now
+            age_s = min(
+                self.store.confirmed_age(now), const.MAX_CONFIRMED_AGE_S
+            )
+            self._board.publish(
+                _TOPIC, [self.store.version, round(age_s, 1)], is_new, now
+            )
+
+    def _take_entry(
+        self, topic: str, origin: ids.VmId, entry: boards.Entry | None
+    ) -> None:
+        del topic
+        if entry is None or origin == self._members.local.id:
+            return
+        version, age_s = entry.value
+        self.store.confirm(version, age_s, self._clock())
+        self._start_pull()
+
+    def _start_pull(self) -> None:
+        if self._pull is not None and not self._pull.done():
+            return
+        if self._list_sources():
+            self._pull = asyncio.create_task(self._async_pull())
+
+    def _list_sources(self) -> list[ids.VmId]:
+        """Returns the balancers that announced a newer version."""
+        newer = [
+            entry
+            for entry in self._board.get(_TOPIC)
+            if entry.value[0] > self.store.version
+            and entry.origin != self._members.local.id
+        ]
+        newer.sort(key=lambda entry: entry.value[0], reverse=True)
+        return [entry.origin for entry in newer]
+
+    async def _async_pull(self) -> None:
+        while sources := self._list_sources():
+            for source in sources:
+                if await self._async_pull_from(source):
+                    break
+            else:
+                await asyncio.sleep(const.DOCUMENT_RETRY_S)
+
+    async def _async_pull_from(self, source: ids.VmId) -> bool:
+        request = messages.DocumentRequest(known_version=self.store.version)
+        try:
+            reply = await self._channel.async_request(
+                source, request, const.DOCUMENT_TIMEOUT_S
+            )
+            self._take_reply(reply)
+        except configuration_errors.DocumentError as error:
+            self._reject(error, "peer")
+            return False
+        except base_exceptions.ChivedoorError:
+            return False
+        return True
+
+    def _take_reply(self, reply: messages.DocumentReply) -> None:
+        before = self.store.version
+        now = self._clock()
+        if reply.change is not None:
+            changes = [
+                differences.decode_difference(data)
+                for data in reply.change.split(const.CHANGE_SEPARATOR)
+            ]
+            self.store.accept_differences(
+                changes, now, wall_s=time.time(), age_s=reply.confirmed_age_s
+            )
+        elif reply.document is not None:
+            self.store.accept_data(
+                reply.document,
+                now,
+                wall_s=time.time(),
+                age_s=reply.confirmed_age_s,
+            )
+        if self.store.version > before:
+            self._note_accepted("peer")
+
+    async def _async_reply(
+        self, request: messages.DocumentRequest
+    ) -> messages.DocumentReply:
+        known = ids.Version(request.known_version)
+        changes = self.store.get_differences(known)
+        change = None
+        document = None
+        if known < self.store.version:
+            if changes:
+                change = const.CHANGE_SEPARATOR.join(
+                    differences.encode_difference(c) for c in changes
+                )
+            elif self.store.document is not None:
+                document = encoding.format_document(self.store.document)
+        return messages.DocumentReply(
+            version=self.store.version,
+            change=change,
+            document=document,
+            confirmed_age_s=self.store.confirmed_age(self._clock()),
+        )
+
+    def _note_accepted(self, source: str) -> None:
+        self._handle_change()
+        self._announce()
+        document = self.store.document
+        self._logs.write_event(
+            events.DocumentAccepted(
+                document_version=self.store.version,
+                source=source,
+                services=len(document.services),
+                endpoints=sum(
+                    len(service.endpoints)
+                    for service in document.services.values()
+                ),
+            )
+        )
+
+    def _reject(
+        self, error: configuration_errors.DocumentError, source: str
+    ) -> None:
+        listed = [str(fault) for fault in error.faults]
+        self._logs.write_event(
+            events.DocumentRejected(
+                document_version=self.store.version,
+                source=source,
+                faults=listed[: const.LOGGED_FAULTS],
+            )
+        )
--- /dev/null
+++ b/src/chivedoor/daemon/domains.py
@@ -0,0 +1,53 @@
+"""Failure domains that are out, from the document and from operators."""
+
+from collections.abc import Callable
+
+from chivedoor import ids
+from chivedoor.configuration import document as documents
+from chivedoor.control import board as boards
+from chivedoor.daemon import traffic
+from chivedoor.registers import entries
+from chivedoor.registers import registers as registers_module
+
+_State = registers_module.DomainState
+
+
+class Domains:
+    """Combines operators' commands with the flags of the document."""
+
+    def __init__(
+        self,
+        *,
+        local_id: ids.VmId,
+        board: boards.Board,
+        clock: traffic.Clock,
+        handle_change: Callable[[], None],
+    ) -> None:
+        self.registers = registers_module.DomainRegisters()
+        self._local_id = local_id
+        self._board = board
+        self._clock = clock
+        self._unsubscribes = (
+            self.registers.subscribe(lambda _: handle_change()),
+            entries.attach_registers(board, self.registers),
+        )
+
+    def unload(self) -> None:
+        """Ends the subscriptions."""
+        for unsubscribe in self._unsubscribes:
+            unsubscribe()
+
+    def command(self, domain: ids.DomainId, state: _State) -> None:
+        """Takes an operator's command and spreads it."""
+        register = self.registers.set_state(domain, state, self._local_id)
+        entries.publish_register(self._board, register, self._clock())
+
+    def find_out(self, document: documents.Document) -> frozenset[ids.DomainId]:
+        """Returns the failure domains whose targets get no packets.
+
+        A command goes before the document, since operators give it at short
+        notice.
+        """
+        listed = frozenset(d.id for d in document.domains.values() if d.out)
+        commanded_in = self.registers.in_domains()
+        return (listed - commanded_in) | self.registers.out_domains()
--- /dev/null
+++ b/src/chivedoor/daemon/figures.py
@@ -0,0 +1,147 @@
+"""Figures of a running balancer for operators and metrics."""
+
+import collections
+import dataclasses
+
+from chivedoor import ids
+from chivedoor.balancer import balancer as balancers
+from chivedoor.configuration import store as stores
+from chivedoor.control import budget as budgets
+from chivedoor.daemon import traffic as traffic_module
+from chivedoor.flows import owner as owners
+from chivedoor.membership import members as memberships
+from chivedoor.telemetry import catalogue
+from chivedoor.telemetry import metrics as metrics_module
+
+_Metric = catalogue.Metric
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Figures:
+    """What the status of a balancer shows; ages are in seconds."""
+
+    document_version: ids.Version
+    confirmed_age_s: float
+    flows: int
+    targets_owned: int
+    out_domains: frozenset[ids.DomainId]
+    packets: int
+    drops: int
+
+
+def collect_figures(
+    *,
+    balancer: balancers.Balancer,
+    store: stores.DocumentStore,
+    traffic: traffic_module.Traffic,
+    out_domains: frozenset[ids.DomainId],
+    now: float,
+) -> Figures:
+    """Returns the figures of a balancer."""
+    owned = [
+        target
+        for target in balancer.context.targets.values()
+        if target.role is owners.Role.OWNER
+    ]
+    counters = traffic.counters
+    return Figures(
+        document_version=store.version,
+        confirmed_age_s=store.confirmed_age(now),
+        flows=sum(len(target.flows) for target in owned),
+        targets_owned=len(owned),
+        out_domains=out_domains,
+        packets=counters["fabric_packets"] + counters["peer_packets"],
+        drops=sum(
+            count
+            for name, count in counters.items()
+            if name.startswith("drop_")
+        ),
+    )
+
+
+class MetricsCollector:
+    """Copies the counters of a balancer into the metrics at a scrape."""
+
+    def __init__(
+        self,
+        *,
+        balancer: balancers.Balancer,
+        members: memberships.Members,
+        store: stores.DocumentStore,
+        traffic: traffic_module.Traffic,
+        budget: budgets.ByteBudget,
+        clock: traffic_module.Clock,
+    ) -> None:
+        self._balancer = balancer
+        self._members = members
+        self._store = store
+        self._traffic = traffic
+        self._budget = budget
+        self._clock = clock
+
+    def collect(self, metrics: metrics_module.Metrics) -> None:
+        """Brings all metrics up to date."""
+        self._collect_packets(metrics)
+        self._collect_targets(metrics)
+        now = self._clock()
+        metrics.set_value(_Metric.DOCUMENT_VERSION, self._store.version)
+        metrics.set_value(
+            _Metric.DOCUMENT_CONFIRMED_AGE, self._store.confirmed_age(now)
+        )
+        metrics.set_values(
+            _Metric.MEMBERS,
+            collections.Counter(
+                member.state.name for member in self._members.list_members()
+            ),
+        )
+        metrics.set_values(_Metric.CONTROL_SENT_BYTES, self._budget.sent_bytes)
+        metrics.set_values(
+            _Metric.CONTROL_DELAYED_BYTES, self._budget.delayed_bytes
+        )
+        metrics.set_values(
+            _Metric.CONTROL_DROPPED_BYTES, self._budget.dropped_bytes
+        )
+
+    def _collect_packets(self, metrics: metrics_module.Metrics) -> None:
+        counters = self._traffic.counters
+        metrics.set_value(_Metric.DELIVERED_PACKETS, counters["delivered"])
+        metrics.set_value(_Metric.FORWARDED_BYTES, counters["forwarded_bytes"])
+        metrics.set_value(
+            _Metric.DISCARDED_PACKETS, counters["discarded_after_pause"]
+        )
+        metrics.set_value(_Metric.LOOP_PAUSES, counters["pauses"])
+        metrics.set_values(
+            _Metric.RECEIVED_PACKETS,
+            {
+                "fabric": counters["fabric_packets"],
+                "peer": counters["peer_packets"],
+            },
+        )
+        for metric, prefix in (
+            (_Metric.FORWARDED_PACKETS, "sent_"),
+            (_Metric.DROPPED_PACKETS, "drop_"),
+            (_Metric.REFUSED_FLOWS, "refusal_"),
+        ):
+            metrics.set_values(
+                metric,
+                {
+                    name.removeprefix(prefix): count
+                    for name, count in counters.items()
+                    if name.startswith(prefix)
+                },
+            )
+
+    def _collect_targets(self, metrics: metrics_module.Metrics) -> None:
+        targets = tuple(self._balancer.context.targets.values())
+        for role in owners.Role:
+            held = [target for target in targets if target.role is role]
+            metrics.set_value(_Metric.TARGETS, len(held), role=role.value)
+            metrics.set_value(
+                _Metric.OPEN_FLOWS,
+                sum(len(target.flows) for target in held),
+                role=role.value,
+            )
+        metrics.set_value(
+            _Metric.OVERRIDE_FLOWS,
+            sum(len(target.overrides) for target in targets),
+        )
--- /dev/null
+++ b/src/chivedoor/daemon/health.py
@@ -0,0 +1,91 @@
+"""Polls of the health endpoints of owned targets."""
+
+import asyncio
+import ipaddress
+
+import aiohttp
+
+from chivedoor import ids
+from chivedoor.admission import health as estimates
+from chivedoor.balancer import balancer as balancers
+from chivedoor.configuration import document as documents
+from chivedoor.daemon import const
+from chivedoor.daemon import traffic
+from chivedoor.flows import owner as owners
+
+_POLL_ERRORS = (
+    aiohttp.ClientError,
+    TimeoutError,
+    ValueError,
+    KeyError,
+    TypeError,
+)
+
+# A draining target serves its flows, so its health is not at fault.
+_REPORTS = {
+    "ready": estimates.Report.READY,
+    "draining": estimates.Report.READY,
+    "cold": estimates.Report.COLD,
+    "failing": estimates.Report.FAILING,
+}
+
+
+class HealthPoller:
+    """Asks each owned target for its health; only its owner does."""
+
+    def __init__(
+        self, *, balancer: balancers.Balancer, clock: traffic.Clock
+    ) -> None:
+        self._balancer = balancer
+        self._clock = clock
+        self._session: aiohttp.ClientSession | None = None
+        self._task: asyncio.Task[None] | None = None
+        self.failures = 0
+
+    async def async_open(self) -> None:
+        """Starts polling."""
+        timeout = aiohttp.ClientTimeout(total=const.HEALTH_TIMEOUT_S)
+        self._session = aiohttp.ClientSession(timeout=timeout)
+        self._task = asyncio.create_task(self._async_run())
+
+    async def async_close(self) -> None:
+        """Stops polling."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        if self._session is not None:
+            await self._session.close()
+
+    async def _async_run(self) -> None:
+        while True:
+            await asyncio.gather(
+                *(self._async_poll(n, e) for n, e in self._list_endpoints())
+            )
+            await asyncio.sleep(const.HEALTH_POLL_S)
+
+    def _list_endpoints(
+        self,
+    ) -> list[tuple[ids.EndpointNumber, documents.Endpoint]]:
+        context = self._balancer.context
+        return [
+            (number, context.directory.by_number[number][1])
+            for number, target in context.targets.items()
+            if target.role is owners.Role.OWNER
+            and context.directory.by_number[number][1].health_port is not None
+        ]
+
+    async def _async_poll(
+        self, number: ids.EndpointNumber, endpoint: documents.Endpoint
+    ) -> None:
+        host = ipaddress.ip_address(endpoint.address)
+        url = f"http://{host}:{endpoint.health_port}/health"
+        try:
+            async with self._session.get(url) as response:
+                values = await response.json()
+            report = _REPORTS[values["state"]]
+        except _POLL_ERRORS:
+            self.failures += 1
+            report = estimates.Report.SILENT
+        target = self._balancer.context.targets.get(number)
+        if target is not None:
+            target.admission.note_report(report, self._clock())
--- a/src/chivedoor/daemon/modes.py
+++ b/src/chivedoor/daemon/modes.py
@@ -45,18 +45,20 @@
         """Forgets what was announced in a former incarnation."""
         self._announced.clear()
 
-    def _take_entry(self, entry: boards.Entry) -> None:
-        if entry.origin == self._balancer.context.local_id:
+    def _take_entry(
+        self, topic: str, origin: ids.VmId, entry: boards.Entry | None
+    ) -> None:
+        if origin == self._balancer.context.local_id:
             return
-        number = ids.EndpointNumber(int(entry.topic.removeprefix(_PREFIX)))
-        if entry.value is None:
-            self._balancer.clear_mode(number, entry.origin)
+        number = ids.EndpointNumber(int(topic.removeprefix(_PREFIX)))
+        if entry is None or entry.value is None:
+            self._balancer.clear_mode(number, origin)
             return
         self._balancer.set_mode(
             balancers.Mode(
                 number=number,
                 identity=owners.OwnerIdentity(
-                    member=entry.origin, incarnation=entry.incarnation
+                    member=origin, incarnation=entry.incarnation
                 ),
                 generation=ids.Generation(entry.value),
             )
--- a/src/chivedoor/daemon/transfers.py
+++ b/src/chivedoor/daemon/transfers.py
@@ -94,9 +94,8 @@
         )
 
     async def _async_reply(
-        self, member_id: ids.VmId, request: messages.FlowsRequest
+        self, request: messages.FlowsRequest
     ) -> messages.FlowsReply:
-        del member_id
         base = request.base
         batch = self._balancer.targets.read_flows(
             number=ids.EndpointNumber(request.endpoint),
--- a/src/chivedoor/flows/owner.py
+++ b/src/chivedoor/flows/owner.py
@@ -89,7 +89,9 @@
 
     def update_policy(self, policy: documents.Policy) -> None:
         """Takes the policy of a new document."""
-        self._policy = policy
+        if policy != self._policy:
+            self._policy = policy
+            self.admission.set_policy(policy)
 
     # Flows on this target.
 
@@ -133,7 +135,7 @@
     def release(self, freed: records.Freed, now: float) -> None:
         """Gives back what the end of a flow frees."""
         if records.Freed.SLOT in freed:
-            self.admission.release_slot(now)
+            self.admission.release_slot()
         if records.Freed.CONNECTION in freed:
             self.admission.release_connection(now)
 
@@ -225,11 +227,21 @@
             and now - self._settled_at_s >= quiet_s
         )
 
-    def note_handshake(self, key: ids.FlowKey, now: float) -> None:
-        """Reports the time from a flow's first packet to the answer."""
+    def note_handshake(
+        self, key: ids.FlowKey, now: float, *, is_timed: bool
+    ) -> None:
+        """Reports the target's first answer to a flow.
+
+        Args:
+          key: The flow.
+          now: Monotonic seconds.
+          is_timed: Whether the time from the first packet to the answer says
+            how loaded the target is; for a datagram it includes the work.
+        """
         opened_at_s = self._opened_at_s.pop(key, None)
         if opened_at_s is not None:
-            self.admission.note_handshake(now - opened_at_s, now)
+            duration_s = now - opened_at_s if is_timed else None
+            self.admission.note_handshake(duration_s, now)
 
     # Transfers to other balancers.
 
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -37,6 +37,9 @@
     (delivered,) = fleet.send(
         name, fleets.make_segment(caller_port, fleets.SYN, **options)
     )
+    if delivered.packet.destination[:2] == bytes((127, 1)):
+        accept = fleets.make_answer(delivered, fleets.SYN | fleets.ACK)
+        fleet.send(name, accept)
     return delivered
 
 
