--- a/standins/callers.py
+++ b/standins/callers.py
@@ -1,12 +1,15 @@
 """The process that opens flows through the fabric."""
 
-import argparse
 import asyncio
+import dataclasses
 import ipaddress
 import json
 import pathlib
 import random
 import time
+from typing import Annotated
+
+import cappa
 
 from chivedoor.configuration import document as documents
 from standins import administration
@@ -118,53 +121,73 @@
         return {**self.caller.dump_state(), "now": time.monotonic()}
 
 
-async def async_run(arguments: argparse.Namespace) -> None:
-    """Runs a plan for a given time, or until a signal arrives."""
-    first = ipaddress.IPv4Address(arguments.inner)
-    process = CallersProcess(
-        name=arguments.name,
-        fabric=administration.parse_address(arguments.fabric),
-        fabric_admin=administration.parse_address(arguments.fabric_admin),
-        address=arguments.address,
-        admin_address=administration.parse_address(arguments.admin),
-        inner_addresses=[first + n for n in range(arguments.addresses)],
-        domain=arguments.domain,
-        seed=arguments.seed,
-    )
-    data = pathlib.Path(arguments.document).read_bytes()
-    process.caller.set_document(documents.parse_document(data))
-    await process.async_open()
-    try:
-        if arguments.plan:
-            plan = pathlib.Path(arguments.plan).read_text()
-            process.start_loads(json.loads(plan))
-        if arguments.seconds is None:
-            await administration.async_wait_for_signal()
-        else:
-            await asyncio.sleep(arguments.seconds)
-            await process.async_finish(arguments.grace_s)
-        print(json.dumps(process.caller.dump_state()), flush=True)
-    finally:
-        await process.async_close()
+@cappa.command(name="python -m standins.callers")
+@dataclasses.dataclass
+class Command:
+    """Opens flows to the services of a document.
+
+    The results are printed as JSON at the end.
+    """
+
+    document: pathlib.Path
+    name: Annotated[str, cappa.Arg(long=True)] = "caller"
+    fabric: Annotated[str, cappa.Arg(long=True)] = "127.0.0.2:7000"
+    fabric_admin: Annotated[str, cappa.Arg(long=True)] = "127.0.0.2:7001"
+    address: Annotated[str, cappa.Arg(long=True)] = "127.0.0.4"
+    admin: Annotated[str, cappa.Arg(long=True)] = "127.0.0.4:7003"
+    inner: Annotated[str, cappa.Arg(long=True)] = "127.2.0.1"
+    addresses: Annotated[int, cappa.Arg(long=True)] = 16
+    domain: Annotated[str, cappa.Arg(long=True)] = "clients"
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    plan: Annotated[
+        pathlib.Path | None,
+        cappa.Arg(long=True, help="File with a JSON list of loads."),
+    ] = None
+    seconds: Annotated[
+        float | None,
+        cappa.Arg(long=True, help="Time after which no flows are opened."),
+    ] = None
+    grace_s: Annotated[float, cappa.Arg(long=True)] = 30.0
+
+    def __call__(self) -> None:
+        """Runs the process."""
+        asyncio.run(self.async_run())
+
+    async def async_run(self) -> None:
+        """Runs a plan for a given time, or until a signal arrives."""
+        process = self._build_process()
+        document = documents.parse_document(self.document.read_bytes())
+        process.caller.set_document(document)
+        await process.async_open()
+        try:
+            if self.plan is not None:
+                process.start_loads(json.loads(self.plan.read_text()))
+            if self.seconds is None:
+                await administration.async_wait_for_signal()
+            else:
+                await asyncio.sleep(self.seconds)
+                await process.async_finish(self.grace_s)
+            print(json.dumps(process.caller.dump_state()), flush=True)
+        finally:
+            await process.async_close()
+
+    def _build_process(self) -> CallersProcess:
+        first = ipaddress.IPv4Address(self.inner)
+        return CallersProcess(
+            name=self.name,
+            fabric=administration.parse_address(self.fabric),
+            fabric_admin=administration.parse_address(self.fabric_admin),
+            address=self.address,
+            admin_address=administration.parse_address(self.admin),
+            inner_addresses=[first + n for n in range(self.addresses)],
+            domain=self.domain,
+            seed=self.seed,
+        )
 
 
 def main() -> None:
-    """Runs the process from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("document")
-    parser.add_argument("--name", default="caller")
-    parser.add_argument("--fabric", default="127.0.0.2:7000")
-    parser.add_argument("--fabric-admin", default="127.0.0.2:7001")
-    parser.add_argument("--address", default="127.0.0.4")
-    parser.add_argument("--admin", default="127.0.0.4:7003")
-    parser.add_argument("--inner", default="127.2.0.1")
-    parser.add_argument("--addresses", type=int, default=16)
-    parser.add_argument("--domain", default="clients")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--plan", help="file with a JSON list of loads")
-    parser.add_argument("--seconds", type=float)
-    parser.add_argument("--grace-s", type=float, default=30.0)
-    asyncio.run(async_run(parser.parse_args()))
+    """Runs the command line."""
+    cappa.invoke(Command)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,345 @@
+"""A whole deployment on one machine, for the demonstration and the bench."""
+
+import configparser
+import dataclasses
+import enum
+import json
+import pathlib
+import socket
+from typing import Any
+
+import aiohttp
+
+from standins import exceptions
+from standins import link
+from standins import processes
+from standins import requests
+
+_ENDPOINT_ADDRESS = 1
+_BLOCK_WIDTH = 10
+_VMS_OF_DOMAIN = 250
+_PEER_KEY = "000102030405060708090a0b0c0d0e0f"
+_OPERATOR_KEY = "202122232425262728292a2b2c2d2e2f"
+_MAXIMUM_SEEDS = 3
+
+
+class BalancerKind(enum.Enum):
+    """Which balancer runs on the entry VMs."""
+
+    CHIVEDOORD = "chivedoord"
+    DIRECT = "direct"
+
+
+_MODULES = {
+    BalancerKind.CHIVEDOORD: ["-m", "chivedoor.cli.daemon", "run"],
+    BalancerKind.DIRECT: ["-m", "standins.direct"],
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Vm:
+    """An entry VM of the deployment."""
+
+    name: str
+    domain: str
+    region: str
+    address: str
+    packet_port: int = 6080
+    peer_port: int = 6081
+    gossip_port: int = 6082
+    channel_port: int = 6083
+    operator_port: int = 6084
+    metrics_port: int = 6085
+
+
+class Deployment:
+    """Platform, fabric, targets, entry VMs and callers as processes.
+
+    All addresses lie in 127.0.0.0/8. Deployments with different blocks can
+    run on one machine at the same time.
+    """
+
+    def __init__(
+        self,
+        *,
+        document: dict,
+        balancers: int,
+        folder: pathlib.Path,
+        kind: BalancerKind = BalancerKind.CHIVEDOORD,
+        seed: int = 1,
+        block: int = 0,
+        spray: str = "packet",
+        limits: dict[str, int] | None = None,
+    ):
+        """Creates a deployment without starting it.
+
+        Args:
+            document: The first document, in JSON form.
+            balancers: Number of entry VMs; the failure domains take turns.
+            folder: Where settings and logs go.
+            kind: Which balancer runs on the entry VMs.
+            seed: Seed of all stand-ins.
+            block: Number of the range of addresses, 0 to 24.
+            spray: How the fabric spreads packets, `packet` or `flow`.
+            limits: Values of the `limits` section of the settings.
+        """
+        self.document = shift_document(document, block)
+        self.processes = processes.ProcessGroup(logs=folder)
+        self.vms = build_vms(document, balancers, block)
+        self.fabric_admin = (shift_address("127.0.0.2", block), 7001)
+        self.targets_admin = (shift_address("127.0.0.3", block), 7002)
+        self.callers_admin = (shift_address("127.0.0.4", block), 7003)
+        self._platform = (shift_address("127.0.0.5", block), 8500)
+        self._fabric = (self.fabric_admin[0], 7000)
+        self._folder = folder
+        self._kind = kind
+        self._seed = seed
+        self._block = block
+        self._spray = spray
+        self._limits = {
+            "control_bytes_per_s": 4000,
+            "max_flows": 400_000,
+            **(limits or {}),
+        }
+
+    async def async_open(self) -> None:
+        """Starts all processes and waits until each is ready.
+
+        Raises:
+            ProcessError: A process ended early or is not ready in time.
+        """
+        path = self._folder / "document.json"
+        path.write_text(json.dumps(self.document))
+        await self._async_start_platform(path)
+        await self._async_start_fabric()
+        await self._async_start_targets(path)
+        for vm in self.vms.values():
+            self._start_balancer(vm)
+        for vm in self.vms.values():
+            await self._async_wait_for_balancer(vm)
+            await self.async_attach(vm.name)
+        await self._async_start_callers(path)
+
+    async def async_close(self) -> dict[str, int]:
+        """Stops all processes; returns the exit status of each."""
+        return await self.processes.async_stop()
+
+    async def async_publish(self, document: dict) -> None:
+        """Makes a document, with addresses of block 0, the newest one."""
+        self.document = shift_document(document, self._block)
+        await self._async_put("document", self.document)
+
+    async def async_set_vms(self, states: dict[str, str]) -> None:
+        """Publishes the entry VMs, `live` but for the given states."""
+        vms = [
+            {
+                "id": vm.name,
+                "domain": vm.domain,
+                "state": states.get(vm.name, "live"),
+            }
+            for vm in self.vms.values()
+        ]
+        await self._async_put("vms", {"vms": vms})
+
+    async def async_set_platform_fault(self, fault: dict) -> None:
+        """Sets the faults of the platform's service."""
+        await self._async_put("fault", fault)
+
+    async def async_attach(self, name: str) -> None:
+        """Lets the fabric send packets to an entry VM."""
+        vm = self.vms[name]
+        await self.async_ask_fabric(
+            "balancers",
+            name=name,
+            domain=vm.domain,
+            address=vm.address,
+            port=vm.packet_port,
+        )
+
+    async def async_detach(self, name: str) -> None:
+        """Lets the fabric send no more packets to an entry VM."""
+        await self.async_ask_fabric("remove_balancer", name=name)
+
+    async def async_start_balancer(self, name: str) -> None:
+        """Starts the balancer of an entry VM again, and attaches it."""
+        vm = self.vms[name]
+        self._start_balancer(vm)
+        await self._async_wait_for_balancer(vm)
+        await self.async_attach(name)
+
+    async def async_ask_fabric(self, operation: str, **arguments: Any) -> Any:
+        """Performs an operation of the fabric."""
+        return await requests.async_request(
+            self.fabric_admin, operation, arguments
+        )
+
+    async def async_ask_targets(self, operation: str, **arguments: Any) -> Any:
+        """Performs an operation of the targets."""
+        return await requests.async_request(
+            self.targets_admin, operation, arguments
+        )
+
+    async def async_ask_callers(self, operation: str, **arguments: Any) -> Any:
+        """Performs an operation of the callers."""
+        return await requests.async_request(
+            self.callers_admin, operation, arguments
+        )
+
+    async def _async_put(self, name: str, value: dict) -> None:
+        url = f"{self._build_platform_url()}/admin/{name}"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.put(url, json=value) as response,
+        ):
+            if response.status != 200:
+                raise exceptions.PlanError(await response.text())
+
+    def _build_platform_url(self) -> str:
+        return f"http://{self._platform[0]}:{self._platform[1]}"
+
+    async def _async_start_platform(self, document: pathlib.Path) -> None:
+        arguments = ["-m", "standins.platform"]
+        arguments += ["--address", self._platform[0]]
+        arguments += ["--port", str(self._platform[1])]
+        arguments += ["--document", str(document)]
+        url = f"{self._build_platform_url()}/document"
+        await self.processes.async_start(
+            "platform", arguments, processes.build_url_check(url)
+        )
+        await self.async_set_vms({})
+
+    async def _async_start_fabric(self) -> None:
+        arguments = ["-m", "standins.fabric"]
+        arguments += ["--address", format_address(self._fabric)]
+        arguments += ["--admin", format_address(self.fabric_admin)]
+        arguments += ["--seed", str(self._seed), "--spray", self._spray]
+        await self.processes.async_start(
+            "fabric",
+            arguments,
+            processes.build_admin_check(self.fabric_admin),
+        )
+        addresses = [
+            address
+            for service in self.document["services"]
+            for address in service["addresses"]
+        ]
+        await self.async_ask_fabric("services", addresses=addresses)
+
+    async def _async_start_targets(self, document: pathlib.Path) -> None:
+        arguments = ["-m", "standins.targets", str(document)]
+        arguments += self._build_fabric_arguments()
+        arguments += ["--address", self.targets_admin[0]]
+        arguments += ["--admin", format_address(self.targets_admin)]
+        await self.processes.async_start(
+            "targets",
+            arguments,
+            processes.build_admin_check(self.targets_admin),
+        )
+
+    async def _async_start_callers(self, document: pathlib.Path) -> None:
+        arguments = ["-m", "standins.callers", str(document)]
+        arguments += self._build_fabric_arguments()
+        arguments += ["--address", self.callers_admin[0]]
+        arguments += ["--admin", format_address(self.callers_admin)]
+        arguments += ["--inner", shift_address("127.2.0.1", self._block)]
+        await self.processes.async_start(
+            "callers",
+            arguments,
+            processes.build_admin_check(self.callers_admin),
+        )
+
+    def _build_fabric_arguments(self) -> list[str]:
+        return [
+            "--fabric",
+            format_address(self._fabric),
+            "--fabric-admin",
+            format_address(self.fabric_admin),
+            "--seed",
+            str(self._seed),
+        ]
+
+    def _start_balancer(self, vm: Vm) -> None:
+        path = self._folder / f"{vm.name}.ini"
+        self._write_settings(vm, path)
+        self.processes.start(vm.name, [*_MODULES[self._kind], str(path)])
+
+    async def _async_wait_for_balancer(self, vm: Vm) -> None:
+        url = f"http://{vm.address}:{vm.metrics_port}/metrics"
+        is_ready = processes.build_url_check(url)
+        await self.processes[vm.name].async_wait_until(is_ready)
+
+    def _write_settings(self, vm: Vm, path: pathlib.Path) -> None:
+        seeds = [
+            f"{other.address}:{other.gossip_port}"
+            for other in self.vms.values()
+            if other is not vm
+        ]
+        parser = configparser.RawConfigParser()
+        vm_section = dataclasses.asdict(vm)
+        vm_section["id"] = vm_section.pop("name")
+        parser.read_dict(
+            {
+                "vm": vm_section,
+                "fabric": dict(
+                    zip(("address", "port"), self._fabric, strict=True)
+                ),
+                "platform": {"url": self._build_platform_url()},
+                "peers": {"seeds": ", ".join(seeds[:_MAXIMUM_SEEDS])},
+                "security": {
+                    "peer_key": _PEER_KEY,
+                    "operator_key": _OPERATOR_KEY,
+                },
+                "limits": self._limits,
+            }
+        )
+        with path.open("w") as file:
+            parser.write(file)
+
+
+def shift_address(address: str, block: int) -> str:
+    """Moves an address of 127.0.0.0/8 into the range of a block.
+
+    Raises:
+        PlanError: The address would leave 127.0.0.0/8.
+    """
+    packed = bytearray(socket.inet_aton(address))
+    second = packed[1] + block * _BLOCK_WIDTH
+    if packed[0] != 127 or second > 255:
+        raise exceptions.PlanError(f"{address} in block {block}")
+    packed[1] = second
+    return socket.inet_ntoa(bytes(packed))
+
+
+def shift_document(document: dict, block: int) -> dict:
+    """Returns a document whose endpoints lie in the range of a block."""
+    shifted = json.loads(json.dumps(document))
+    for service in shifted["services"]:
+        for endpoint in service["endpoints"]:
+            endpoint[_ENDPOINT_ADDRESS] = shift_address(
+                endpoint[_ENDPOINT_ADDRESS], block
+            )
+    for retired in shifted["retired"]:
+        retired[0] = shift_address(retired[0], block)
+    return shifted
+
+
+def build_vms(document: dict, count: int, block: int) -> dict[str, Vm]:
+    """Returns `count` entry VMs; the failure domains take turns."""
+    domains = [
+        (region, domain)
+        for region, members in document["regions"].items()
+        for domain in members
+    ]
+    vms = {}
+    for number in range(count):
+        region, domain = domains[number % len(domains)]
+        high, low = divmod(number, _VMS_OF_DOMAIN)
+        name = f"vm-{domain}{number // len(domains) + 1}"
+        address = shift_address(f"127.0.{16 + high}.{low + 1}", block)
+        vms[name] = Vm(name=name, domain=domain, region=region, address=address)
+    return vms
+
+
+def format_address(address: link.Address) -> str:
+    """Returns `ADDRESS:PORT`."""
+    return f"{address[0]}:{address[1]}"
--- a/standins/direct.py
+++ b/standins/direct.py
@@ -4,16 +4,17 @@
 reach another balancer after a change of the targets breaks.
 """
 
-import argparse
 import asyncio
 import collections
 import contextlib
+import dataclasses
 import pathlib
 import socket
 import time
 
 import aiohttp
 from aiohttp import web
+import cappa
 import xxhash
 
 from chivedoor.configuration import document as documents
@@ -28,7 +29,8 @@
 _HEALTH_INTERVAL_S = 1.0
 _HEALTH_TIMEOUT_S = 0.5
 _FAILURES_UNTIL_DEAD = 2
-_DOCUMENT_INTERVAL_S = 0.5
+_RETRY_INTERVAL_S = 0.5
+_WATCH_S = 10
 
 Key = tuple[bytes, int, int]
 
@@ -154,15 +156,13 @@
 
 
 class DirectProcess:
-    """The naive balancer with its sockets, document file and health checks."""
+    """The naive balancer with its sockets, document and health checks."""
 
-    def __init__(
-        self, *, settings: settings_module.Settings, document: pathlib.Path
-    ):
+    def __init__(self, *, settings: settings_module.Settings):
         """Creates the process without opening its sockets."""
         self._settings = settings
-        self._path = document
-        self._modified = 0
+        self._document: documents.Document | None = None
+        self._loaded = asyncio.Event()
         self._balancer = DirectBalancer(max_flows=settings.limits.max_flows)
         self._failures: collections.Counter = collections.Counter()
         self._fabric = (settings.fabric.address, settings.fabric.port)
@@ -176,12 +176,12 @@
 
     async def async_open(self) -> None:
         """Loads the document and opens the sockets."""
-        self._load_document()
+        watch = asyncio.create_task(self._async_watch_document())
+        self._tasks = [watch]
+        await self._loaded.wait()
         await self._port.async_open()
-        self._tasks = [
-            asyncio.create_task(self._async_watch_document()),
-            asyncio.create_task(self._async_watch_health()),
-        ]
+        health = asyncio.create_task(self._async_watch_health())
+        self._tasks.append(health)
         application = web.Application()
         application.router.add_get("/metrics", self._async_report)
         self._runner = web.AppRunner(application, access_log=None)
@@ -205,19 +205,28 @@
             if packet is not None:
                 self._port.send(packet, self._fabric)
 
-    def _load_document(self) -> None:
-        modified = self._path.stat().st_mtime_ns
-        if modified == self._modified:
-            return
-        data = self._path.read_bytes()
+    async def _async_watch_document(self) -> None:
+        async with aiohttp.ClientSession() as session:
+            while True:
+                try:
+                    await self._async_fetch_document(session)
+                except (aiohttp.ClientError, TimeoutError):
+                    await asyncio.sleep(_RETRY_INTERVAL_S)
+
+    async def _async_fetch_document(
+        self, session: aiohttp.ClientSession
+    ) -> None:
+        version = self._document.version if self._document else 0
+        url = f"{self._settings.platform.url}/document"
+        parameters = {"after": version, "wait": _WATCH_S}
+        async with session.get(url, params=parameters) as response:
+            if response.status == 304:
+                return
+            response.raise_for_status()
+            data = await response.read()
         self._document = documents.parse_document(data)
-        self._modified = modified
         self._balancer.set_document(self._document)
-
-    async def _async_watch_document(self) -> None:
-        while True:
-            await asyncio.sleep(_DOCUMENT_INTERVAL_S)
-            self._load_document()
+        self._loaded.set()
 
     async def _async_watch_health(self) -> None:
         timeout = aiohttp.ClientTimeout(total=_HEALTH_TIMEOUT_S)
@@ -265,25 +274,31 @@
         )
 
 
-async def async_run(arguments: argparse.Namespace) -> None:
-    """Runs the balancer until a signal arrives."""
-    process = DirectProcess(
-        settings=settings_module.load_settings(arguments.settings),
-        document=pathlib.Path(arguments.document),
-    )
-    await process.async_open()
-    try:
-        await administration.async_wait_for_signal()
-    finally:
-        await process.async_close()
+@cappa.command(name="python -m standins.direct")
+@dataclasses.dataclass
+class Command:
+    """Runs the naive balancer from a settings file of chivedoord."""
+
+    settings: pathlib.Path
+
+    def __call__(self) -> None:
+        """Runs the process."""
+        asyncio.run(self.async_run())
+
+    async def async_run(self) -> None:
+        """Runs the balancer until a signal arrives."""
+        settings = settings_module.load_settings(self.settings)
+        process = DirectProcess(settings=settings)
+        try:
+            await process.async_open()
+            await administration.async_wait_for_signal()
+        finally:
+            await process.async_close()
 
 
 def main() -> None:
-    """Runs the process from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("settings", help="INI file, as for chivedoord")
-    parser.add_argument("document", help="JSON file, read again on change")
-    asyncio.run(async_run(parser.parse_args()))
+    """Runs the command line."""
+    cappa.invoke(Command)
 
 
 if __name__ == "__main__":
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -4,7 +4,6 @@
 the decisions; the process moves one IP packet in each UDP datagram.
 """
 
-import argparse
 import asyncio
 import collections
 from collections.abc import Iterable
@@ -13,7 +12,9 @@
 import random
 import socket
 import time
+from typing import Annotated
 
+import cappa
 import xxhash
 
 from standins import administration
@@ -404,32 +405,37 @@
     )
 
 
-async def async_run(arguments: argparse.Namespace) -> None:
-    """Runs the fabric until a signal arrives."""
-    process = FabricProcess(
-        fabric=Fabric(seed=arguments.seed, spray=Spray(arguments.spray)),
-        address=administration.parse_address(arguments.address),
-        admin_address=administration.parse_address(arguments.admin),
-    )
-    await process.async_open()
-    try:
-        await administration.async_wait_for_signal()
-    finally:
-        await process.async_close()
+@cappa.command(name="python -m standins.fabric")
+@dataclasses.dataclass
+class Command:
+    """Moves packets between callers, entry VMs and targets."""
+
+    address: Annotated[str, cappa.Arg(long=True)] = "127.0.0.2:7000"
+    admin: Annotated[str, cappa.Arg(long=True)] = "127.0.0.2:7001"
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    spray: Annotated[Spray, cappa.Arg(long=True)] = Spray.PACKET
+
+    def __call__(self) -> None:
+        """Runs the process."""
+        asyncio.run(self.async_run())
+
+    async def async_run(self) -> None:
+        """Runs the fabric until a signal arrives."""
+        process = FabricProcess(
+            fabric=Fabric(seed=self.seed, spray=self.spray),
+            address=administration.parse_address(self.address),
+            admin_address=administration.parse_address(self.admin),
+        )
+        await process.async_open()
+        try:
+            await administration.async_wait_for_signal()
+        finally:
+            await process.async_close()
 
 
 def main() -> None:
-    """Runs the process from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--address", default="127.0.0.2:7000")
-    parser.add_argument("--admin", default="127.0.0.2:7001")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument(
-        "--spray",
-        choices=[spray.value for spray in Spray],
-        default=Spray.PACKET.value,
-    )
-    asyncio.run(async_run(parser.parse_args()))
+    """Runs the command line."""
+    cappa.invoke(Command)
 
 
 if __name__ == "__main__":
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -49,7 +49,7 @@
         return self._child is not None and self._child.poll() is None
 
     def start(self) -> None:
-        """Starts the process, also again after its end."""
+        """Starts the process; its output is added to its log."""
         if self.is_running:
             raise exceptions.ProcessError(f"{self.name} already runs")
         # The packages next to this file come first, so that a worktree does
@@ -139,19 +139,30 @@
         """Returns a process by its name."""
         return self._processes[name]
 
+    def start(self, name: str, arguments: list[str]) -> Process:
+        """Starts a process, again when one of this name has ended.
+
+        Raises:
+            ProcessError: A process of this name still runs.
+        """
+        process = self._processes.get(name)
+        if process is not None and process.is_running:
+            raise exceptions.ProcessError(f"{name} already runs")
+        process = Process(name=name, arguments=arguments, logs=self._logs)
+        self._processes[name] = process
+        process.start()
+        return process
+
     async def async_start(
-        self, name: str, arguments: list[str], is_ready: Callable | None = None
+        self, name: str, arguments: list[str], is_ready: Callable
     ) -> Process:
         """Starts a process and waits until it is ready.
 
         Raises:
             ProcessError: The process ended, or is not ready in time.
         """
-        process = Process(name=name, arguments=arguments, logs=self._logs)
-        self._processes[name] = process
-        process.start()
-        if is_ready is not None:
-            await process.async_wait_until(is_ready)
+        process = self.start(name, arguments)
+        await process.async_wait_until(is_ready)
         return process
 
     async def async_stop(self) -> dict[str, int]:
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -6,7 +6,6 @@
 peers see its known address as the source.
 """
 
-import argparse
 import asyncio
 import collections
 import contextlib
@@ -14,6 +13,9 @@
 import random
 import socket
 import time
+from typing import Annotated
+
+import cappa
 
 from standins import administration
 from standins import exceptions
@@ -286,25 +288,34 @@
         await self._relay.async_open()
 
 
-async def async_run(arguments: argparse.Namespace) -> None:
-    """Runs the relay until a signal arrives."""
-    process = RelayProcess(
-        admin_address=administration.parse_address(arguments.admin),
-        seed=arguments.seed,
-    )
-    await process.async_open()
-    try:
-        await administration.async_wait_for_signal()
-    finally:
-        await process.async_close()
+@cappa.command(name="python -m standins.relay")
+@dataclasses.dataclass
+class Command:
+    """Relays traffic between entry VMs."""
+
+    admin: Annotated[str, cappa.Arg(long=True)] = "127.0.0.6:7004"
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+
+    def __call__(self) -> None:
+        """Runs the process."""
+        asyncio.run(self.async_run())
+
+    async def async_run(self) -> None:
+        """Runs the relay until a signal arrives."""
+        process = RelayProcess(
+            admin_address=administration.parse_address(self.admin),
+            seed=self.seed,
+        )
+        await process.async_open()
+        try:
+            await administration.async_wait_for_signal()
+        finally:
+            await process.async_close()
 
 
 def main() -> None:
-    """Runs the process from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--admin", default="127.0.0.6:7004")
-    parser.add_argument("--seed", type=int, default=1)
-    asyncio.run(async_run(parser.parse_args()))
+    """Runs the command line."""
+    cappa.invoke(Command)
 
 
 if __name__ == "__main__":
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -1,14 +1,15 @@
 """The process that holds the targets of a document."""
 
-import argparse
 import asyncio
 from collections.abc import Iterable
-import json
+import dataclasses
 import pathlib
 import random
 import time
+from typing import Annotated
 
 from aiohttp import web
+import cappa
 
 from chivedoor.configuration import document as documents
 from standins import administration
@@ -221,35 +222,43 @@
         }
 
 
-async def async_run(arguments: argparse.Namespace) -> None:
-    """Runs the targets until a signal arrives."""
-    process = TargetsProcess(
-        fabric=administration.parse_address(arguments.fabric),
-        fabric_admin=administration.parse_address(arguments.fabric_admin),
-        address=arguments.address,
-        admin_address=administration.parse_address(arguments.admin),
-        seed=arguments.seed,
-    )
-    data = pathlib.Path(arguments.document).read_bytes()
-    await process.async_open()
-    try:
-        await process.async_add(documents.parse_document(data))
-        print(json.dumps({"event": "ready"}), flush=True)
-        await administration.async_wait_for_signal()
-    finally:
-        await process.async_close()
+@cappa.command(name="python -m standins.targets")
+@dataclasses.dataclass
+class Command:
+    """Serves as all targets of a document."""
+
+    document: pathlib.Path
+    fabric: Annotated[str, cappa.Arg(long=True)] = "127.0.0.2:7000"
+    fabric_admin: Annotated[str, cappa.Arg(long=True)] = "127.0.0.2:7001"
+    address: Annotated[str, cappa.Arg(long=True)] = "127.0.0.3"
+    admin: Annotated[str, cappa.Arg(long=True)] = "127.0.0.3:7002"
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+
+    def __call__(self) -> None:
+        """Runs the process."""
+        asyncio.run(self.async_run())
+
+    async def async_run(self) -> None:
+        """Runs the targets until a signal arrives."""
+        process = TargetsProcess(
+            fabric=administration.parse_address(self.fabric),
+            fabric_admin=administration.parse_address(self.fabric_admin),
+            address=self.address,
+            admin_address=administration.parse_address(self.admin),
+            seed=self.seed,
+        )
+        document = documents.parse_document(self.document.read_bytes())
+        try:
+            await process.async_add(document)
+            await process.async_open()
+            await administration.async_wait_for_signal()
+        finally:
+            await process.async_close()
 
 
 def main() -> None:
-    """Runs the process from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("document")
-    parser.add_argument("--fabric", default="127.0.0.2:7000")
-    parser.add_argument("--fabric-admin", default="127.0.0.2:7001")
-    parser.add_argument("--address", default="127.0.0.3")
-    parser.add_argument("--admin", default="127.0.0.3:7002")
-    parser.add_argument("--seed", type=int, default=1)
-    asyncio.run(async_run(parser.parse_args()))
+    """Runs the command line."""
+    cappa.invoke(Command)
 
 
 if __name__ == "__main__":
