--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,9 @@
-"""Settings and fixtures that all tests share."""
+"""Settings and fixtures shared by all tests."""
 
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import pathlib
 
 import hypothesis
 import pytest
@@ -14,6 +15,11 @@
 hypothesis.settings.load_profile("fixed")
 
 
+@pytest.fixture
+def examples_path() -> pathlib.Path:
+    return pathlib.Path(__file__).parent.parent / "examples"
+
+
 @pytest.fixture
 def async_wait_until() -> Callable[[Callable[[], bool]], Awaitable[None]]:
     """Waits on a condition; the limit only stops a test that hangs."""
