--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -31,7 +31,7 @@
 
 
 _MODULES = {
-    BalancerKind.CHIVEDOORD: ["-m", "chivedoor.cli.daemon", "run"],
+    BalancerKind.CHIVEDOORD: ["-m", "chivedoor.cli.daemon"],
     BalancerKind.DIRECT: ["-m", "standins.direct"],
 }
 
