configuration: compare documents and keep the one in force

Cause: peers follow the document by differences, operators want to read them, and every balancer needs one place that decides what is in force. Conclusion: versions only rise, and sending stops beyond the reuse delay.

--- a/src/chivedoor/configuration/document.py
+++ b/src/chivedoor/configuration/document.py
@@ -201,14 +201,14 @@
     "retired",
 )
 _SERVICE_FIELDS: Final = ("id", "addresses", "policy", "ports", "endpoints")
-_PORT_COLUMNS: Final = (
+PORT_COLUMNS: Final = (
     "protocol",
     "port",
     "target_port",
     "kind",
     "idempotent",
 )
-_ENDPOINT_COLUMNS: Final = (
+ENDPOINT_COLUMNS: Final = (
     "number",
     "address",
     "domain",
@@ -439,7 +439,7 @@
 
     def _parse_port(self, value: object, path: str) -> ServicePort | None:
         reader = self._reader
-        row = reader.open_row(value, path, _PORT_COLUMNS)
+        row = reader.open_row(value, path, PORT_COLUMNS)
         port = ServicePort(
             protocol=row.read("protocol", reader.read_choice, PROTOCOLS),
             port=row.read("port", reader.read_integer, 1, const.MAX_PORT),
@@ -460,7 +460,7 @@
 
     def _parse_endpoint(self, value: object, path: str) -> Endpoint | None:
         reader = self._reader
-        row = reader.open_row(value, path, _ENDPOINT_COLUMNS)
+        row = reader.open_row(value, path, ENDPOINT_COLUMNS)
         endpoint = Endpoint(
             number=row.read(
                 "number", reader.read_integer, 1, const.MAX_ENDPOINT_NUMBER
--- a/src/chivedoor/configuration/encoding.py
+++ b/src/chivedoor/configuration/encoding.py
@@ -15,7 +15,7 @@
         "format": const.FORMAT,
         "version": document.version,
         "reuse_delay_s": document.reuse_delay_s,
-        "regions": _format_regions(document.domains.values()),
+        "regions": format_regions(document.domains.values()),
         "policies": {
             policy.id: format_policy(policy)
             for policy in document.policies.values()
@@ -79,9 +79,10 @@
     return [address, entry.service, entry.until_s]
 
 
-def _format_regions(
+def format_regions(
     domains: Iterable[document_module.Domain],
 ) -> dict[str, Any]:
+    """Returns the JSON value of the failure domains, by region."""
     regions: dict[str, Any] = {}
     for domain in domains:
         entries = regions.setdefault(domain.region, {})
--- a/src/chivedoor/configuration/exceptions.py
+++ b/src/chivedoor/configuration/exceptions.py
@@ -41,6 +41,18 @@
     """A difference between documents cannot be read or applied."""
 
 
+class DifferenceFaultsError(DifferenceError):
+    """The text of a difference has faults.
+
+    Attributes:
+        faults: All faults found.
+    """
+
+    def __init__(self, *, faults: Sequence[faults_module.Fault]) -> None:
+        self.faults = tuple(faults)
+        super().__init__(_format_faults("difference", self.faults))
+
+
 class BaseVersionError(DifferenceError):
     """A difference starts from another version than the one in force.
 
--- /dev/null
+++ b/src/chivedoor/configuration/store.py
@@ -0,0 +1,224 @@
+"""The document in force, and what peers need to follow it."""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Sequence
+import itertools
+import math
+from typing import Any
+
+from chivedoor import ids
+from chivedoor.configuration import checks
+from chivedoor.configuration import const
+from chivedoor.configuration import difference as differences
+from chivedoor.configuration import document as documents
+from chivedoor.configuration import exceptions
+from chivedoor.configuration import faults
+
+
+class DocumentStore:
+    """Aggregate of the document in force, its past and its confirmation.
+
+    Versions only rise. A confirmation says that the version in force was the
+    newest one at some time; its age decides whether targets may be sent to.
+    All times are in seconds; `now` is monotonic.
+
+    Attributes:
+        refusals: Number of refused documents by reason; a document that has
+            faults of several kinds counts once for each kind.
+        accepted: Number of accepted documents.
+    """
+
+    def __init__(self) -> None:
+        self.refusals: collections.Counter[faults.FaultReason] = (
+            collections.Counter()
+        )
+        self.accepted = 0
+        self._document: documents.Document | None = None
+        self._confirmed_at = -math.inf
+        self._differences: collections.deque[differences.Difference] = (
+            collections.deque(maxlen=const.MAX_DIFFERENCES)
+        )
+
+    @property
+    def document(self) -> documents.Document | None:
+        """Document in force; None before the first."""
+        return self._document
+
+    @property
+    def version(self) -> ids.Version:
+        """Version in force; 0 before the first."""
+        if self._document is None:
+            return ids.Version(0)
+        return self._document.version
+
+    def accept(
+        self,
+        document: documents.Document,
+        now: float,
+        *,
+        wall_s: float,
+        age_s: float = math.inf,
+    ) -> None:
+        """Brings a document into force.
+
+        The age of the confirmation never rises: the new document is newer
+        than one that was confirmed.
+
+        Args:
+            document: Document with a higher version than the one in force.
+            now: Monotonic time.
+            wall_s: Wall-clock time, in seconds of the Unix epoch.
+            age_s: Time since the document was known to be the newest one;
+                0 when it comes from the platform, the peer's `confirmed_age`
+                when it comes from a peer.
+
+        Raises:
+            exceptions.DocumentError: The document is not accepted; the one in
+                force stays. The refusal is counted.
+        """
+        found = checks.check_document(
+            document,
+            self._document,
+            wall_s=wall_s,
+            previous_age_s=self.confirmed_age(now),
+        )
+        if found:
+            self._count_refusal(found)
+            raise exceptions.DocumentError(faults=found)
+        if self._document is not None:
+            self._differences.append(
+                differences.compare_documents(self._document, document)
+            )
+        self._document = document
+        self.accepted += 1
+        self.confirm(document.version, age_s, now)
+
+    def accept_data(
+        self,
+        data: bytes,
+        now: float,
+        *,
+        wall_s: float,
+        age_s: float = math.inf,
+    ) -> None:
+        """Parses a document and brings it into force, as `accept` does.
+
+        Raises:
+            exceptions.DocumentError: The text has faults, or the document is
+                not accepted. The refusal is counted.
+        """
+        try:
+            document = documents.parse_document(data)
+        except exceptions.DocumentError as error:
+            self._count_refusal(error.faults)
+            raise
+        self.accept(document, now, wall_s=wall_s, age_s=age_s)
+
+    def accept_differences(
+        self,
+        received: Iterable[differences.Difference],
+        now: float,
+        *,
+        wall_s: float,
+        age_s: float = math.inf,
+    ) -> None:
+        """Applies a peer's differences and brings the result into force.
+
+        Args:
+            received: Differences in the order of their versions; those that
+                lead to a version not above the one in force are left out.
+            now: Monotonic time.
+            wall_s: Wall-clock time, in seconds of the Unix epoch.
+            age_s: The peer's `confirmed_age`.
+
+        Raises:
+            exceptions.BaseVersionError: The differences do not start from the
+                version in force; the whole document is needed.
+            exceptions.DocumentError: The result is not accepted.
+        """
+        document = self._document
+        for difference in received:
+            if document is None:
+                raise exceptions.BaseVersionError(
+                    expected=difference.from_version, found=0
+                )
+            if difference.to_version > document.version:
+                document = differences.apply_difference(document, difference)
+        if document is not None and document.version > self.version:
+            self.accept(document, now, wall_s=wall_s, age_s=age_s)
+
+    def get_differences(
+        self, from_version: int
+    ) -> Sequence[differences.Difference] | None:
+        """Returns what leads a peer to the version in force.
+
+        Args:
+            from_version: Version that the peer has.
+
+        Returns:
+            Differences in the order of their versions, none when the peer has
+            the version in force or a higher one; None when the peer needs the
+            whole document.
+        """
+        if from_version >= self.version:
+            return ()
+        chain = tuple(
+            itertools.dropwhile(
+                lambda difference: difference.from_version != from_version,
+                self._differences,
+            )
+        )
+        return chain or None
+
+    def confirm(self, version: int, age_s: float, now: float) -> None:
+        """Notes that a version was the newest one a while ago.
+
+        Only the version in force can be confirmed. The smallest age counts.
+
+        Args:
+            version: Version that was the newest one.
+            age_s: Time since then; 0 when the platform said so just now.
+            now: Monotonic time.
+        """
+        if self._document is None or version != self.version:
+            return
+        if not age_s >= 0:
+            return
+        self._confirmed_at = max(self._confirmed_at, now - age_s)
+
+    def confirmed_age(self, now: float) -> float:
+        """Returns the time since the last confirmation; infinite if none."""
+        return max(0.0, now - self._confirmed_at)
+
+    def may_send(self, now: float) -> bool:
+        """Returns whether targets may be sent to.
+
+        Beyond the reuse delay, an address in the document may belong to
+        another service in a newer one.
+        """
+        if self._document is None:
+            return False
+        return self.confirmed_age(now) <= self._document.reuse_delay_s
+
+    def dump_state(self) -> dict[str, Any]:
+        """Returns plain values for the operators' dump."""
+        return {
+            "version": self.version,
+            "accepted": self.accepted,
+            "refusals": {
+                reason.value: count for reason, count in self.refusals.items()
+            },
+            "confirmed_at_s": (
+                self._confirmed_at
+                if math.isfinite(self._confirmed_at)
+                else None
+            ),
+            "differences": [
+                [difference.from_version, difference.to_version]
+                for difference in self._differences
+            ],
+        }
+
+    def _count_refusal(self, found: Sequence[faults.Fault]) -> None:
+        self.refusals.update({fault.reason for fault in found})
--- a/tests/configuration/conftest.py
+++ b/tests/configuration/conftest.py
@@ -2,8 +2,15 @@
 
 import json
 
+import hypothesis
 import pytest
 
+# The same examples in every run, and no verdict that depends on speed.
+hypothesis.settings.register_profile(
+    "fixed", derandomize=True, deadline=None, database=None
+)
+hypothesis.settings.load_profile("fixed")
+
 
 @pytest.fixture
 def value():
--- /dev/null
+++ b/tests/configuration/test_difference.py
@@ -0,0 +1,140 @@
+"""Tests of differences between documents."""
+
+import json
+
+import hypothesis
+import pytest
+
+from chivedoor.configuration import changes
+from chivedoor.configuration import difference
+from chivedoor.configuration import document
+from chivedoor.configuration import encoding
+from chivedoor.configuration import exceptions
+from chivedoor.configuration import faults
+from tests.configuration import strategies
+
+FaultReason = faults.FaultReason
+
+
+@pytest.fixture
+def pair(value, encode):
+    """A document and its successor with one changed endpoint."""
+    old = document.parse_document(encode(value))
+    value["version"] = 8
+    value["services"][0]["endpoints"][0][4] = "draining"
+    return old, document.parse_document(encode(value))
+
+
+@hypothesis.given(
+    old=strategies.documents(version=1), new=strategies.documents(version=2)
+)
+def test_applied_difference_gives_the_newer_document(old, new):
+    # Guards against balancers that reach different documents by different
+    # ways.
+    change = difference.compare_documents(old, new)
+    assert difference.apply_difference(old, change) == new
+
+
+@hypothesis.given(
+    old=strategies.documents(version=1), new=strategies.documents(version=2)
+)
+def test_encoded_difference_reads_back_the_same(old, new):
+    # Guards against changes that are lost on the way to a peer.
+    change = difference.compare_documents(old, new)
+    encoded = difference.encode_difference(change)
+    assert difference.decode_difference(encoded) == change
+
+
+@hypothesis.given(strategies.documents())
+def test_encoded_document_reads_back_the_same(original):
+    # Guards against an encoding that the strict parser refuses.
+    encoded = encoding.format_document(original)
+    assert document.parse_document(encoded) == original
+
+
+@hypothesis.given(
+    old=strategies.documents(version=1), new=strategies.documents(version=1)
+)
+def test_changes_are_listed_exactly_when_documents_differ(old, new):
+    # Guards against a change that operators do not see.
+    assert bool(changes.list_changes(old, new)) == (old != new)
+    assert changes.list_changes(old, old) == []
+
+
+def test_difference_has_only_what_changed(pair):
+    # Guards against differences that grow with the document.
+    old, new = pair
+    change = difference.compare_documents(old, new)
+    assert list(change.services) == ["listening"]
+    assert list(change.policies) == ["streams"]
+    assert not change.domains
+    assert not change.retired
+    assert change.removed == difference.Removals()
+
+
+def test_changed_policy_reaches_services_that_did_not_change(value, encode):
+    # Guards against services that keep the limits of an older document.
+    old = document.parse_document(encode(value))
+    value["version"] = 8
+    value["policies"]["streams"]["slots"] = 2
+    new = document.parse_document(encode(value))
+    change = difference.compare_documents(old, new)
+    applied = difference.apply_difference(old, change)
+    assert not change.services
+    assert applied.services["listening"].policy.slots == 2
+
+
+def test_difference_from_another_version_is_refused(pair):
+    # Guards against a difference applied to the wrong document.
+    old, new = pair
+    change = difference.compare_documents(old, new)
+    with pytest.raises(exceptions.BaseVersionError):
+        difference.apply_difference(new, change)
+
+
+def test_faults_of_a_text_are_listed_together(pair):
+    # Guards against an untyped error on a message from a peer.
+    value = json.loads(
+        difference.encode_difference(difference.compare_documents(*pair))
+    )
+    value["to"] = "8"
+    value["services"][0]["endpoints"][0][3] = -1
+    value["removed"]["retired"] = [["127.1.0.1"]]
+    del value["removed"]["services"]
+    with pytest.raises(exceptions.DifferenceFaultsError) as caught:
+        difference.decode_difference(json.dumps(value).encode())
+    assert [(fault.path, fault.reason) for fault in caught.value.faults] == [
+        ("to", FaultReason.WRONG_TYPE),
+        ("services[0].endpoints[0].weight", FaultReason.OUT_OF_RANGE),
+        ("removed.services", FaultReason.MISSING),
+        ("removed.retired[0]", FaultReason.INVALID_VALUE),
+    ]
+
+
+def test_text_that_is_not_json_is_a_typed_error():
+    # Guards against an untyped error on a truncated message.
+    with pytest.raises(exceptions.DifferenceError):
+        difference.decode_difference(b"{")
+
+
+def test_changes_are_readable(pair):
+    # Guards against a list that shows whole sections for one value.
+    lines = [str(change) for change in changes.list_changes(*pair)]
+    assert lines == [
+        "version: 7 -> 8",
+        'services.listening.endpoints.1.state: "active" -> "draining"',
+    ]
+
+
+def test_added_and_removed_services_are_listed(value, encode):
+    # Guards against a removal that looks like a change.
+    old = document.parse_document(encode(value))
+    value["services"][1]["id"] = "uploads"
+    new = document.parse_document(encode(value))
+    kinds = [
+        (change.path, change.kind) for change in changes.list_changes(old, new)
+    ]
+    assert kinds == [
+        ("services.intake", changes.ChangeKind.REMOVED),
+        ("services.uploads", changes.ChangeKind.ADDED),
+    ]
