--- a/src/chivedoor/configuration/document.py
+++ b/src/chivedoor/configuration/document.py
@@ -216,7 +216,7 @@
     "state",
     "health_port",
 )
-_RETIRED_COLUMNS: Final = ("address", "service", "until_s")
+RETIRED_COLUMNS: Final = ("address", "service", "until_s")
 _INTEGER_LIMITS: Final = types.MappingProxyType(
     {
         "connections": (1, const.MAX_CONNECTIONS),
@@ -489,7 +489,7 @@
 
     def _parse_retired_entry(self, value: object, path: str) -> Retired | None:
         reader = self._reader
-        row = reader.open_row(value, path, _RETIRED_COLUMNS)
+        row = reader.open_row(value, path, RETIRED_COLUMNS)
         entry = Retired(
             address=row.read("address", reader.read_address),
             service=row.read("service", reader.read_id),
--- a/src/chivedoor/configuration/settings.py
+++ b/src/chivedoor/configuration/settings.py
@@ -393,7 +393,9 @@
     name: str, texts: dict[str, str], found: list[faults.SettingsFault]
 ) -> dict[str, Any]:
     keys = _SECTIONS[name].keys
-    for key in texts.keys() - keys.keys():
+    for key in texts:
+        if key in keys:
+            continue
         detail = f"expected only {', '.join(keys)}"
         found.append(_build_fault(name, key, FaultReason.UNKNOWN_FIELD, detail))
     return {key: _read_value(name, key, texts.get(key), found) for key in keys}
@@ -423,7 +425,9 @@
 def _find_unknown_sections(
     sections: dict[str, dict[str, str]],
 ) -> Iterator[faults.SettingsFault]:
-    for name in sections.keys() - _SECTIONS.keys():
+    for name in sections:
+        if name in _SECTIONS:
+            continue
         detail = f"expected only {', '.join(_SECTIONS)}"
         yield _build_fault(name, "", FaultReason.UNKNOWN_FIELD, detail)
 
--- /dev/null
+++ b/tests/configuration/test_schema.py
@@ -0,0 +1,91 @@
+"""Tests that the schema says what the parser does."""
+
+import json
+import pathlib
+
+import pytest
+
+from chivedoor.configuration import const
+from chivedoor.configuration import document
+from chivedoor.configuration import exceptions
+
+
+@pytest.fixture(scope="module")
+def schema():
+    path = pathlib.Path(document.__file__).parent / "schema.json"
+    return json.loads(path.read_text(encoding="utf-8"))
+
+
+def parses(data):
+    try:
+        document.parse_document(data)
+    except exceptions.DocumentError:
+        return False
+    return True
+
+
+def list_ranges(schema, value):
+    """Yields path and rule of each number with a range in `value`."""
+    for name in ("version", "reuse_delay_s"):
+        yield [name], schema["properties"][name]
+    for name, rule in schema["$defs"]["policy"]["properties"].items():
+        yield ["policies", "streams", name], rule
+    for section, row in (
+        ("ports", schema["$defs"]["port"]),
+        ("endpoints", schema["$defs"]["endpoint"]),
+    ):
+        for index, rule in enumerate(row["prefixItems"]):
+            if rule.get("$ref") == "#/$defs/port_number":
+                rule = schema["$defs"]["port_number"]
+            if "minimum" in rule:
+                yield ["services", 0, section, 0, index], rule
+    yield ["retired", 0, 2], schema["$defs"]["retired"]["prefixItems"][2]
+
+
+def set_value(value, path, content):
+    parent = value
+    for key in path[:-1]:
+        parent = parent[key]
+    parent[path[-1]] = content
+
+
+def test_ranges_are_those_of_the_parser(schema, value, encode):
+    # Guards against a console that follows the schema and is refused.
+    ranges = list(list_ranges(schema, value))
+    assert len(ranges) == 16
+    for path, rule in ranges:
+        original = json.loads(encode(value))
+        for content, expected in (
+            (rule["minimum"], True),
+            (rule["maximum"], True),
+            (rule["minimum"] - 1, False),
+            (rule["maximum"] + 1, False),
+        ):
+            set_value(original, path, content)
+            assert parses(encode(original)) is expected, (path, content)
+
+
+def test_fields_are_those_of_the_parser(schema, value, encode):
+    # Guards against a field that the schema leaves out or adds.
+    policy = schema["$defs"]["policy"]
+    service = schema["$defs"]["service"]
+    assert set(schema["required"]) == set(value)
+    assert set(policy["required"]) == set(document.POLICY_FIELDS)
+    assert set(service["required"]) == set(value["services"][0])
+    for name, columns in (
+        ("port", document.PORT_COLUMNS),
+        ("endpoint", document.ENDPOINT_COLUMNS),
+        ("retired", document.RETIRED_COLUMNS),
+    ):
+        items = schema["$defs"][name]["prefixItems"]
+        assert tuple(item["title"] for item in items) == columns
+
+
+def test_words_are_those_of_the_parser(schema):
+    # Guards against a new state or kind that the schema does not know.
+    port = schema["$defs"]["port"]["prefixItems"]
+    endpoint = schema["$defs"]["endpoint"]["prefixItems"]
+    assert port[0]["enum"] == list(document.PROTOCOLS)
+    assert port[3]["enum"] == list(document.PORT_KINDS)
+    assert endpoint[4]["enum"] == list(document.ENDPOINT_STATES)
+    assert schema["$defs"]["id"]["pattern"] == f"^{const.ID_PATTERN.pattern}$"
--- /dev/null
+++ b/tests/configuration/test_settings.py
@@ -0,0 +1,279 @@
+"""Tests of the settings."""
+
+import pathlib
+
+import pytest
+
+from chivedoor.configuration import exceptions
+from chivedoor.configuration import faults
+from chivedoor.configuration import settings
+
+FaultReason = faults.FaultReason
+
+
+@pytest.fixture
+def text(examples_path):
+    return (examples_path / "chivedoord.ini").read_text(encoding="utf-8")
+
+
+def list_faults(text):
+    with pytest.raises(exceptions.SettingsError) as caught:
+        settings.parse_settings(text)
+    return [
+        (fault.section, fault.key, fault.reason)
+        for fault in caught.value.faults
+    ]
+
+
+def replace(text, old, new):
+    """Replaces one line, and fails when it is not there."""
+    assert old in text
+    return text.replace(old, new, 1)
+
+
+def test_settings_have_the_values_of_the_file(text):
+    # Guards against values that land in another field.
+    loaded = settings.parse_settings(text)
+    assert loaded.vm == settings.VmSettings(
+        id="vm-a1",
+        domain="a",
+        region="r1",
+        address="127.2.0.1",
+        packet_port=6080,
+        peer_port=6081,
+        gossip_port=6082,
+        channel_port=6083,
+        operator_port=6084,
+        metrics_port=6085,
+    )
+    assert loaded.fabric == settings.FabricSettings(
+        address="127.3.0.1", port=6080
+    )
+    assert loaded.platform.url == "http://127.4.0.1:8500"
+    assert loaded.peers.seeds == (("127.2.0.2", 6082), ("127.2.0.3", 6082))
+    assert loaded.security.peer_key == bytes(range(16))
+    assert loaded.limits == settings.LimitSettings(
+        control_bytes_per_s=4000, max_flows=400000
+    )
+    assert loaded.logs.path == pathlib.Path("chivedoord.log")
+
+
+def test_optional_keys_have_defaults(text):
+    # Guards against a first VM that cannot start without seeds.
+    text = replace(text, "seeds = 127.2.0.2:6082, 127.2.0.3:6082", "")
+    text = replace(text, "path = chivedoord.log", "")
+    text = replace(
+        text, "previous_peer_key = 101112131415161718191a1b1c1d1e1f", ""
+    )
+    loaded = settings.parse_settings(text)
+    assert loaded.peers.seeds == ()
+    assert loaded.logs.path is None
+    assert loaded.security.previous_peer_key is None
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "section", "key", "reason"),
+    [
+        ("id = vm-a1", "id = a b", "vm", "id", FaultReason.INVALID_VALUE),
+        ("domain = a", "", "vm", "domain", FaultReason.MISSING),
+        ("region = r1", "region =", "vm", "region", FaultReason.INVALID_VALUE),
+        (
+            "address = 127.2.0.1",
+            "address = localhost",
+            "vm",
+            "address",
+            FaultReason.INVALID_VALUE,
+        ),
+        (
+            "peer_port = 6081",
+            "peer_port = 0",
+            "vm",
+            "peer_port",
+            FaultReason.OUT_OF_RANGE,
+        ),
+        (
+            "peer_port = 6081",
+            "peer_port = 6_081",
+            "vm",
+            "peer_port",
+            FaultReason.WRONG_TYPE,
+        ),
+        (
+            "peer_port = 6081",
+            "peer_port = 6080",
+            "vm",
+            "peer_port",
+            FaultReason.CONFLICT,
+        ),
+        (
+            "operator_port = 6084",
+            "operator_port = 6083",
+            "vm",
+            "operator_port",
+            FaultReason.CONFLICT,
+        ),
+        (
+            "url = http://127.4.0.1:8500",
+            "url = ftp://127.4.0.1",
+            "platform",
+            "url",
+            FaultReason.INVALID_VALUE,
+        ),
+        (
+            "url = http://127.4.0.1:8500",
+            "url = http://127.4.0.1:port",
+            "platform",
+            "url",
+            FaultReason.INVALID_VALUE,
+        ),
+        (
+            "127.2.0.3:6082",
+            "127.2.0.3",
+            "peers",
+            "seeds",
+            FaultReason.INVALID_VALUE,
+        ),
+        (
+            "127.2.0.3:6082",
+            "127.2.0.2:6082",
+            "peers",
+            "seeds",
+            FaultReason.DUPLICATE,
+        ),
+        (
+            "peer_key = 000102030405060708090a0b0c0d0e0f",
+            "peer_key = 000102030405060708090a0b0c0d0e",
+            "security",
+            "peer_key",
+            FaultReason.OUT_OF_RANGE,
+        ),
+        (
+            "peer_key = 000102030405060708090a0b0c0d0e0f",
+            "peer_key = secret",
+            "security",
+            "peer_key",
+            FaultReason.INVALID_VALUE,
+        ),
+        (
+            "operator_key = 202122232425262728292a2b2c2d2e2f",
+            "operator_key = 000102030405060708090A0B0C0D0E0F",
+            "security",
+            "operator_key",
+            FaultReason.CONFLICT,
+        ),
+        (
+            "control_bytes_per_s = 4000",
+            "control_bytes_per_s = 10",
+            "limits",
+            "control_bytes_per_s",
+            FaultReason.OUT_OF_RANGE,
+        ),
+        (
+            "max_flows = 400000",
+            "max_flow = 400000\nmax_flows = 400000",
+            "limits",
+            "max_flow",
+            FaultReason.UNKNOWN_FIELD,
+        ),
+        (
+            "max_flows = 400000",
+            "max_flows = 400000\nmax_flows = 400000",
+            "limits",
+            "max_flows",
+            FaultReason.DUPLICATE,
+        ),
+        (
+            "max_flows = 400000",
+            "max_flows = 400000\nnonsense",
+            "",
+            "",
+            FaultReason.SYNTAX,
+        ),
+        (
+            "[logs]",
+            "[limits]\nmax_flows = 1\n[logs]",
+            "limits",
+            "",
+            FaultReason.DUPLICATE,
+        ),
+        ("[logs]", "[extra]\n[logs]", "extra", "", FaultReason.UNKNOWN_FIELD),
+        ("[vm]", "id = 1\n[vm]", "", "", FaultReason.SYNTAX),
+        (
+            "path = chivedoord.log",
+            "path =",
+            "logs",
+            "path",
+            FaultReason.INVALID_VALUE,
+        ),
+    ],
+)
+def test_fault_has_section_key_and_reason(text, old, new, section, key, reason):
+    # Guards against a daemon that starts with a typing error, or whose
+    # message does not say where it is.
+    assert list_faults(replace(text, old, new)) == [(section, key, reason)]
+
+
+def test_all_faults_are_listed_together(text):
+    # Guards against operators who correct one fault per attempt.
+    text = replace(text, "id = vm-a1", "id = vm-a1\nid = vm-a2")
+    text = replace(text, "max_flows = 400000", "max_flows = many")
+    text = replace(text, "[fabric]", "[extra]\n[fabric]")
+    text = replace(text, "url = http://127.4.0.1:8500", "nonsense")
+    assert list_faults(text) == [
+        ("vm", "id", FaultReason.DUPLICATE),
+        ("", "", FaultReason.SYNTAX),
+        ("platform", "url", FaultReason.MISSING),
+        ("limits", "max_flows", FaultReason.WRONG_TYPE),
+        ("extra", "", FaultReason.UNKNOWN_FIELD),
+    ]
+
+
+def test_empty_file_lists_every_required_key():
+    # Guards against a message that names only the first missing key.
+    reasons = [reason for _, _, reason in list_faults("")]
+    assert reasons == [FaultReason.MISSING] * 17
+
+
+def test_percent_signs_are_plain_characters(text):
+    # Guards against interpolation in paths.
+    text = replace(text, "chivedoord.log", "%(id)s.log")
+    assert settings.parse_settings(text).logs.path == pathlib.Path("%(id)s.log")
+
+
+def test_ipv6_addresses_are_accepted(text):
+    # Guards against splitting an IPv6 seed at the wrong colon.
+    text = replace(text, "address = 127.2.0.1", "address = ::1")
+    text = replace(text, "127.2.0.2:6082", "[::2]:6082")
+    loaded = settings.parse_settings(text)
+    assert loaded.vm.address == "::1"
+    assert loaded.peers.seeds[0] == ("::2", 6082)
+
+
+def test_ipv6_seed_without_brackets_is_a_fault(text):
+    # Guards against the last group of an address that is taken for a port.
+    text = replace(text, "127.2.0.2:6082", "::2:6082")
+    assert list_faults(text) == [("peers", "seeds", FaultReason.INVALID_VALUE)]
+
+
+def test_keys_are_not_shown(text):
+    # Guards against keys in logs and error messages.
+    loaded = settings.parse_settings(text)
+    assert "x01" not in repr(loaded)
+    faulty = replace(
+        text,
+        "peer_key = 000102030405060708090a0b0c0d0e0f",
+        "peer_key = 000102030405060708090a0b0c0d0e0",
+    )
+    with pytest.raises(exceptions.SettingsError) as caught:
+        settings.parse_settings(faulty)
+    assert "0001" not in str(caught.value)
+
+
+@pytest.mark.parametrize("data", [None, b"\xff"])
+def test_file_that_cannot_be_read_is_a_typed_error(tmp_path, data):
+    # Guards against a traceback in place of a message.
+    path = tmp_path / "chivedoord.ini"
+    if data is not None:
+        path.write_bytes(data)
+    with pytest.raises(exceptions.SettingsError):
+        settings.load_settings(path)
