platform: add the client of the platform's service

Cause: readers watch the platform for documents and VMs. Conclusion: a plain loop over async_watch_document keeps the rate of calls low while the service is down.

--- /dev/null
+++ b/src/chivedoor/platform/backoff.py
@@ -0,0 +1,37 @@
+"""Delays between calls to a service that fails."""
+
+import random
+
+from chivedoor.platform import const
+
+
+class Backoff:
+    """Exponential delays with jitter and a cap.
+
+    At the cap the rate of calls is constant, however long the service is down.
+    """
+
+    def __init__(
+        self,
+        *,
+        generator: random.Random,
+        initial_s: float = const.BACKOFF_INITIAL_S,
+        cap_s: float = const.BACKOFF_CAP_S,
+    ) -> None:
+        self._generator = generator
+        self._initial_s = initial_s
+        self._cap_s = cap_s
+        self._next_s = initial_s
+
+    def reset(self) -> None:
+        """Starts again with the shortest delay."""
+        self._next_s = self._initial_s
+
+    def draw_delay_s(self) -> float:
+        """Returns the time until the next call, in seconds.
+
+        Each call doubles the next delay up to the cap.
+        """
+        delay_s = self._next_s
+        self._next_s = min(delay_s * const.BACKOFF_FACTOR, self._cap_s)
+        return delay_s * self._generator.uniform(const.JITTER_FLOOR, 1.0)
--- /dev/null
+++ b/src/chivedoor/platform/client.py
@@ -0,0 +1,397 @@
+"""HTTP client of the platform's service."""
+
+import asyncio
+import collections
+from collections.abc import Iterator
+from collections.abc import Mapping
+import contextlib
+import dataclasses
+import enum
+import functools
+import json
+import math
+import random
+import re
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+import aiohttp
+
+from chivedoor import ids
+from chivedoor.platform import backoff
+from chivedoor.platform import const
+from chivedoor.platform import exceptions
+
+
+class ReadingState(enum.Enum):
+    """How the version of the service compares with the one asked about."""
+
+    NEWER = "newer"
+    CURRENT = "current"
+    OLDER = "older"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DocumentReading:
+    """Answer to a watch.
+
+    Attributes:
+        state: How the version compares with the one asked about.
+        version: Newest version that the service has; 0 when it has none.
+        data: Text of the document when it is newer; None otherwise.
+        age_s: Longest time since the service said so, in seconds.
+    """
+
+    state: ReadingState
+    version: ids.Version
+    data: bytes | None
+    age_s: float
+
+
+class VmState(enum.Enum):
+    """State of a VM in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ListedVm:
+    """VM in the platform's list, which lags behind."""
+
+    id: ids.VmId
+    domain: ids.DomainId
+    state: VmState
+
+
+class Outcome(enum.Enum):
+    """Result of a call, for the counters."""
+
+    NEWER = "newer"
+    CURRENT = "current"
+    OLDER = "older"
+    LISTED = "listed"
+    UNREACHABLE = "unreachable"
+    TIMEOUT = "timeout"
+    STATUS = "status"
+    PROTOCOL = "protocol"
+
+
+_OUTCOMES_BY_STATE: Final = {
+    ReadingState.NEWER: Outcome.NEWER,
+    ReadingState.CURRENT: Outcome.CURRENT,
+    ReadingState.OLDER: Outcome.OLDER,
+}
+
+_VERSION_PATTERN: Final = re.compile(rf"[0-9]{{1,{const.MAX_VERSION_DIGITS}}}")
+
+
+class _Answer(NamedTuple):
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class _Pace:
+    """Earliest time of the next call, by the outcome of the last one."""
+
+    def __init__(self, *, generator: random.Random) -> None:
+        self._backoff = backoff.Backoff(generator=generator)
+        self._allowed_at = -math.inf
+
+    async def async_wait(self) -> None:
+        """Waits until the next call is allowed."""
+        delay_s = self._allowed_at - asyncio.get_running_loop().time()
+        if delay_s > 0:
+            await asyncio.sleep(delay_s)
+
+    def note_success(self) -> None:
+        """Allows the next call at once."""
+        self._backoff.reset()
+        self._allowed_at = -math.inf
+
+    def note_failure(self) -> None:
+        """Delays the next call."""
+        now = asyncio.get_running_loop().time()
+        self._allowed_at = now + self._backoff.draw_delay_s()
+
+
+class PlatformClient:
+    """Reads documents and the list of VMs.
+
+    A call that follows a failed one first waits for the backoff, so a plain
+    loop over a method keeps the rate of calls low while the service is down.
+    Each method may have one call in progress.
+
+    Attributes:
+        counters: Number of calls by outcome.
+    """
+
+    def __init__(
+        self,
+        *,
+        url: str,
+        generator: random.Random,
+        local_address: str | None = None,
+        watch_wait_s: float = const.WATCH_WAIT_S,
+        answer_timeout_s: float = const.ANSWER_TIMEOUT_S,
+    ) -> None:
+        """Prepares the client.
+
+        Args:
+            url: URL of the service, without a trailing slash.
+            generator: Source of the jitter.
+            local_address: Address that calls come from; chosen by the system
+                when None.
+            watch_wait_s: Time after which a watch ends by itself, in seconds.
+            answer_timeout_s: Time for an answer, in seconds; for a watch, on
+                top of `watch_wait_s`.
+        """
+        self.counters: collections.Counter[Outcome] = collections.Counter()
+        self._url = url
+        self._local_address = local_address
+        self._watch_wait_s = watch_wait_s
+        self._answer_timeout_s = answer_timeout_s
+        self._watch_pace = _Pace(generator=generator)
+        self._list_pace = _Pace(generator=generator)
+        self._last_newer: int | None = None
+        self._session: aiohttp.ClientSession | None = None
+
+    async def async_open(self) -> None:
+        """Opens the client; it connects with the first call."""
+        local = self._local_address
+        connector = aiohttp.TCPConnector(
+            local_addr=None if local is None else (local, 0)
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+        )
+
+    async def async_close(self) -> None:
+        """Closes the connections; a call in progress fails."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def async_watch_document(self, after: int) -> DocumentReading:
+        """Waits for a document above a version, for a limited time.
+
+        A document that comes again, because the caller refused it, is paced
+        like a failure, so that it can be tried again later.
+
+        Args:
+            after: Version in force; 0 when there is none.
+
+        Returns:
+            The newer document, or the fact that there is none.
+
+        Raises:
+            exceptions.PlatformError: The call failed.
+        """
+        await self._watch_pace.async_wait()
+        started = asyncio.get_running_loop().time()
+        with self._handle_failures(self._watch_pace):
+            reading = await self._async_read_document(after, started)
+        self.counters[_OUTCOMES_BY_STATE[reading.state]] += 1
+        self._pace_watch(reading)
+        return reading
+
+    async def async_list_vms(self) -> tuple[ListedVm, ...]:
+        """Returns the live and leaving VMs.
+
+        Raises:
+            exceptions.PlatformError: The call failed.
+        """
+        await self._list_pace.async_wait()
+        with self._handle_failures(self._list_pace):
+            answer = await self._async_get(
+                "/vms", {}, self._answer_timeout_s, frozenset({200})
+            )
+            listed = _parse_vms(answer.body)
+        self.counters[Outcome.LISTED] += 1
+        self._list_pace.note_success()
+        return listed
+
+    def dump_state(self) -> dict[str, Any]:
+        """Returns plain values for the operators' dump."""
+        return {
+            "url": self._url,
+            "open": self._session is not None,
+            "calls": {
+                outcome.value: count for outcome, count in self.counters.items()
+            },
+        }
+
+    async def _async_read_document(
+        self, after: int, started: float
+    ) -> DocumentReading:
+        answer = await self._async_get(
+            "/document",
+            {"after": str(after), "wait": str(self._watch_wait_s)},
+            self._watch_wait_s + self._answer_timeout_s,
+            frozenset({200, 304}),
+        )
+        # An answer without a body need not have the header; its status says
+        # that no higher version exists.
+        default = after if answer.status == 304 else None
+        version = _parse_version(answer.headers, default)
+        if answer.status == 200 and version > after:
+            state = ReadingState.NEWER
+        elif version == after:
+            state = ReadingState.CURRENT
+        elif version < after:
+            state = ReadingState.OLDER
+        else:
+            raise exceptions.PlatformProtocolError(
+                f"version {version} is above {after} but has no document"
+            )
+        return DocumentReading(
+            state=state,
+            version=ids.Version(version),
+            data=answer.body if state is ReadingState.NEWER else None,
+            age_s=asyncio.get_running_loop().time() - started,
+        )
+
+    def _pace_watch(self, reading: DocumentReading) -> None:
+        if reading.state is ReadingState.NEWER:
+            is_progress = reading.version != self._last_newer
+            self._last_newer = reading.version
+        else:
+            # A service that does not wait would be called in a busy loop.
+            is_progress = reading.age_s >= self._watch_wait_s / 2
+        if is_progress:
+            self._watch_pace.note_success()
+        else:
+            self._watch_pace.note_failure()
+
+    async def _async_get(
+        self,
+        path: str,
+        query: Mapping[str, str],
+        timeout_s: float,
+        expected: frozenset[int],
+    ) -> _Answer:
+        if self._session is None:
+            raise exceptions.ClosedClientError
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=const.CONNECT_TIMEOUT_S
+        )
+        with _translate_errors(path, timeout_s):
+            async with self._session.get(
+                self._url + path,
+                params=query,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                if response.status not in expected:
+                    raise exceptions.PlatformStatusError(
+                        path=path, status=response.status
+                    )
+                return _Answer(
+                    status=response.status,
+                    headers=response.headers,
+                    body=await _async_read_body(response.content),
+                )
+
+    @contextlib.contextmanager
+    def _handle_failures(self, pace: _Pace) -> Iterator[None]:
+        try:
+            yield
+        except exceptions.PlatformError as error:
+            self.counters[_get_outcome(error)] += 1
+            pace.note_failure()
+            raise
+
+
+@contextlib.contextmanager
+def _translate_errors(path: str, timeout_s: float) -> Iterator[None]:
+    try:
+        yield
+    except TimeoutError as error:
+        raise exceptions.PlatformTimeoutError(
+            path=path, timeout_s=timeout_s
+        ) from error
+    except aiohttp.ClientResponseError as error:
+        raise exceptions.PlatformProtocolError(
+            f"answer to {path} is not HTTP: {error.message}"
+        ) from error
+    except (aiohttp.ClientError, OSError) as error:
+        raise exceptions.PlatformUnreachableError(
+            f"connection for {path} failed: {error}"
+        ) from error
+
+
+@functools.singledispatch
+def _get_outcome(error: exceptions.PlatformError) -> Outcome:
+    """Returns the counter of an error."""
+    del error
+    return Outcome.UNREACHABLE
+
+
+@_get_outcome.register
+def _get_timeout_outcome(error: exceptions.PlatformTimeoutError) -> Outcome:
+    del error
+    return Outcome.TIMEOUT
+
+
+@_get_outcome.register
+def _get_status_outcome(error: exceptions.PlatformStatusError) -> Outcome:
+    del error
+    return Outcome.STATUS
+
+
+@_get_outcome.register
+def _get_protocol_outcome(
+    error: exceptions.PlatformProtocolError,
+) -> Outcome:
+    del error
+    return Outcome.PROTOCOL
+
+
+async def _async_read_body(content: aiohttp.StreamReader) -> bytes:
+    body = bytearray()
+    async for chunk in content.iter_any():
+        body += chunk
+        if len(body) > const.MAX_BODY_BYTES:
+            raise exceptions.PlatformProtocolError(
+                f"answer has more than {const.MAX_BODY_BYTES} bytes"
+            )
+    return bytes(body)
+
+
+def _parse_version(headers: Mapping[str, str], default: int | None) -> int:
+    text = headers.get(const.VERSION_HEADER)
+    if text is None and default is not None:
+        return default
+    if text is None or not _VERSION_PATTERN.fullmatch(text):
+        raise exceptions.PlatformProtocolError(
+            f"header {const.VERSION_HEADER} is missing or not a version"
+        )
+    return int(text)
+
+
+def _parse_vms(body: bytes) -> tuple[ListedVm, ...]:
+    try:
+        entries = json.loads(body)["vms"]
+        listed = tuple(_parse_vm(entry) for entry in entries)
+    except (ValueError, TypeError, KeyError, RecursionError) as error:
+        raise exceptions.PlatformProtocolError(
+            "answer to /vms is not a list of VMs"
+        ) from error
+    if len({vm.id for vm in listed}) != len(listed):
+        raise exceptions.PlatformProtocolError("a VM is listed twice")
+    return listed
+
+
+def _parse_vm(entry: Mapping[str, Any]) -> ListedVm:
+    """Reads an entry; fields that a newer platform adds are ignored."""
+    vm_id = entry["id"]
+    domain = entry["domain"]
+    if not isinstance(vm_id, str) or not isinstance(domain, str):
+        raise TypeError("id and domain are strings")
+    return ListedVm(
+        id=ids.VmId(vm_id),
+        domain=ids.DomainId(domain),
+        state=VmState(entry["state"]),
+    )
