--- a/src/chivedoor/configuration/document.py
+++ b/src/chivedoor/configuration/document.py
@@ -201,14 +201,14 @@
     "retired",
 )
 _SERVICE_FIELDS: Final = ("id", "addresses", "policy", "ports", "endpoints")
-_PORT_COLUMNS: Final = (
+PORT_COLUMNS: Final = (
     "protocol",
     "port",
     "target_port",
     "kind",
     "idempotent",
 )
-_ENDPOINT_COLUMNS: Final = (
+ENDPOINT_COLUMNS: Final = (
     "number",
     "address",
     "domain",
@@ -216,7 +216,7 @@
     "state",
     "health_port",
 )
-_RETIRED_COLUMNS: Final = ("address", "service", "until_s")
+RETIRED_COLUMNS: Final = ("address", "service", "until_s")
 _INTEGER_LIMITS: Final = types.MappingProxyType(
     {
         "connections": (1, const.MAX_CONNECTIONS),
@@ -439,7 +439,7 @@
 
     def _parse_port(self, value: object, path: str) -> ServicePort | None:
         reader = self._reader
-        row = reader.open_row(value, path, _PORT_COLUMNS)
+        row = reader.open_row(value, path, PORT_COLUMNS)
         port = ServicePort(
             protocol=row.read("protocol", reader.read_choice, PROTOCOLS),
             port=row.read("port", reader.read_integer, 1, const.MAX_PORT),
@@ -460,7 +460,7 @@
 
     def _parse_endpoint(self, value: object, path: str) -> Endpoint | None:
         reader = self._reader
-        row = reader.open_row(value, path, _ENDPOINT_COLUMNS)
+        row = reader.open_row(value, path, ENDPOINT_COLUMNS)
         endpoint = Endpoint(
             number=row.read(
                 "number", reader.read_integer, 1, const.MAX_ENDPOINT_NUMBER
@@ -489,7 +489,7 @@
 
     def _parse_retired_entry(self, value: object, path: str) -> Retired | None:
         reader = self._reader
-        row = reader.open_row(value, path, _RETIRED_COLUMNS)
+        row = reader.open_row(value, path, RETIRED_COLUMNS)
         entry = Retired(
             address=row.read("address", reader.read_address),
             service=row.read("service", reader.read_id),
