Add the admission of new flows to a target

The owner of a target needs one place that decides on new flows and counts the open ones, so that a target never exceeds its limits or its ramp.

TargetAdmission combines exact counts under floor(limit * share), a ramp with a token bucket that starts at most the level within any second, a health estimate in which traffic takes precedence over reports, evidence of a cold target, and closed slots after a takeover without a replica. RequestFilter passes each request datagram of a flow once. FlowRates divides the capacity of a saturated balancer by priority and max-min fairness.

--- /dev/null
+++ b/src/chivedoor/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of new flows: limits, ramps, health and request filters."""
--- /dev/null
+++ b/src/chivedoor/admission/const.py
@@ -0,0 +1,47 @@
+"""Constants of the admission of new flows."""
+
+from typing import Final
+
+# The ramp's token bucket holds this part of a second's flows, so that a loop
+# turn of up to 100 ms does not lower the rate.
+RAMP_BURST_S: Final = 0.1
+
+# A single lost packet must not take a target out of service; three failures
+# in a row without any success between them do.
+FAILURES_TO_BAD: Final = 3
+SUCCESSES_TO_GOOD: Final = 3
+
+TRIAL_BACKOFF_S: Final = 1.0
+MAX_TRIAL_BACKOFF_S: Final = 60.0
+# Spreads the trials of different owners, which see a common failure at once.
+TRIAL_JITTER: Final = 0.25
+# A trial whose outcome nobody reports counts as failed after this time. It is
+# longer than the first three retransmissions of a SYN (1 s, 2 s and 4 s).
+TRIAL_DEADLINE_S: Final = 10.0
+
+SLOW_HANDSHAKE_FACTOR: Final = 4.0
+# Handshakes below this duration are never slow: scheduling of a busy but
+# healthy target causes such delays.
+SLOW_HANDSHAKE_FLOOR_S: Final = 0.02
+SLOW_HANDSHAKES_TO_COLD: Final = 3
+HANDSHAKES_TO_BASELINE: Final = 8
+BASELINE_WEIGHT: Final = 1 / 16
+# Slow handshakes also move the baseline, so that a lasting change of the
+# network is learned and does not keep the target cold for ever.
+SLOW_BASELINE_WEIGHT: Final = 1 / 64
+
+# Applications close some flows with RST. A restarted target resets all flows
+# that send, so a restart shows as a large share of resets in a short time.
+RESET_WINDOW_S: Final = 2.0
+RESETS_SHARE_TO_COLD: Final = 1 / 8
+
+# The largest share of a service's endpoints that may be ejected.
+MAX_EJECTED_SHARE: Final = 1 / 2
+
+DIGEST_BYTES: Final = 16
+# About 100 bytes each: 64 digests for each of 10,000 flows take 64 MB.
+MAX_PAYLOADS_PER_FLOW: Final = 64
+MAX_FILTERED_PAYLOADS: Final = 500_000
+
+RATE_INTERVAL_S: Final = 0.25
+RATE_BURST_S: Final = 0.1
--- /dev/null
+++ b/src/chivedoor/admission/duplicates.py
@@ -0,0 +1,93 @@
+"""Filter that passes every request datagram of a flow at most once."""
+
+import enum
+import hashlib
+
+from chivedoor import ids
+from chivedoor.admission import const
+
+
+class Passage(enum.Enum):
+    """What becomes of a request datagram.
+
+    `FULL` means that the filter cannot remember the datagram. It has not been
+    passed before, so it may be refused as not run.
+    """
+
+    PASS = "pass"
+    DUPLICATE = "duplicate"
+    FULL = "full"
+
+
+class RequestFilter:
+    """Remembers the request datagrams of each flow until its record ends.
+
+    A filter that is full passes nothing new: to forget a datagram early would
+    allow it to run twice.
+    """
+
+    def __init__(
+        self,
+        *,
+        max_payloads: int = const.MAX_FILTERED_PAYLOADS,
+        max_payloads_per_flow: int = const.MAX_PAYLOADS_PER_FLOW,
+    ) -> None:
+        """Starts empty.
+
+        Args:
+            max_payloads: Most datagrams remembered over all flows.
+            max_payloads_per_flow: Most datagrams remembered for one flow.
+        """
+        self._max_payloads = max_payloads
+        self._max_payloads_per_flow = max_payloads_per_flow
+        self._digests: dict[ids.FlowKey, set[bytes]] = {}
+        self._count = 0
+        self._duplicates = 0
+        self._rejected = 0
+
+    def check(self, flow: ids.FlowKey, payload: bytes | memoryview) -> Passage:
+        """Decides on a datagram and remembers it when it is passed."""
+        digest = _compute_digest(payload)
+        known = self._digests.get(flow, frozenset())
+        if digest in known:
+            self._duplicates += 1
+            return Passage.DUPLICATE
+        if (
+            self._count >= self._max_payloads
+            or len(known) >= self._max_payloads_per_flow
+        ):
+            self._rejected += 1
+            return Passage.FULL
+        self._add(flow, digest)
+        return Passage.PASS
+
+    def list_digests(self, flow: ids.FlowKey) -> tuple[bytes, ...]:
+        """Returns the digests of a flow, for a replica of its record."""
+        return tuple(sorted(self._digests.get(flow, ())))
+
+    def adopt(self, flow: ids.FlowKey, digests: tuple[bytes, ...]) -> None:
+        """Adds digests from a replica, also beyond the bounds."""
+        known = self._digests.get(flow, frozenset())
+        for digest in set(digests) - known:
+            self._add(flow, digest)
+
+    def forget(self, flow: ids.FlowKey) -> None:
+        """Forgets a flow whose record has ended; unknown ones are ignored."""
+        self._count -= len(self._digests.pop(flow, ()))
+
+    def dump_state(self) -> dict:
+        """Returns the counts as plain values."""
+        return {
+            "flows": len(self._digests),
+            "payloads": self._count,
+            "duplicates": self._duplicates,
+            "rejected": self._rejected,
+        }
+
+    def _add(self, flow: ids.FlowKey, digest: bytes) -> None:
+        self._digests.setdefault(flow, set()).add(digest)
+        self._count += 1
+
+
+def _compute_digest(payload: bytes | memoryview) -> bytes:
+    return hashlib.blake2b(payload, digest_size=const.DIGEST_BYTES).digest()
--- /dev/null
+++ b/src/chivedoor/admission/health.py
@@ -0,0 +1,188 @@
+"""Estimate of a target's health from traffic and from its own reports."""
+
+from collections.abc import Mapping
+import enum
+import math
+import random
+
+from chivedoor import ids
+from chivedoor.admission import const
+
+
+class Estimate(enum.Enum):
+    """Health of a target as its owner sees it."""
+
+    GOOD = "good"
+    SUSPECT = "suspect"
+    BAD = "bad"
+
+
+class Report(enum.Enum):
+    """What a target's health endpoint reports.
+
+    `READY` means able to work, `COLD` able to work slowly, `FAILING` not able
+    to work. `SILENT` stands for an endpoint that did not answer in time.
+    """
+
+    READY = "ready"
+    COLD = "cold"
+    FAILING = "failing"
+    SILENT = "silent"
+
+
+_BAD_REPORTS = frozenset({Report.FAILING, Report.SILENT})
+
+
+class HealthEstimate:
+    """Health of one target; traffic takes precedence over reports.
+
+    Reports can worsen the estimate at any time. They improve it only after a
+    handshake has succeeded since it was last worsened. A target that is `BAD`
+    gets one trial flow at a time, with exponential backoff between trials.
+    """
+
+    def __init__(self, *, jitter: random.Random) -> None:
+        """Starts as `GOOD`.
+
+        Args:
+            jitter: Source of the jitter between trials.
+        """
+        self._jitter = jitter
+        self._estimate = Estimate.GOOD
+        self._failures = 0
+        self._successes = 0
+        self._bad_reports = 0
+        self._failed_trials = 0
+        self._next_trial_at = 0.0
+        self._trial_ends_at: float | None = None
+
+    @property
+    def estimate(self) -> Estimate:
+        """The current estimate."""
+        return self._estimate
+
+    def allows_flow(self, now: float) -> bool:
+        """Returns whether the health allows a new flow now."""
+        if self._estimate is not Estimate.BAD:
+            return True
+        self._expire_trial(now)
+        return self._trial_ends_at is None and now >= self._next_trial_at
+
+    def start_flow(self, now: float) -> None:
+        """Notes a new flow, which is the trial when the target is `BAD`."""
+        if self._estimate is Estimate.BAD:
+            self._trial_ends_at = now + const.TRIAL_DEADLINE_S
+
+    def note_success(self, now: float) -> bool:
+        """Notes that the target answered a new flow.
+
+        Args:
+            now: Monotonic time in seconds.
+
+        Returns:
+            Whether the target is reachable again after it was `BAD`.
+        """
+        self._failures = 0
+        self._successes += 1
+        self._trial_ends_at = None
+        if self._estimate is Estimate.BAD:
+            self._estimate = Estimate.SUSPECT
+            self._successes = 1
+            return True
+        if self._successes >= const.SUCCESSES_TO_GOOD:
+            self._recover()
+        return False
+
+    def note_failure(self, now: float) -> None:
+        """Notes that the target refused or did not answer a new flow."""
+        self._successes = 0
+        self._failures += 1
+        if self._estimate is Estimate.BAD:
+            if self._trial_ends_at is not None:
+                self._fail_trial(now)
+        elif self._failures >= const.FAILURES_TO_BAD:
+            self._become_bad(now)
+        else:
+            self._estimate = Estimate.SUSPECT
+
+    def note_report(self, report: Report, now: float) -> None:
+        """Notes a report of the target's health endpoint."""
+        if report in _BAD_REPORTS:
+            self._note_bad_report(now)
+            return
+        self._bad_reports = 0
+        if self._estimate is Estimate.SUSPECT and self._successes:
+            self._recover()
+
+    def dump_state(self) -> dict:
+        """Returns the estimate and its evidence as plain values."""
+        return {
+            "estimate": self._estimate.value,
+            "failures": self._failures,
+            "successes": self._successes,
+            "bad_reports": self._bad_reports,
+            "failed_trials": self._failed_trials,
+            "next_trial_at": self._next_trial_at,
+            "trial_ends_at": self._trial_ends_at,
+        }
+
+    def _note_bad_report(self, now: float) -> None:
+        self._successes = 0
+        self._bad_reports += 1
+        if self._estimate is Estimate.BAD:
+            return
+        if self._bad_reports >= const.FAILURES_TO_BAD:
+            self._become_bad(now)
+        else:
+            self._estimate = Estimate.SUSPECT
+
+    def _recover(self) -> None:
+        self._estimate = Estimate.GOOD
+        self._failed_trials = 0
+
+    def _become_bad(self, now: float) -> None:
+        self._estimate = Estimate.BAD
+        self._trial_ends_at = None
+        self._schedule_trial(now)
+
+    def _expire_trial(self, now: float) -> None:
+        ends_at = self._trial_ends_at
+        if ends_at is not None and now >= ends_at:
+            self._fail_trial(now)
+
+    def _fail_trial(self, now: float) -> None:
+        self._trial_ends_at = None
+        self._schedule_trial(now)
+
+    def _schedule_trial(self, now: float) -> None:
+        # The exponent is bounded, because 2.0 ** 1024 overflows.
+        exponent = min(self._failed_trials, 32)
+        delay = const.TRIAL_BACKOFF_S * 2.0**exponent
+        delay = min(delay, const.MAX_TRIAL_BACKOFF_S)
+        spread = self._jitter.uniform(-const.TRIAL_JITTER, const.TRIAL_JITTER)
+        self._next_trial_at = now + delay * (1 + spread)
+        self._failed_trials += 1
+
+
+def choose_ejected(
+    estimates: Mapping[ids.EndpointNumber, Estimate],
+) -> frozenset[ids.EndpointNumber]:
+    """Chooses the endpoints of a service that get no new flows.
+
+    When more endpoints are `BAD` than may be ejected, the cause is probably
+    not in the endpoints. The choice then goes by the endpoint number, so that
+    all balancers with the same estimates make the same choice.
+
+    Args:
+        estimates: The estimate of every endpoint of the service.
+
+    Returns:
+        The `BAD` endpoints, but at most half of all endpoints.
+    """
+    most = math.floor(len(estimates) * const.MAX_EJECTED_SHARE)
+    bad = sorted(
+        number
+        for number, estimate in estimates.items()
+        if estimate is Estimate.BAD
+    )
+    return frozenset(bad[:most])
--- /dev/null
+++ b/src/chivedoor/admission/ramp.py
@@ -0,0 +1,123 @@
+"""Ramp of the new flows and slots of a cold target."""
+
+from chivedoor.admission import const
+from chivedoor.admission import limits
+
+
+class Ramp:
+    """Level of a cold target: new flows per second, and slots in use.
+
+    The level starts at the initial value and doubles after every step until
+    it reaches the ceiling; then the target is warm and the ramp ends.
+
+    New flows are limited by a token bucket of rate r and capacity c with
+    c + r = level + 1. In a window shorter than one second it admits fewer
+    than c + r, so at most `level` flows start within any second.
+    """
+
+    def __init__(
+        self,
+        *,
+        initial: int,
+        step_s: float,
+        ceiling: int,
+        cold: bool,
+        now: float,
+    ) -> None:
+        """Starts cold or warm.
+
+        Args:
+            initial: First level, at least 1.
+            step_s: Time after which the level doubles, in seconds.
+            ceiling: Level at which the target is warm.
+            cold: Whether the target is cold.
+            now: Monotonic time in seconds.
+        """
+        self._initial = initial
+        self._step_s = step_s
+        self._ceiling = ceiling
+        self._started_at: float | None = None
+        self._tokens = 0.0
+        self._token_level = 0
+        self._refilled_at = now
+        if cold:
+            self.restart(now)
+
+    def set_shape(self, *, initial: int, step_s: float, ceiling: int) -> None:
+        """Replaces the parameters; a running ramp goes on with them."""
+        self._initial = initial
+        self._step_s = step_s
+        self._ceiling = ceiling
+
+    def restart(self, now: float) -> None:
+        """Makes the target cold, or takes a cold target to the first level."""
+        # The bucket of a running ramp is not filled again, or restarts in
+        # quick succession would each allow a burst.
+        if not self.is_cold(now):
+            self._tokens = _get_capacity(self._initial)
+            self._token_level = self._initial
+            self._refilled_at = now
+        self._started_at = now
+
+    def hold(self, now: float) -> None:
+        """Starts the current step again, so that the level stays."""
+        if self.is_cold(now):
+            self._started_at = now - self._count_steps(now) * self._step_s
+
+    def is_cold(self, now: float) -> bool:
+        """Returns whether the ramp limits the target."""
+        return self.get_level(now) is not None
+
+    def get_level(self, now: float) -> int | None:
+        """Returns the level in flows per second and slots; None when warm."""
+        if self._started_at is None:
+            return None
+        level = self._initial << self._count_steps(now)
+        if level >= self._ceiling:
+            self._started_at = None
+            return None
+        return level
+
+    def can_start(self, *, share: float, now: float) -> bool:
+        """Returns whether one more flow may start now.
+
+        Args:
+            share: The part of the level that this owner may use, 0 to 1.
+            now: Monotonic time in seconds.
+
+        Raises:
+            exceptions.ShareError: The share is not between 0 and 1.
+        """
+        level = self.get_level(now)
+        if level is None:
+            return True
+        level = limits.apply_share(level, share)
+        self._refill(level, now)
+        return level > 0 and self._tokens >= 1
+
+    def start_flow(self, now: float) -> None:
+        """Takes the token of a new flow that `can_start` allowed."""
+        if self.is_cold(now):
+            self._tokens -= 1
+
+    def dump_state(self) -> dict:
+        """Returns the start of the ramp and its tokens as plain values."""
+        return {"started_at": self._started_at, "tokens": self._tokens}
+
+    def _count_steps(self, now: float) -> int:
+        steps = int((now - self._started_at) / self._step_s)
+        # More doublings than the ceiling has bits always exceed it.
+        return max(0, min(steps, self._ceiling.bit_length()))
+
+    def _refill(self, level: int, now: float) -> None:
+        # The time since the last refill may include a lower level.
+        rate_level = min(level, self._token_level)
+        rate = rate_level + 1 - _get_capacity(rate_level)
+        tokens = self._tokens + max(0.0, now - self._refilled_at) * rate
+        self._tokens = min(tokens, _get_capacity(level))
+        self._token_level = level
+        self._refilled_at = now
+
+
+def _get_capacity(level: int) -> float:
+    return max(1.0, level * const.RAMP_BURST_S)
--- /dev/null
+++ b/src/chivedoor/admission/rate.py
@@ -0,0 +1,191 @@
+"""Rates of new flows of services, with priorities under saturation."""
+
+from collections.abc import Iterable
+import dataclasses
+import itertools
+import math
+import operator
+
+from chivedoor import ids
+from chivedoor.admission import const
+from chivedoor.admission import exceptions
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _ServiceRate:
+    """Token bucket of one service."""
+
+    rate_per_s: float
+    priority: int
+    tokens: float
+    refilled_at: float
+
+
+class FlowRates:
+    """Limits new flows of each service, and of all services together.
+
+    While the services together want more than the capacity, the capacity goes
+    to the highest priority first. Services of equal priority get equal shares
+    of the rest; what a service does not want goes to the others.
+    """
+
+    def __init__(self, *, capacity_per_s: float, now: float) -> None:
+        """Starts without services.
+
+        Args:
+            capacity_per_s: New flows per second that this balancer handles.
+            now: Monotonic time in seconds.
+
+        Raises:
+            exceptions.RateError: The capacity is not positive.
+        """
+        _check_rate(capacity_per_s)
+        self._capacity_per_s = capacity_per_s
+        self._tokens = _get_burst(capacity_per_s)
+        self._refilled_at = now
+        self._services: dict[ids.ServiceId, _ServiceRate] = {}
+        self._offered: dict[ids.ServiceId, int] = {}
+        self._interval_started_at = now
+        # Highest rate of one service of each priority; absent: not limited.
+        self._levels: dict[int, float] = {}
+
+    def set_service(
+        self,
+        service: ids.ServiceId,
+        *,
+        rate_per_s: float,
+        priority: int,
+        now: float,
+    ) -> None:
+        """Adds a service or changes its rate and priority.
+
+        Args:
+            service: The service.
+            rate_per_s: Most new flows per second.
+            priority: Rank under saturation; higher is served first.
+            now: Monotonic time in seconds.
+
+        Raises:
+            exceptions.RateError: The rate is not positive.
+        """
+        _check_rate(rate_per_s)
+        known = self._services.get(service)
+        if known is not None:
+            known.rate_per_s = rate_per_s
+            known.priority = priority
+            return
+        self._services[service] = _ServiceRate(
+            rate_per_s=rate_per_s,
+            priority=priority,
+            tokens=_get_burst(rate_per_s),
+            refilled_at=now,
+        )
+
+    def remove_service(self, service: ids.ServiceId) -> None:
+        """Removes a service; unknown ones are ignored."""
+        self._services.pop(service, None)
+        self._offered.pop(service, None)
+
+    def admit(self, service: ids.ServiceId, now: float) -> bool:
+        """Returns whether a new flow may be handled, and counts it.
+
+        Args:
+            service: The service of the flow.
+            now: Monotonic time in seconds.
+
+        Raises:
+            exceptions.RateError: The service is unknown.
+        """
+        bucket = self._services.get(service)
+        if bucket is None:
+            raise exceptions.RateError(f"unknown service {service}")
+        self._roll_interval(now)
+        self._offered[service] = self._offered.get(service, 0) + 1
+        self._refill(now)
+        self._refill_service(bucket, now)
+        if self._tokens < 1 or bucket.tokens < 1:
+            return False
+        self._tokens -= 1
+        bucket.tokens -= 1
+        return True
+
+    def dump_state(self) -> dict:
+        """Returns rates and levels as plain values."""
+        return {
+            "capacity_per_s": self._capacity_per_s,
+            "services": {
+                service: dataclasses.asdict(bucket)
+                for service, bucket in self._services.items()
+            },
+            "levels": dict(self._levels),
+        }
+
+    def _refill(self, now: float) -> None:
+        elapsed = max(0.0, now - self._refilled_at)
+        tokens = self._tokens + elapsed * self._capacity_per_s
+        self._tokens = min(tokens, _get_burst(self._capacity_per_s))
+        self._refilled_at = now
+
+    def _refill_service(self, bucket: _ServiceRate, now: float) -> None:
+        level = self._levels.get(bucket.priority, math.inf)
+        rate = min(bucket.rate_per_s, level)
+        elapsed = max(0.0, now - bucket.refilled_at)
+        tokens = bucket.tokens + elapsed * rate
+        bucket.tokens = min(tokens, _get_burst(rate))
+        bucket.refilled_at = now
+
+    def _roll_interval(self, now: float) -> None:
+        elapsed = now - self._interval_started_at
+        if elapsed < const.RATE_INTERVAL_S:
+            return
+        self._levels = self._compute_levels(elapsed)
+        self._offered = {}
+        self._interval_started_at = now
+
+    def _compute_levels(self, elapsed_s: float) -> dict[int, float]:
+        demands = [
+            (bucket.priority, min(count / elapsed_s, bucket.rate_per_s))
+            for service, count in self._offered.items()
+            for bucket in (self._services[service],)
+        ]
+        if sum(demand for _, demand in demands) <= self._capacity_per_s:
+            return {}
+        rank = operator.itemgetter(0)
+        demands.sort(key=rank, reverse=True)
+        left = self._capacity_per_s
+        levels = {}
+        for priority, group in itertools.groupby(demands, key=rank):
+            wanted = [demand for _, demand in group]
+            levels[priority] = compute_level(wanted, left)
+            left -= sum(min(each, levels[priority]) for each in wanted)
+            left = max(left, 0.0)
+        return levels
+
+
+def compute_level(demands: Iterable[float], capacity: float) -> float:
+    """Computes the max-min fair level of demands under a capacity.
+
+    Args:
+        demands: Wanted rates.
+        capacity: The rate to divide.
+
+    Returns:
+        The level at which the demands, each cut off at the level, add up to
+        the capacity; infinity when they do not exceed it.
+    """
+    ordered = sorted(demands)
+    for index, demand in enumerate(ordered):
+        fair = capacity / (len(ordered) - index)
+        if demand > fair:
+            return fair
+        capacity -= demand
+    return math.inf
+
+
+def _get_burst(rate_per_s: float) -> float:
+    return max(1.0, rate_per_s * const.RATE_BURST_S)
+
+
+def _check_rate(rate_per_s: float) -> None:
+    if not rate_per_s > 0:
+        raise exceptions.RateError(f"rate {rate_per_s}")
--- /dev/null
+++ b/tests/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the admission of new flows."""
--- /dev/null
+++ b/tests/admission/test_duplicates.py
@@ -0,0 +1,59 @@
+"""Tests of the filter of request datagrams."""
+
+from hypothesis import stateful
+from hypothesis import strategies
+
+from chivedoor.admission import duplicates
+from tests.admission import conftest  # noqa: F401
+
+Passage = duplicates.Passage
+FLOWS = strategies.integers(1, 4)
+PAYLOADS = strategies.sampled_from([b"", b"a", b"b", b"c", b"d"])
+
+
+class FilterMachine(stateful.RuleBasedStateMachine):
+    """An owner and a backup that takes over the owner's records."""
+
+    def __init__(self):
+        super().__init__()
+        self.filter = self.make_filter()
+        self.passed = {}
+
+    def make_filter(self):
+        return duplicates.RequestFilter(max_payloads=6, max_payloads_per_flow=3)
+
+    @stateful.rule(flow=FLOWS, payload=PAYLOADS)
+    def check(self, flow, payload):
+        known = self.passed.get(flow, set())
+        total = sum(map(len, self.passed.values()))
+        passage = self.filter.check(flow, memoryview(payload))
+        if payload in known:
+            assert passage is Passage.DUPLICATE
+        elif len(known) == 3 or total == 6:
+            assert passage is Passage.FULL
+        else:
+            assert passage is Passage.PASS
+            self.passed.setdefault(flow, set()).add(payload)
+
+    @stateful.rule(flow=FLOWS)
+    def forget(self, flow):
+        self.filter.forget(flow)
+        self.passed.pop(flow, None)
+
+    @stateful.rule()
+    def take_over(self):
+        backup = self.make_filter()
+        for flow in range(1, 5):
+            backup.adopt(flow, self.filter.list_digests(flow))
+            backup.adopt(flow, self.filter.list_digests(flow))
+        self.filter = backup
+
+    @stateful.invariant()
+    def count_is_exact(self):
+        expected = sum(map(len, self.passed.values()))
+        assert self.filter.dump_state()["payloads"] == expected
+
+
+# Guards against a request that runs twice, also when the filter is full and
+# after a takeover.
+TestFilter = FilterMachine.TestCase
--- /dev/null
+++ b/tests/admission/test_target.py
@@ -0,0 +1,398 @@
+"""Tests of the admission to one target, against an independent model."""
+
+import itertools
+import math
+import operator
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from chivedoor.admission import const
+from chivedoor.admission import exceptions
+from chivedoor.admission import health
+from chivedoor.admission import target
+from chivedoor.configuration import document
+from tests.admission import conftest
+
+Kind = document.PortKind
+Verdict = target.Verdict
+Report = health.Report
+KINDS = strategies.sampled_from(Kind)
+SHARES = strategies.sampled_from([0, 0.5, 1])
+
+
+def make_target(*, cold=False, **policy):
+    return target.TargetAdmission(
+        policy=conftest.make_policy(**policy),
+        cold=cold,
+        now=0.0,
+        jitter=random.Random(1),
+    )
+
+
+def try_admit(admission, now, kind=Kind.STREAM, share=1):
+    verdict = admission.decide(kind=kind, share=share, now=now)
+    if verdict is Verdict.ADMIT:
+        admission.admit(kind, now)
+    return verdict
+
+
+def count_admitted(admission, now, tries=200, **flow):
+    verdicts = [try_admit(admission, now, **flow) for _ in range(tries)]
+    return verdicts.count(Verdict.ADMIT)
+
+
+def make_bad(admission, now=0.0):
+    for _ in range(const.FAILURES_TO_BAD):
+        admission.note_timeout(now)
+
+
+class OwnersMachine(stateful.RuleBasedStateMachine):
+    """Two owners on the sides of a partition, and the target between them.
+
+    The model keeps the flows that really are open on the target, and the time
+    of each start. It computes the limits from the policy by itself.
+    """
+
+    CONNECTIONS = 9
+    SLOTS = 5
+    STEP_S = 2.0
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.owners = [
+            make_target(
+                cold=True,
+                connections=self.CONNECTIONS,
+                slots=self.SLOTS,
+                ramp_step_s=self.STEP_S,
+                request_deadline_s=3.0,
+            )
+            for _ in range(2)
+        ]
+        self.open = [[], []]
+        self.starts = [[], []]
+        self.cold_since = [0.0, 0.0]
+        self.closed_until = [0.0, 0.0]
+
+    def level(self, side):
+        steps = int((self.now - self.cold_since[side]) / self.STEP_S)
+        return 2**steps if 2**steps < self.CONNECTIONS else math.inf
+
+    @stateful.rule(share=SHARES, kind=KINDS, count=strategies.integers(1, 9))
+    def offer_to_both_sides(self, share, kind, count):
+        for side, part in enumerate([share, 1 - share]):
+            for _ in range(count):
+                self.offer(side, part, kind)
+
+    def offer(self, side, share, kind):
+        owner = self.owners[side]
+        if try_admit(owner, self.now, kind, share) is not Verdict.ADMIT:
+            return
+        self.open[side].append(kind)
+        self.starts[side].append(self.now)
+        assert len(self.open[side]) <= math.floor(self.CONNECTIONS * share)
+        level = self.level(side)
+        if kind is not Kind.STREAM:
+            ceiling = min(self.SLOTS, level)
+            assert self.slots(side) <= math.floor(ceiling * share)
+            assert self.now >= self.closed_until[side]
+        # Floating point may admit a flow a moment early.
+        window = self.now - 1 + 1e-6
+        recent = sum(start > window for start in self.starts[side])
+        assert recent <= level
+
+    def slots(self, side):
+        return sum(kind is not Kind.STREAM for kind in self.open[side])
+
+    @stateful.rule(elapsed_s=strategies.sampled_from([0.01, 0.2, 0.7, 2, 9]))
+    def wait(self, elapsed_s):
+        self.now += elapsed_s
+
+    @stateful.rule(side=strategies.integers(0, 1), kind=KINDS)
+    def adopt(self, side, kind):
+        self.owners[side].adopt(kind)
+        self.open[side].append(kind)
+
+    @stateful.rule(side=strategies.integers(0, 1), index=strategies.integers(0))
+    def release(self, side, index):
+        if self.open[side]:
+            kind = self.open[side].pop(index % len(self.open[side]))
+            self.owners[side].release(kind, self.now)
+
+    @stateful.rule(side=strategies.integers(0, 1))
+    def become_cold(self, side):
+        self.owners[side].become_cold(self.now)
+        self.cold_since[side] = self.now
+        self.starts[side].clear()
+
+    @stateful.rule(side=strategies.integers(0, 1))
+    def lose_records(self, side):
+        self.owners[side].begin_recovery(self.now)
+        self.closed_until[side] = self.now + 3.0
+
+    @stateful.invariant()
+    def counts_are_exact(self):
+        for side, owner in enumerate(self.owners):
+            assert owner.connections == len(self.open[side])
+            assert owner.slots == self.slots(side)
+
+
+OwnersMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=150, database=None
+)
+# Guards against admissions above floor(limit * share) or above the ramp.
+TestOwners = OwnersMachine.TestCase
+
+
+@hypothesis.given(
+    strategies.integers(0, 10**6),
+    strategies.fractions(min_value=0, max_value=1),
+    strategies.booleans(),
+)
+def test_shares_never_add_up_to_more_than_the_limit(limit, share, exact):
+    # Guards against rounding up on both sides of a partition.
+    parts = [share, 1 - share] if exact else [0.5, 0.5]
+    assert sum(target.limits.apply_share(limit, part) for part in parts) <= (
+        limit
+    )
+
+
+@pytest.mark.parametrize("share", [-0.1, 1.1, math.nan])
+def test_share_out_of_range(share):
+    # Guards against an admission above the limit from a wrong share.
+    with pytest.raises(exceptions.ShareError):
+        make_target().decide(kind=Kind.STREAM, share=share, now=0.0)
+
+
+def test_each_limit_gives_its_verdict():
+    # Guards against a refusal that is counted under the wrong limit.
+    admission = make_target(connections=6, slots=4)
+    assert count_admitted(admission, 0.0, kind=Kind.REQUEST) == 4
+    assert try_admit(admission, 0.0, Kind.UPLOAD) is Verdict.SLOTS_FULL
+    assert count_admitted(admission, 0.0) == 2
+    assert try_admit(admission, 0.0) is Verdict.CONNECTIONS_FULL
+    admission.release(Kind.REQUEST, 0.0)
+    assert try_admit(admission, 0.0, Kind.UPLOAD) is Verdict.ADMIT
+    admission.set_policy(conftest.make_policy(connections=7))
+    assert try_admit(admission, 0.0) is Verdict.ADMIT
+
+
+def test_admit_needs_a_fresh_decision():
+    # Guards against one decision that lets two flows through.
+    admission = make_target(connections=1)
+    admission.decide(kind=Kind.STREAM, share=1, now=0.0)
+    with pytest.raises(exceptions.LimitError):
+        admission.admit(Kind.REQUEST, 0.0)
+    admission.admit(Kind.STREAM, 0.0)
+    with pytest.raises(exceptions.LimitError):
+        admission.admit(Kind.STREAM, 0.0)
+    admission.release(Kind.STREAM, 0.0)
+    admission.decide(kind=Kind.STREAM, share=1, now=0.0)
+    admission.adopt(Kind.STREAM)
+    with pytest.raises(exceptions.LimitError):
+        admission.admit(Kind.STREAM, 0.0)
+
+
+@pytest.mark.parametrize("kind", list(Kind))
+def test_release_without_flow(kind):
+    # Guards against negative counts, which would raise the limit.
+    admission = make_target()
+    with pytest.raises(exceptions.ReleaseError):
+        admission.release(kind, 0.0)
+    admission.adopt(Kind.REQUEST)
+    if kind is Kind.STREAM:
+        with pytest.raises(exceptions.ReleaseError):
+            admission.release(kind, 0.0)
+    assert (admission.connections, admission.slots) == (1, 1)
+
+
+def test_draining_target_takes_nothing_new():
+    # Guards against new work on a leaving target.
+    admission = make_target()
+    admission.set_draining(True)
+    assert try_admit(admission, 0.0) is Verdict.DRAINING
+    admission.set_draining(False)
+    assert try_admit(admission, 0.0) is Verdict.ADMIT
+
+
+def test_ramp_doubles_and_ends():
+    # Guards against a ramp that stays behind its schedule or never ends.
+    admission = make_target(cold=True, connections=1000, ramp_initial=4)
+    admitted = []
+    for second in range(41):
+        offers = (second + part / 50 for part in range(50))
+        each = [count_admitted(admission, now, tries=25) for now in offers]
+        admitted.append(sum(each))
+        for _ in range(sum(each)):
+            admission.release(Kind.STREAM, second + 1.0)
+    levels = [4 * 2 ** (second // 5) for second in range(40)]
+    pairs = list(zip(admitted, levels, strict=False))
+    assert all(done <= level for done, level in pairs)
+    # The bucket gives 0.9 of the level. The first of 50 offers of a step still
+    # counts at half of that, and the last flow may fall into the next second.
+    assert all(done >= level * 0.9 * 0.99 - 1 for done, level in pairs)
+    assert not admission.is_cold(40.0)
+    assert admitted[40] == 1000
+
+
+def test_slots_follow_the_ramp():
+    # Guards against a cold target that gets all its slots at once.
+    admission = make_target(cold=True, slots=4)
+    for now in (0.0, 1.0, 2.0):
+        last = try_admit(admission, now, Kind.REQUEST)
+    assert (admission.slots, last) == (1, Verdict.COLD)
+    assert try_admit(admission, 3.0) is Verdict.ADMIT
+    for now in (5.0, 6.0, 10.0, 11.0, 12.0):
+        last = try_admit(admission, now, Kind.REQUEST)
+    assert (admission.slots, last) == (4, Verdict.SLOTS_FULL)
+
+
+def test_restarts_in_quick_succession_allow_no_burst():
+    # Guards against evidence that refills the bucket of a cold target.
+    admission = make_target(cold=True)
+    admitted = 0
+    for _ in range(10):
+        admitted += count_admitted(admission, 0.0)
+        admission.become_cold(0.0)
+    assert admitted == 1
+
+
+def test_slots_stay_closed_until_the_request_deadline():
+    # Guards against requests beyond the slots after a takeover without
+    # replica, while requests of the former owner still run.
+    admission = make_target()
+    admission.begin_recovery(10.0)
+    admission.adopt(Kind.REQUEST)
+    assert try_admit(admission, 39.9, Kind.REQUEST) is Verdict.SLOTS_FULL
+    assert try_admit(admission, 39.9, Kind.UPLOAD) is Verdict.SLOTS_FULL
+    assert try_admit(admission, 39.9) is Verdict.ADMIT
+    assert count_admitted(admission, 40.0, kind=Kind.REQUEST) == 3
+
+
+def restart_by_resets(admission):
+    for _ in range(5):
+        admission.note_reset(True, 1.0)
+
+
+def slow_handshakes(admission):
+    for duration_s in itertools.chain([0.01] * 10, [0.05] * 3):
+        admission.note_handshake(duration_s, 1.0)
+
+
+@pytest.mark.parametrize(
+    "give_evidence",
+    [
+        restart_by_resets,
+        slow_handshakes,
+        lambda admission: admission.become_cold(1.0),
+        lambda admission: admission.note_report(Report.COLD, 1.0),
+        lambda admission: (
+            make_bad(admission, 1.0),
+            admission.note_handshake(None, 1.0),
+        ),
+    ],
+)
+def test_evidence_of_a_cold_target(give_evidence):
+    # Guards against full load on a target that has just restarted.
+    admission = make_target()
+    for _ in range(40):
+        admission.adopt(Kind.STREAM)
+    assert not admission.is_cold(1.0)
+    give_evidence(admission)
+    assert admission.is_cold(1.0)
+
+
+def test_no_evidence_of_a_cold_target():
+    # Guards against ordinary resets, delays of a busy balancer and single
+    # slow handshakes that take a warm target out of use.
+    admission = make_target()
+    for number in range(500):
+        now = number / 100
+        assert try_admit(admission, now) is Verdict.ADMIT
+        if number % 20 == 19:
+            admission.note_reset(True, now)
+        admission.release(Kind.STREAM, now)
+        slow = number % 10 == 9
+        admission.note_handshake(0.1 if slow else 0.001, now)
+        admission.note_handshake(0.015, now)
+        assert not admission.is_cold(now)
+
+
+def test_resets_and_reports_do_not_hold_the_ramp_back():
+    # Guards against a target that never gets warm, because its flows from
+    # before the restart are reset one by one, or its endpoint lies.
+    admission = make_target(ramp_step_s=1.0)
+    for _ in range(40):
+        admission.adopt(Kind.STREAM)
+    restart_by_resets(admission)
+    for second in range(1, 9):
+        admission.adopt(Kind.STREAM)
+        admission.note_reset(True, float(second))
+        admission.release(Kind.STREAM, float(second))
+        admission.note_report(Report.COLD, float(second))
+        assert admission.is_cold(float(second)) == (second < 8)
+
+
+def test_slow_handshakes_hold_the_ramp():
+    # Guards against a ramp that doubles on a target that cannot follow.
+    admission = make_target(cold=True, ramp_step_s=1.0, connections=3)
+    for _ in range(10):
+        admission.note_handshake(0.01, 0.0)
+    for _ in range(3):
+        admission.note_handshake(0.1, 1.9)
+    assert admission.is_cold(2.5)
+    assert not admission.is_cold(3.0)
+
+
+def test_bad_target_gets_one_trial_at_a_time_with_backoff():
+    # Guards against a dead target that swallows flows.
+    admission = make_target()
+    make_bad(admission)
+    now, trials = 0.0, []
+    while now < 300:
+        if try_admit(admission, now) is Verdict.ADMIT:
+            trials.append(now)
+            assert try_admit(admission, now) is Verdict.UNHEALTHY
+            admission.note_timeout(now)
+        now += 0.05
+    gaps = [b - a for a, b in itertools.pairwise([0.0, *trials])]
+    expected = [1, 2, 4, 8, 16, 32, 60, 60, 60]
+    for gap, delay_s in zip(gaps, expected, strict=False):
+        assert 0.75 * delay_s <= gap <= 1.25 * delay_s + 0.1
+    differences = map(operator.sub, gaps, expected)
+    assert any(abs(difference) > 0.1 for difference in differences)
+    admission.note_handshake(0.001, now)
+    assert admission.estimate is health.Estimate.SUSPECT
+    assert try_admit(admission, now) is Verdict.ADMIT
+
+
+def test_trial_without_outcome_ends():
+    # Guards against a target that stays out of service for ever.
+    admission = make_target()
+    make_bad(admission)
+    assert try_admit(admission, 2.0) is Verdict.ADMIT
+    ends_at = 2.0 + const.TRIAL_DEADLINE_S
+    assert try_admit(admission, ends_at - 0.1) is Verdict.UNHEALTHY
+    assert try_admit(admission, ends_at) is Verdict.UNHEALTHY
+    assert try_admit(admission, ends_at + 2.5) is Verdict.ADMIT
+
+
+def test_target_that_may_not_be_ejected_keeps_its_flows():
+    # Guards against a service without any endpoint.
+    admission = make_target()
+    make_bad(admission)
+    admission.set_ejectable(False)
+    assert count_admitted(admission, 0.0, tries=10) == 10
+
+
+def test_dump_state_is_plain():
+    # Guards against a dump that cannot be sent to operators.
+    state = make_target(cold=True).dump_state()
+    assert state["limits"]["connection_limit"] == 100
+    assert state["ramp"] == {"started_at": 0.0, "tokens": 1.0}
+    assert state["health"]["estimate"] == "good"
