--- a/src/chivedoor/admission/duplicates.py
+++ b/src/chivedoor/admission/duplicates.py
@@ -61,6 +61,16 @@
         self._add(flow, digest)
         return Passage.PASS
 
+    def withdraw(
+        self, flow: ids.FlowKey, payload: bytes | memoryview
+    ) -> None:
+        """Forgets a datagram that was refused after it passed the filter."""
+        known = self._digests.get(flow)
+        digest = _compute_digest(payload)
+        if known is not None and digest in known:
+            known.discard(digest)
+            self._count -= 1
+
     def list_digests(self, flow: ids.FlowKey) -> tuple[bytes, ...]:
         """Returns the digests of a flow, for a replica of its record."""
         return tuple(sorted(self._digests.get(flow, ())))
--- a/tests/control/test_channel.py
+++ b/tests/control/test_channel.py
@@ -29,22 +29,22 @@
 
 
 @pytest.fixture
-async def pair(fleet):
+async def pair(channel_fleet):
     """A channel that asks and one that answers."""
-    asking = await fleet.async_add("a")
-    answering = await fleet.async_add("b")
+    asking = await channel_fleet.async_add("a")
+    answering = await channel_fleet.async_add("b")
     answering.register(messages.SilenceRequest, async_answer)
     return asking, answering
 
 
-async def async_join(fleet, member_id, local_id="x"):
+async def async_join(channel_fleet, member_id, local_id="x"):
     """Returns a session, to send what a channel never does."""
-    connection = await transport.async_connect(*fleet.locations[member_id])
+    connection = await transport.async_connect(*channel_fleet.locations[member_id])
     joined = await session.async_initiate(
         connection,
         purpose=session.Purpose.PEER,
         local_id=local_id,
-        keys=[fleet.key],
+        keys=[channel_fleet.key],
         expected_id=member_id,
     )
     return joined, connection
@@ -57,7 +57,7 @@
     assert answering.counts.get(Event.REPLIES_SENT) == 1
 
 
-async def test_concurrent_requests_share_one_connection(fleet, pair):
+async def test_concurrent_requests_share_one_connection(channel_fleet, pair):
     # Guards against replies that reach the wrong request, and against a
     # connection for each request.
     asking, answering = pair
@@ -149,10 +149,10 @@
     assert asking.counts.get(Event.LINKS_OPENED) == 2
 
 
-async def test_wrong_key_is_rejected_and_counted(fleet):
+async def test_wrong_key_is_rejected_and_counted(channel_fleet):
     # Guards against requests from anybody on the network.
-    asking = await fleet.async_add("a", OTHER_KEY)
-    answering = await fleet.async_add("b")
+    asking = await channel_fleet.async_add("a", OTHER_KEY)
+    answering = await channel_fleet.async_add("b")
     with pytest.raises(exceptions.AuthenticationError):
         await asking.async_request("b", SILENCE, 30)
     fault = exceptions.AuthenticationFault.NO_COMMON_KEY
@@ -160,37 +160,37 @@
     assert answering.counts.get(Event.REQUESTS_RECEIVED) == 0
 
 
-async def test_previous_key_works_during_rotation(fleet):
+async def test_previous_key_works_during_rotation(channel_fleet):
     # Guards against a rotation that needs all balancers to change at once.
-    old = await fleet.async_add("a", fleet.key)
-    new = await fleet.async_add("b", OTHER_KEY, fleet.key)
+    old = await channel_fleet.async_add("a", channel_fleet.key)
+    new = await channel_fleet.async_add("b", OTHER_KEY, channel_fleet.key)
     for member in (old, new):
         member.register(messages.SilenceRequest, async_answer)
     assert await old.async_request("b", SILENCE, 30) == SEEN
     assert await new.async_request("a", SILENCE, 30) == SEEN
 
 
-async def test_member_that_took_over_an_address_is_rejected(fleet, pair):
+async def test_member_that_took_over_an_address_is_rejected(channel_fleet, pair):
     # Guards against an answer from a VM that reuses the address.
     asking, answering = pair
-    fleet.locations["former"] = fleet.locations["b"]
+    channel_fleet.locations["former"] = channel_fleet.locations["b"]
     with pytest.raises(exceptions.AuthenticationError) as caught:
         await asking.async_request("former", SILENCE, 30)
     assert caught.value.fault is exceptions.AuthenticationFault.WRONG_MEMBER
 
 
-async def test_changed_address_opens_a_new_connection(fleet, pair):
+async def test_changed_address_opens_a_new_connection(channel_fleet, pair):
     # Guards against requests to the old address of a replaced member.
     asking, answering = pair
     await asking.async_request("b", SILENCE, 30)
     await answering.async_close()
-    replaced = await fleet.async_add("b")
+    replaced = await channel_fleet.async_add("b")
     replaced.register(messages.SilenceRequest, async_answer)
     assert await asking.async_request("b", SILENCE, 30) == SEEN
     assert replaced.counts.get(Event.REPLIES_SENT) == 1
 
 
-async def test_unreachable_and_unknown_members_give_typed_errors(fleet, pair):
+async def test_unreachable_and_unknown_members_give_typed_errors(channel_fleet, pair):
     # Guards against errors of the operating system out of the channel.
     asking, answering = pair
     await answering.async_close()
@@ -200,7 +200,7 @@
         await asking.async_request("unknown", SILENCE, 30)
 
 
-async def test_server_that_speaks_no_websockets_is_unreachable(fleet, pair):
+async def test_server_that_speaks_no_websockets_is_unreachable(channel_fleet, pair):
     # Guards against an error of the library out of the channel.
     asking, _ = pair
 
@@ -210,7 +210,7 @@
 
     other = await asyncio.start_server(async_hang_up, "127.0.0.1", 0)
     async with other:
-        fleet.locations["c"] = other.sockets[0].getsockname()
+        channel_fleet.locations["c"] = other.sockets[0].getsockname()
         with pytest.raises(exceptions.PeerUnreachableError):
             await asking.async_request("c", SILENCE, 30)
 
@@ -233,7 +233,7 @@
         await waiting
 
 
-async def test_closing_fails_requests_under_way(fleet, pair):
+async def test_closing_fails_requests_under_way(channel_fleet, pair):
     # Guards against a stop that cancels the caller or leaves it waiting.
     asking, answering = pair
     asked = asyncio.Event()
@@ -253,7 +253,7 @@
         await asking.async_request("b", SILENCE, 30)
 
 
-async def test_closing_while_connecting_fails_the_request(fleet, pair):
+async def test_closing_while_connecting_fails_the_request(channel_fleet, pair):
     # Guards against a stop that cancels the tasks of callers.
     asking, _ = pair
     connected = asyncio.Event()
@@ -265,7 +265,7 @@
 
     silent = await asyncio.start_server(async_accept, "127.0.0.1", 0)
     async with silent:
-        fleet.locations["c"] = silent.sockets[0].getsockname()
+        channel_fleet.locations["c"] = silent.sockets[0].getsockname()
         waiting = asyncio.create_task(asking.async_request("c", SILENCE, 60))
         await connected.wait()
         await asking.async_close()
@@ -327,7 +327,7 @@
 
 
 async def test_requests_of_one_client_are_bounded(
-    fleet, pair, async_wait_until
+    channel_fleet, pair, async_wait_until
 ):
     # Guards against one peer that takes all the memory for replies.
     asking, answering = pair
@@ -357,18 +357,18 @@
     assert await asking.async_request("b", SILENCE, 60) == SEEN
 
 
-async def test_outgoing_connections_are_bounded(fleet, monkeypatch):
+async def test_outgoing_connections_are_bounded(channel_fleet, monkeypatch):
     # Guards against one connection for each of 830 members.
     monkeypatch.setattr(const, "OUTGOING_LINKS_MAX", 2)
-    asking = await fleet.async_add("a")
+    asking = await channel_fleet.async_add("a")
     for name in "bcd":
-        member = await fleet.async_add(name)
+        member = await channel_fleet.async_add(name)
         member.register(messages.SilenceRequest, async_answer)
         await asking.async_request(name, SILENCE, 30)
     assert asking.dump_state()["outgoing"] == ["c", "d"]
 
 
-async def test_busy_connections_do_not_give_way(fleet, pair, monkeypatch):
+async def test_busy_connections_do_not_give_way(channel_fleet, pair, monkeypatch):
     # Guards against a request that is lost because another one begins.
     asking, answering = pair
     monkeypatch.setattr(const, "OUTGOING_LINKS_MAX", 1)
@@ -386,7 +386,7 @@
     request = messages.DocumentRequest(known_version=1)
     waiting = asyncio.create_task(asking.async_request("b", request, 60))
     await asked.wait()
-    await fleet.async_add("c")
+    await channel_fleet.async_add("c")
     with pytest.raises(exceptions.LinksExhaustedError):
         await asking.async_request("c", SILENCE, 30)
     release.set()
@@ -394,14 +394,14 @@
 
 
 async def test_incoming_connections_are_bounded(
-    fleet, monkeypatch, async_wait_until
+    channel_fleet, monkeypatch, async_wait_until
 ):
-    # Guards against a fleet that takes all descriptors of one balancer.
+    # Guards against a channel_fleet that takes all descriptors of one balancer.
     monkeypatch.setattr(const, "INCOMING_LINKS_MAX", 1)
-    answering = await fleet.async_add("b")
+    answering = await channel_fleet.async_add("b")
     answering.register(messages.SilenceRequest, async_answer)
-    first = await fleet.async_add("a")
-    second = await fleet.async_add("c")
+    first = await channel_fleet.async_add("a")
+    second = await channel_fleet.async_add("c")
     assert await first.async_request("b", SILENCE, 30) == SEEN
     with pytest.raises(exceptions.PeerUnreachableError):
         await second.async_request("b", SILENCE, 30)
@@ -424,10 +424,10 @@
     assert asking.counts.get(Event.LINKS_LOST) == 0
 
 
-async def test_replayed_frame_is_not_run(fleet, pair, async_wait_until):
+async def test_replayed_frame_is_not_run(channel_fleet, pair, async_wait_until):
     # Guards against a recorded request that an attacker sends again.
     _, answering = pair
-    joined, connection = await async_join(fleet, "b")
+    joined, connection = await async_join(channel_fleet, "b")
     payload = envelope.pack_envelope(
         messages.REGISTRY, envelope.Kind.REQUEST, 0, SILENCE
     )
@@ -458,11 +458,11 @@
     ],
 )
 async def test_bad_request_of_a_member_is_refused(
-    fleet, pair, name, fields, fault
+    channel_fleet, pair, name, fields, fault
 ):
     # Guards against a member of another version that stops the channel.
     _, answering = pair
-    joined, _ = await async_join(fleet, "b")
+    joined, _ = await async_join(channel_fleet, "b")
     await joined.async_send(
         envelope.codec.encode_value([0, 5, name, fields], 999)
     )
@@ -478,11 +478,11 @@
     "payload", [b"", b"\xff", b"\x80", b"\x84\x01\x01\x60\xa0"]
 )
 async def test_malformed_envelope_closes_the_connection(
-    fleet, pair, payload, async_wait_until
+    channel_fleet, pair, payload, async_wait_until
 ):
     # Guards against a broken member that keeps a connection busy.
     _, answering = pair
-    joined, connection = await async_join(fleet, "b")
+    joined, connection = await async_join(channel_fleet, "b")
     await joined.async_send(payload)
     await connection.wait_closed()
     await async_wait_until(lambda: answering.dump_state()["incoming"] == 0)
@@ -494,10 +494,10 @@
 
 
 @pytest.mark.parametrize("size", [const.HANDSHAKE_MAX_BYTES + 1, 1_000_000])
-async def test_stranger_cannot_send_large_messages(fleet, pair, size):
+async def test_stranger_cannot_send_large_messages(channel_fleet, pair, size):
     # Guards against memory that anybody on the network can fill.
     _, answering = pair
-    location = fleet.locations["b"]
+    location = channel_fleet.locations["b"]
     connection = await transport.async_connect(*location)
     with pytest.raises(websocket_exceptions.ConnectionClosed):
         await connection.send(bytes(size))
@@ -505,9 +505,9 @@
     assert connection.close_code == 1009
 
 
-async def test_member_cannot_send_oversized_messages(fleet, pair):
+async def test_member_cannot_send_oversized_messages(channel_fleet, pair):
     # Guards against memory that one broken member can fill.
-    joined, connection = await async_join(fleet, "b")
+    joined, connection = await async_join(channel_fleet, "b")
     with pytest.raises(exceptions.LinkClosedError):
         await joined.async_send(bytes(const.MESSAGE_MAX_BYTES + 1))
         await joined.async_receive()
@@ -515,11 +515,11 @@
 
 
 async def test_text_frame_of_a_stranger_is_rejected(
-    fleet, pair, async_wait_until
+    channel_fleet, pair, async_wait_until
 ):
     # Guards against an exception for frames of the other websocket type.
     _, answering = pair
-    connection = await transport.async_connect(*fleet.locations["b"])
+    connection = await transport.async_connect(*channel_fleet.locations["b"])
     await connection.send("hello")
     await connection.wait_closed()
     refused = Event.LINKS_REFUSED
@@ -556,27 +556,27 @@
 
 
 async def test_silent_stranger_is_dropped(
-    fleet, pair, monkeypatch, async_wait_until
+    channel_fleet, pair, monkeypatch, async_wait_until
 ):
     # Guards against connections that never authenticate.
     monkeypatch.setattr(const, "HANDSHAKE_TIMEOUT_S", 0.05)
     _, answering = pair
     connection = await websocket_client.connect(
-        "ws://{}:{}/".format(*fleet.locations["b"]), proxy=None
+        "ws://{}:{}/".format(*channel_fleet.locations["b"]), proxy=None
     )
     await connection.wait_closed()
     fault = exceptions.AuthenticationFault.TIMEOUT
     await async_wait_until(lambda: answering.counts.get(fault) == 1)
 
 
-async def test_traffic_is_charged_to_the_budget(fleet):
+async def test_traffic_is_charged_to_the_budget(channel_fleet):
     # Guards against messages that bypass the budget.
     spent = {
         name: budgets.ByteBudget(rate_bytes_per_s=1e6, clock=lambda: 0.0)
         for name in "ab"
     }
-    asking = await fleet.async_add("a", budget=spent["a"])
-    answering = await fleet.async_add("b", budget=spent["b"])
+    asking = await channel_fleet.async_add("a", budget=spent["a"])
+    answering = await channel_fleet.async_add("b", budget=spent["b"])
     answering.register(messages.SilenceRequest, async_answer)
     await asking.async_request("b", SILENCE, 30)
     for name, member, opening in (
@@ -599,7 +599,7 @@
         await answering.async_open()
 
 
-async def test_channel_opens_again_after_closing(fleet, pair):
+async def test_channel_opens_again_after_closing(channel_fleet, pair):
     # Guards against a setup without its unload.
     asking, answering = pair
     await asking.async_close()
