--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -17,6 +17,8 @@
 
 _ENDPOINT_ADDRESS = 1
 _BLOCK_WIDTH = 10
+_BLOCKS = 25
+_LOCK_PORT = 7999
 _VMS_OF_DOMAIN = 250
 _PEER_KEY = "000102030405060708090a0b0c0d0e0f"
 _OPERATOR_KEY = "202122232425262728292a2b2c2d2e2f"
@@ -296,6 +298,25 @@
             parser.write(file)
 
 
+def reserve_block() -> tuple[int, socket.socket]:
+    """Returns a block that no other run on this machine has reserved.
+
+    The block stays reserved until the returned socket is closed.
+
+    Raises:
+        PlanError: All blocks are reserved.
+    """
+    for block in range(1, _BLOCKS):
+        holder = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            holder.bind((shift_address("127.0.0.1", block), _LOCK_PORT))
+        except OSError:
+            holder.close()
+        else:
+            return block, holder
+    raise exceptions.PlanError("all blocks of addresses are reserved")
+
+
 def shift_address(address: str, block: int) -> str:
     """Moves an address of 127.0.0.0/8 into the range of a block.
 
--- a/tests/standins/conftest.py
+++ b/tests/standins/conftest.py
@@ -6,6 +6,7 @@
 
 from chivedoor.configuration import document as documents
 from standins import caller as callers
+from standins import deployment as deployments
 from standins import direct
 from standins import simulation as simulations
 
@@ -89,3 +90,11 @@
 @pytest.fixture
 def world(document):
     return World(document)
+
+
+@pytest.fixture
+def block():
+    """A range of addresses that no other test run uses."""
+    number, holder = deployments.reserve_block()
+    yield number
+    holder.close()
--- /dev/null
+++ b/tests/standins/test_deployment.py
@@ -0,0 +1,122 @@
+"""Tests of whole deployments of processes, and of their summary."""
+
+import asyncio
+import json
+
+import pytest
+
+from standins import demonstration
+from standins import deployment as deployments
+from standins import exceptions
+
+from . import conftest
+
+
+async def wait_until_ended(deployment, count):
+    while True:
+        state = await deployment.async_ask_callers("statistics")
+        if sum(state["opened"].values()) == count and not state["open"]:
+            return state
+        await asyncio.sleep(0.1)
+
+
+async def test_a_deployment_serves_flows_and_survives_signals(block, tmp_path):
+    # Guards against a deployment whose processes do not find each other, or
+    # whose balancers cannot be paused, killed and started again.
+    deployment = deployments.Deployment(
+        document=json.loads(conftest.EXAMPLE.read_text()),
+        balancers=2,
+        folder=tmp_path,
+        kind=deployments.BalancerKind.DIRECT,
+        block=block,
+    )
+    try:
+        await deployment.async_open()
+        loads = [
+            {**load, "limit": 10, "rate_per_s": 10, "shape": {}}
+            for load in demonstration.build_loads(deployment.document)
+            if not load["name"].endswith("stream")
+        ]
+        await deployment.async_detach("vm-b1")
+        balancer = deployment.processes["vm-b1"]
+        balancer.pause()
+        balancer.kill()
+        await deployment.async_ask_callers("start", loads=loads)
+        state = await asyncio.wait_for(wait_until_ended(deployment, 30), 60)
+        assert state["outcomes"] == {
+            load["name"]: {"finished": 10} for load in loads
+        }
+        await deployment.async_start_balancer("vm-b1")
+        assert balancer is not deployment.processes["vm-b1"]
+        fabric = await deployment.async_ask_fabric("statistics")
+        assert fabric["balancers"] == ["vm-a1", "vm-b1"]
+        with pytest.raises(exceptions.PlanError):
+            await deployment.async_ask_fabric("faults", los=1)
+    finally:
+        statuses = await deployment.async_close()
+    assert set(statuses.values()) == {0}
+
+
+@pytest.fixture
+def statistics(document):
+    callers = {
+        "opened": {"x": 2},
+        "open": 0,
+        "outcomes": {"x": {"finished": 2}},
+    }
+    events = {"127.1.0.1": {"admitted_stream": 3, "admitted_draining": 3}}
+    return callers, {"events": events, "doubled": []}, {}
+
+
+def summarize(statistics):
+    text = conftest.EXAMPLE.read_text()
+    return demonstration.summarize(*statistics, json.loads(text))
+
+
+def test_a_run_without_faults_is_good(statistics):
+    # Guards against a demonstration that fails for no reason.
+    summary = summarize(statistics)
+    assert summary.is_good
+    assert summary.imbalance == {"listening": 7.0, "intake": 0.0}
+    assert "finished" in demonstration.format_summary(summary)
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        "reset",
+        "timed_out",
+        "incomplete",
+        "corrupted",
+        "wrong_answer",
+        "duplicate",
+    ],
+)
+def test_a_harmed_flow_fails_the_run(statistics, outcome):
+    # Guards against a demonstration that cannot fail.
+    statistics[0]["outcomes"]["x"] = {"finished": 1, outcome: 1}
+    assert not summarize(statistics).is_good
+
+
+def test_doubled_misrouted_and_falsely_refused_flows_fail_it(statistics):
+    # Guards against faults that only targets can see being left out.
+    callers, targets, _ = statistics
+    assert not summarize((callers, targets, {"flow": 1})).is_good
+    assert not summarize((callers, {**targets, "doubled": ["f"]}, {})).is_good
+    targets["events"]["127.1.0.2"] = {"wrong_service": 1}
+    assert not summarize(statistics).is_good
+    targets["events"].clear()
+    callers["open"] = 1
+    assert not summarize(statistics).is_good
+
+
+def test_blocks_do_not_overlap_and_stay_on_loopback(block):
+    # Guards against two runs that use the same addresses.
+    other, holder = deployments.reserve_block()
+    holder.close()
+    assert other != block
+    assert deployments.shift_address("127.2.0.1", 3) == "127.32.0.1"
+    with pytest.raises(exceptions.PlanError):
+        deployments.shift_address("10.0.0.1", 0)
+    with pytest.raises(exceptions.PlanError):
+        deployments.shift_address("127.6.0.1", 25)
