--- a/standins/caller.py
+++ b/standins/caller.py
@@ -96,14 +96,17 @@
         left = itertools.count() if load.limit is None else range(load.limit)
         remaining = iter(left)
 
-        def open_next(now: float) -> None:
-            if self._epoch is not epoch or next(remaining, None) is None:
-                return
-            self._open(load, service, port, shape, now)
-            gap_s = self._generator.expovariate(load.rate_per_s)
-            self._timers.call_at(now + gap_s, open_next)
-
-        open_next(now)
+        def open_due(due: float, now: float) -> None:
+            # Flows follow their planned times, not those of the timer, so
+            # that the mean rate holds when ticks are coarse.
+            while due <= now:
+                if self._epoch is not epoch or next(remaining, None) is None:
+                    return
+                self._open(load, service, port, shape, now)
+                due += self._generator.expovariate(load.rate_per_s)
+            self._timers.call_at(due, lambda later: open_due(due, later))
+
+        open_due(now, now)
 
     def stop(self) -> None:
         """Opens no more flows; open ones go on."""
--- a/standins/caller_flows.py
+++ b/standins/caller_flows.py
@@ -149,8 +149,9 @@
         self._sent_blocks += count
         self._context.stack.flush(connection, now)
         if self._sent_blocks < shape.blocks:
+            due = self._opened_at + self._sent_blocks / shape.rate_per_s
             self._context.timers.call_at(
-                now + 1.0 / shape.rate_per_s,
+                due,
                 lambda later: self._send_blocks(connection, shape, later),
             )
 
--- a/standins/const.py
+++ b/standins/const.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 IPV4_HEADER_BYTES: Final = 20
+IPV4_ADDRESS_BYTES: Final = 4
 TCP_HEADER_BYTES: Final = 20
 UDP_HEADER_BYTES: Final = 8
 DEFAULT_TTL: Final = 64
--- a/standins/sessions.py
+++ b/standins/sessions.py
@@ -185,10 +185,12 @@
         total = int(request["records"])
         interval_s = 1.0 / request["rate_per_s"]
 
+        size_bytes = request["record_bytes"]
+        started = now
+
         def send(number: int, now: float) -> None:
             if connection.state is connections.State.CLOSED:
                 return
-            size_bytes = request["record_bytes"]
             record = content.build_record(tag, number, size_bytes)
             connection.write(record)
             if number + 1 == total:
@@ -196,7 +198,8 @@
                 connection.finish()
             else:
                 self._context.timers.call_at(
-                    now + interval_s, lambda later: send(number + 1, later)
+                    started + (number + 1) * interval_s,
+                    lambda later: send(number + 1, later),
                 )
             self._context.stack.flush(connection, now)
 
