--- a/src/chivedoor/daemon/application.py
+++ b/src/chivedoor/daemon/application.py
@@ -139,7 +139,9 @@
             handle_change=self._apply_document,
         )
         self._platform = clients.PlatformClient(
-            url=settings.platform.url, rng=random.Random()
+            url=settings.platform.url,
+            generator=random.Random(),
+            local_address=settings.vm.address,
         )
         self._documents = document_keeping.DocumentKeeper(
             members=self._members,
@@ -306,7 +308,9 @@
             if listed is not None:
                 self._members.set_listed(
                     memberships.ListedVm(
-                        id=vm.id, domain=vm.domain, leaving=vm.leaving
+                        id=vm.id,
+                        domain=vm.domain,
+                        leaving=vm.state is clients.VmState.LEAVING,
                     )
                     for vm in listed
                 )
--- a/tests/control/test_piggyback.py
+++ b/tests/control/test_piggyback.py
@@ -45,7 +45,7 @@
 
 
 def test_limit_grows_with_the_logarithm_of_the_fleet():
-    # Guards against updates that reach only a part of a large channel_fleet.
+    # Guards against updates that reach only a part of a large fleet.
     assert piggyback.compute_limit(12) == 12
     assert piggyback.compute_limit(830) == 30
     assert piggyback.compute_limit(1) == 3
--- a/tests/control/test_spreader.py
+++ b/tests/control/test_spreader.py
@@ -16,126 +16,126 @@
 from chivedoor.control import exceptions
 from chivedoor.membership import members as members_module
 from chivedoor.membership import records
-from tests.control import channel_fleet as fleet_module
+from tests.control import fleet as fleet_module
 
 State = members_module.MemberState
 Reason = exceptions.DropReason
 _SOURCE = ("127.0.1.9", 7946)
 
 
-def test_death_is_known_by_all(channel_fleet):
+def test_death_is_known_by_all(fleet):
     # Guards against a dead owner that stays in the view of some members.
-    del channel_fleet.nodes[3]
-    channel_fleet.run(5.0)
-    assert channel_fleet.count_live() == [7] * 7
-    assert {n.members.get("v3").state for n in channel_fleet.nodes.values()} == {
+    del fleet.nodes[3]
+    fleet.run(5.0)
+    assert fleet.count_live() == [7] * 7
+    assert {n.members.get("v3").state for n in fleet.nodes.values()} == {
         State.DEAD
     }
 
 
-def test_restart_with_the_same_address_replaces_the_former_life(channel_fleet):
+def test_restart_with_the_same_address_replaces_the_former_life(fleet):
     # Guards against a restarted VM that peers ignore or hold for the old one.
-    owner = channel_fleet.nodes[3]
-    owner.board.publish("mode/1", "DIRECT", True, channel_fleet.now)
-    channel_fleet.run(1.0)
-    assert channel_fleet.nodes[5].board.get("mode/1")
-    channel_fleet.start(3, incarnation=2000)
-    channel_fleet.run(3.0)
-    assert channel_fleet.count_live() == [8] * 8
-    for node in channel_fleet.nodes.values():
+    owner = fleet.nodes[3]
+    owner.board.publish("mode/1", "DIRECT", True, fleet.now)
+    fleet.run(1.0)
+    assert fleet.nodes[5].board.get("mode/1")
+    fleet.start(3, incarnation=2000)
+    fleet.run(3.0)
+    assert fleet.count_live() == [8] * 8
+    for node in fleet.nodes.values():
         assert node.members.get("v3").incarnation == 2000
         assert node.board.get("mode/1") == ()
 
 
-def test_restart_after_the_clock_went_back_is_accepted(channel_fleet):
+def test_restart_after_the_clock_went_back_is_accepted(fleet):
     # Guards against a VM without a disk that is shut out by its former,
     # higher numbers.
-    channel_fleet.start(3, incarnation=10)
-    channel_fleet.run(20.0)
-    assert channel_fleet.count_live() == [8] * 8
-    assert channel_fleet.nodes[3].members.local.incarnation > 1000
+    fleet.start(3, incarnation=10)
+    fleet.run(20.0)
+    assert fleet.count_live() == [8] * 8
+    assert fleet.nodes[3].members.local.incarnation > 1000
 
 
-def test_paused_member_rejoins_with_a_new_incarnation(channel_fleet):
+def test_paused_member_rejoins_with_a_new_incarnation(fleet):
     # Guards against old grants that a woken balancer still uses.
-    node = channel_fleet.nodes[3]
-    node.board.publish("mode/1", "DIRECT", True, channel_fleet.now)
-    channel_fleet.run(1.0)
-    channel_fleet.run(30.0, skip=(3,))
-    assert channel_fleet.nodes[1].members.get("v3").state is State.DEAD
-    channel_fleet.run(5.0)
+    node = fleet.nodes[3]
+    node.board.publish("mode/1", "DIRECT", True, fleet.now)
+    fleet.run(1.0)
+    fleet.run(30.0, skip=(3,))
+    assert fleet.nodes[1].members.get("v3").state is State.DEAD
+    fleet.run(5.0)
     assert len(node.pauses) == 1
     assert 29.0 < node.pauses[0] < 31.0
     assert node.members.local.state is State.JOINING
     assert node.members.local.incarnation >= 1000 + 29_000
-    assert channel_fleet.count_live() == [8] * 8
-    assert channel_fleet.nodes[1].board.get("mode/1") == ()
+    assert fleet.count_live() == [8] * 8
+    assert fleet.nodes[1].board.get("mode/1") == ()
     # The woken member must not hold the others for dead because of acks
     # that it was too late to read.
     assert node.spreader.dump_state()["detector"]["suspected"] == 0
 
 
-def test_suspicion_of_a_live_member_is_refuted(channel_fleet):
+def test_suspicion_of_a_live_member_is_refuted(fleet):
     # Guards against the death of a member after one lost probe.
-    channel_fleet.nodes[1].members.suspect("v3", channel_fleet.now)
-    channel_fleet.run(4.0)
-    states = {n.members.get("v3").state for n in channel_fleet.nodes.values()}
+    fleet.nodes[1].members.suspect("v3", fleet.now)
+    fleet.run(4.0)
+    states = {n.members.get("v3").state for n in fleet.nodes.values()}
     assert states == {State.ACTIVE}
-    assert channel_fleet.nodes[3].members.local.sequence >= 1
+    assert fleet.nodes[3].members.local.sequence >= 1
 
 
-def test_partition_heals_without_a_storm(channel_fleet):
+def test_partition_heals_without_a_storm(fleet):
     # Guards against sides that never find each other again, and against a
     # burst of traffic or false deaths when they do.
     left = (1, 2, 3, 4)
-    channel_fleet.lose = lambda source, target: (source in left) != (target in left)
-    channel_fleet.run(10.0)
-    assert channel_fleet.count_live() == [4] * 8
-    channel_fleet.nodes[2].board.publish("mode/2", "DIRECT", False, channel_fleet.now)
-    channel_fleet.nodes[7].board.publish("mode/7", "DIRECT", False, channel_fleet.now)
-    confirmed = _sum_confirmed(channel_fleet)
-    channel_fleet.lose = lambda source, target: False
-    channel_fleet.log.clear()
+    fleet.lose = lambda source, target: (source in left) != (target in left)
+    fleet.run(10.0)
+    assert fleet.count_live() == [4] * 8
+    fleet.nodes[2].board.publish("mode/2", "DIRECT", False, fleet.now)
+    fleet.nodes[7].board.publish("mode/7", "DIRECT", False, fleet.now)
+    confirmed = _sum_confirmed(fleet)
+    fleet.lose = lambda source, target: False
+    fleet.log.clear()
     healed_s = 0
-    while channel_fleet.count_live() != [8] * 8:
-        channel_fleet.run(1.0)
+    while fleet.count_live() != [8] * 8:
+        fleet.run(1.0)
         healed_s += 1
         assert healed_s <= 20
-    size = sum(len(d.data) + const.IP_UDP_HEADER_BYTES for d in channel_fleet.log)
+    size = sum(len(d.data) + const.IP_UDP_HEADER_BYTES for d in fleet.log)
     # The goal of today's deployments is 4 KB/s a node.
-    assert size / len(channel_fleet.nodes) < 4000 * healed_s
-    assert _sum_confirmed(channel_fleet) == confirmed
-    channel_fleet.run(10.0)
-    for node in channel_fleet.nodes.values():
+    assert size / len(fleet.nodes) < 4000 * healed_s
+    assert _sum_confirmed(fleet) == confirmed
+    fleet.run(10.0)
+    for node in fleet.nodes.values():
         assert node.board.get("mode/2")
         assert node.board.get("mode/7")
 
 
-def test_urgent_entry_reaches_all_without_a_tick(channel_fleet):
+def test_urgent_entry_reaches_all_without_a_tick(fleet):
     # Guards against a domain command that waits for the next probe.
-    channel_fleet.nodes[2].board.publish("domain/z", ["OUT"], True, channel_fleet.now)
-    channel_fleet.deliver()
+    fleet.nodes[2].board.publish("domain/z", ["OUT"], True, fleet.now)
+    fleet.deliver()
     reached = sum(
-        bool(node.board.get("domain/z")) for node in channel_fleet.nodes.values()
+        bool(node.board.get("domain/z")) for node in fleet.nodes.values()
     )
     assert reached >= 7
-    channel_fleet.run(1.0)
-    assert all(n.board.get("domain/z") for n in channel_fleet.nodes.values())
+    fleet.run(1.0)
+    assert all(n.board.get("domain/z") for n in fleet.nodes.values())
 
 
-def test_lost_datagrams_delay_but_do_not_prevent(channel_fleet):
+def test_lost_datagrams_delay_but_do_not_prevent(fleet):
     # Guards against entries and members that a lossy network loses for good.
     rng = random.Random(5)
-    channel_fleet.lose = lambda source, target: rng.random() < 0.3
+    fleet.lose = lambda source, target: rng.random() < 0.3
     for number in range(1, 9):
-        channel_fleet.nodes[number].board.publish(
-            f"mode/{number}", number, False, channel_fleet.now
+        fleet.nodes[number].board.publish(
+            f"mode/{number}", number, False, fleet.now
         )
-    channel_fleet.run(20.0)
-    channel_fleet.lose = lambda source, target: False
-    channel_fleet.run(15.0)
-    assert channel_fleet.count_live() == [8] * 8
-    assert {len(n.board) for n in channel_fleet.nodes.values()} == {8}
+    fleet.run(20.0)
+    fleet.lose = lambda source, target: False
+    fleet.run(15.0)
+    assert fleet.count_live() == [8] * 8
+    assert {len(n.board) for n in fleet.nodes.values()} == {8}
 
 
 def test_newcomer_gets_a_board_that_exceeds_many_datagrams(network):
@@ -171,14 +171,14 @@
     assert first.spreader.sent[datagrams.Kind.SUMMARY] > 0
 
 
-def test_replayed_and_doubled_datagrams_are_dropped(channel_fleet):
+def test_replayed_and_doubled_datagrams_are_dropped(fleet):
     # Guards against an attacker who replays recorded gossip.
-    channel_fleet.run(1.0)
-    node = channel_fleet.nodes[1]
-    recorded = [d for d in channel_fleet.log if d.destination == node.address]
+    fleet.run(1.0)
+    node = fleet.nodes[1]
+    recorded = [d for d in fleet.log if d.destination == node.address]
     before = node.spreader.dump_state()
     for datagram in recorded:
-        node.spreader.receive(datagram.data, _SOURCE, channel_fleet.now)
+        node.spreader.receive(datagram.data, _SOURCE, fleet.now)
     after = node.spreader.dump_state()
     replayed = after["dropped"]["replayed"] - before["dropped"]["replayed"]
     assert replayed == len(recorded) > 0
@@ -186,40 +186,40 @@
     assert node.spreader.drain() == []
 
 
-def test_datagrams_for_another_member_are_dropped(channel_fleet):
+def test_datagrams_for_another_member_are_dropped(fleet):
     # Guards against replay at a member that did not see the message.
-    channel_fleet.run(1.0)
-    channel_fleet.log.clear()
-    channel_fleet.run(1.0)
-    node = channel_fleet.nodes[1]
-    others = [d for d in channel_fleet.log if d.destination != node.address]
+    fleet.run(1.0)
+    fleet.log.clear()
+    fleet.run(1.0)
+    node = fleet.nodes[1]
+    others = [d for d in fleet.log if d.destination != node.address]
     before = node.spreader.dropped[Reason.TAG]
     for datagram in others:
-        node.spreader.receive(datagram.data, _SOURCE, channel_fleet.now)
+        node.spreader.receive(datagram.data, _SOURCE, fleet.now)
     assert node.spreader.dropped[Reason.TAG] - before == len(others) > 0
 
 
-def test_late_claims_do_not_bring_the_dead_back(channel_fleet):
+def test_late_claims_do_not_bring_the_dead_back(fleet):
     # Guards against datagrams that were on their way during a death.
-    node = channel_fleet.nodes[1]
+    node = fleet.nodes[1]
     alive = node.members.get("v3")
-    node.members.confirm_dead("v3", channel_fleet.now)
-    assert not node.members.merge(alive, channel_fleet.now)
+    node.members.confirm_dead("v3", fleet.now)
+    assert not node.members.merge(alive, fleet.now)
     suspect = dataclasses.replace(alive, state=State.SUSPECT)
-    assert not node.members.merge(suspect, channel_fleet.now)
+    assert not node.members.merge(suspect, fleet.now)
 
 
-def test_planned_stop_is_known_without_suspicion(channel_fleet):
+def test_planned_stop_is_known_without_suspicion(fleet):
     # Guards against 2 s without an owner on every planned stop.
-    node = channel_fleet.nodes[3]
-    node.members.leave(channel_fleet.now)
-    channel_fleet.run(1.0)
-    node.spreader.farewell(channel_fleet.now)
-    channel_fleet.deliver()
-    del channel_fleet.nodes[3]
-    channel_fleet.run(1.0)
-    assert channel_fleet.count_live() == [7] * 7
-    assert all(n.members.list_dead() == () for n in channel_fleet.nodes.values())
+    node = fleet.nodes[3]
+    node.members.leave(fleet.now)
+    fleet.run(1.0)
+    node.spreader.farewell(fleet.now)
+    fleet.deliver()
+    del fleet.nodes[3]
+    fleet.run(1.0)
+    assert fleet.count_live() == [7] * 7
+    assert all(n.members.list_dead() == () for n in fleet.nodes.values())
 
 
 def test_exhausted_budget_drops_and_counts(network):
@@ -358,8 +358,8 @@
     return records.encode_record(member)
 
 
-def _sum_confirmed(channel_fleet):
+def _sum_confirmed(fleet):
     return sum(
         node.spreader.dump_state()["detector"]["confirmed"]
-        for node in channel_fleet.nodes.values()
+        for node in fleet.nodes.values()
     )
