--- /dev/null
+++ b/src/chivedoor/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the daemon and of the operators' tool."""
--- a/src/chivedoor/rpc/transport.py
+++ b/src/chivedoor/rpc/transport.py
@@ -48,7 +48,7 @@
         )
     except (OSError, websocket_exceptions.WebSocketException) as error:
         raise exceptions.PeerUnreachableError(
-            f"{host}:{port}: {error}"
+            f"cannot connect: {error}"
         ) from error
 
 
--- a/tests/telemetry/test_logs.py
+++ b/tests/telemetry/test_logs.py
@@ -28,6 +28,7 @@
     "task_uuid",
     "task_level",
 }
+ROOT = pathlib.Path(__file__).parents[2]
 
 
 class Clock:
@@ -208,7 +209,7 @@
 @pytest.mark.parametrize("event_type", events.EVENTS.values())
 def test_event_is_documented(event_type):
     # Guards against an event whose meaning operators cannot look up.
-    page = pathlib.Path("docs/metrics.md").read_text()
+    page = (ROOT / "docs/metrics.md").read_text()
     names = ", ".join(
         f"`{field.name}`" for field in dataclasses.fields(event_type)
     )
@@ -220,7 +221,7 @@
 
 def test_page_lists_no_event_that_does_not_exist():
     # Guards against a page that keeps removed events.
-    page = pathlib.Path("docs/metrics.md").read_text()
+    page = (ROOT / "docs/metrics.md").read_text()
     rows = re.findall(
         r"^\| `([a-z-]+)` \| (?:info|warning|error) \|", page, re.M
     )
--- a/tests/telemetry/test_metrics.py
+++ b/tests/telemetry/test_metrics.py
@@ -30,6 +30,7 @@
     "number",
     "state",
 }
+ROOT = pathlib.Path(__file__).parents[2]
 
 
 class Reason(enum.Enum):
@@ -182,7 +183,7 @@
 @pytest.mark.parametrize("metric", Metric)
 def test_metric_is_documented(metric):
     # Guards against a metric whose meaning operators cannot look up.
-    page = pathlib.Path("docs/metrics.md").read_text()
+    page = (ROOT / "docs/metrics.md").read_text()
     declared = metric.value
     labels = ", ".join(f"`{label}`" for label in declared.labels) or "none"
     row = f"| `{declared.name}` | {declared.kind.value} | {labels} | "
@@ -192,15 +193,15 @@
 def test_pages_name_no_metric_that_does_not_exist():
     # Guards against rules that never fire because of a wrong name.
     known = {metric.value.name for metric in Metric}
-    rules = pathlib.Path("examples/alerts.rules")
-    for path in (rules, *pathlib.Path("docs").glob("*.md")):
+    rules = ROOT / "examples/alerts.rules"
+    for path in (rules, *(ROOT / "docs").glob("*.md")):
         named = set(re.findall(r"\bchivedoor_[a-z_]+[a-z]", path.read_text()))
         assert named <= known, path
 
 
 def test_every_alert_rule_is_complete():
     # Guards against a rule that lacks the line operators act on.
-    text = pathlib.Path("examples/alerts.rules").read_text()
+    text = (ROOT / "examples/alerts.rules").read_text()
     blocks = [
         block
         for block in text.split("\n\n")
