--- a/src/chivedoor/admission/duplicates.py
+++ b/src/chivedoor/admission/duplicates.py
@@ -61,9 +61,7 @@
         self._add(flow, digest)
         return Passage.PASS
 
-    def withdraw(
-        self, flow: ids.FlowKey, payload: bytes | memoryview
-    ) -> None:
+    def withdraw(self, flow: ids.FlowKey, payload: bytes | memoryview) -> None:
         """Forgets a datagram that was refused after it passed the filter."""
         known = self._digests.get(flow)
         digest = _compute_digest(payload)
--- a/src/chivedoor/daemon/documents.py
+++ b/src/chivedoor/daemon/documents.py
@@ -107,9 +107,7 @@
 
     def _note_older(self, version: ids.Version) -> None:
         self._logs.write_event(
-            events.DocumentOlder(
-                document_version=version, in_force=self.store.version
-            )
+            events.DocumentOlder(document_version=version, source="platform")
         )
 
     def _accept(self, body: bytes) -> None:
