Pass the byte budget to the channel

Cause: the channel takes the budget itself; every link failed in a deployment of 12 balancers (links-failed up to 840 in 28 s), so one balancer never got the document and no mode became DIRECT. Change: give the channel the budget.

--- a/src/chivedoor/daemon/application.py
+++ b/src/chivedoor/daemon/application.py
@@ -19,7 +19,6 @@
 from chivedoor.control import channel as channels
 from chivedoor.control import gossip as gossips
 from chivedoor.control import operators
-from chivedoor.control import pacing
 from chivedoor.daemon import commands as commands_module
 from chivedoor.daemon import const
 from chivedoor.daemon import documents as document_keeping
@@ -102,7 +101,7 @@
             port=vm.channel_port,
             keys=[key for key in keys if key is not None],
             resolve=self._resolve_member,
-            budget=pacing.Pacer(self._budget).async_pace,
+            budget=self._budget,
         )
 
     def _create_decisions(self) -> None:
