State and prove the bounds on admissions

Nothing said what the sum of all admissions to a target is bounded by, and the state machine test did not check the share of the ramp: removing it left all tests green.

The state machine now keeps a share over several offers, checks the rate under it, and takes over with a replica. The ramp drops a rule that the bound does not need.

--- a/src/chivedoor/admission/ramp.py
+++ b/src/chivedoor/admission/ramp.py
@@ -12,7 +12,8 @@
 
     New flows are limited by a token bucket of rate r and capacity c with
     c + r = level + 1. In a window shorter than one second it admits fewer
-    than c + r, so at most `level` flows start within any second.
+    than c + r, so the flows that start within any second are at most the
+    highest level of that second.
     """
 
     def __init__(
@@ -38,7 +39,6 @@
         self._ceiling = ceiling
         self._started_at: float | None = None
         self._tokens = 0.0
-        self._token_level = 0
         self._refilled_at = now
         if cold:
             self.restart(now)
@@ -55,7 +55,6 @@
         # quick succession would each allow a burst.
         if not self.is_cold(now):
             self._tokens = _get_capacity(self._initial)
-            self._token_level = self._initial
             self._refilled_at = now
         self._started_at = now
 
@@ -110,12 +109,10 @@
         return max(0, min(steps, self._ceiling.bit_length()))
 
     def _refill(self, level: int, now: float) -> None:
-        # The time since the last refill may include a lower level.
-        rate_level = min(level, self._token_level)
-        rate = rate_level + 1 - _get_capacity(rate_level)
+        capacity = _get_capacity(level)
+        rate = level + 1 - capacity
         tokens = self._tokens + max(0.0, now - self._refilled_at) * rate
-        self._tokens = min(tokens, _get_capacity(level))
-        self._token_level = level
+        self._tokens = min(tokens, capacity)
         self._refilled_at = now
 
 
--- a/tests/admission/test_target.py
+++ b/tests/admission/test_target.py
@@ -53,8 +53,8 @@
 class OwnersMachine(stateful.RuleBasedStateMachine):
     """Two owners on the sides of a partition, and the target between them.
 
-    The model keeps the flows that really are open on the target, and the time
-    of each start. It computes the limits from the policy by itself.
+    The model keeps the flows that really are open on the target, and the times
+    of all offers and starts. It computes the limits from the policy by itself.
     """
 
     CONNECTIONS = 9
@@ -64,39 +64,49 @@
     def __init__(self):
         super().__init__()
         self.now = 0.0
-        self.owners = [
-            make_target(
-                cold=True,
-                connections=self.CONNECTIONS,
-                slots=self.SLOTS,
-                ramp_step_s=self.STEP_S,
-                request_deadline_s=3.0,
-            )
-            for _ in range(2)
-        ]
+        self.owners = [self.make_owner() for _ in range(2)]
+        self.shares = [1, 0]
         self.open = [[], []]
         self.starts = [[], []]
+        self.levels = [[], []]
         self.cold_since = [0.0, 0.0]
         self.closed_until = [0.0, 0.0]
 
+    def make_owner(self):
+        return target.TargetAdmission(
+            policy=conftest.make_policy(
+                connections=self.CONNECTIONS,
+                slots=self.SLOTS,
+                ramp_step_s=self.STEP_S,
+                request_deadline_s=3.0,
+            ),
+            cold=True,
+            now=self.now,
+        )
+
     def level(self, side):
         steps = int((self.now - self.cold_since[side]) / self.STEP_S)
         return 2**steps if 2**steps < self.CONNECTIONS else math.inf
 
-    @stateful.rule(share=SHARES, kind=KINDS, count=strategies.integers(1, 9))
-    def offer_to_both_sides(self, share, kind, count):
-        for side, part in enumerate([share, 1 - share]):
-            for _ in range(count):
-                self.offer(side, part, kind)
+    @stateful.rule(share=SHARES)
+    def change_view(self, share):
+        self.shares = [share, 1 - share]
+
+    @stateful.rule(kind=KINDS, count=strategies.integers(1, 9))
+    def offer(self, kind, count):
+        for side in (0, 1) * count:
+            self.offer_one(side, self.shares[side], kind)
 
-    def offer(self, side, share, kind):
+    def offer_one(self, side, share, kind):
+        level = self.level(side)
+        allowed = math.floor(level * share) if level < math.inf else level
+        self.levels[side].append((self.now, allowed))
         owner = self.owners[side]
         if try_admit(owner, self.now, kind, share) is not Verdict.ADMIT:
             return
         self.open[side].append(kind)
         self.starts[side].append(self.now)
         assert len(self.open[side]) <= math.floor(self.CONNECTIONS * share)
-        level = self.level(side)
         if kind is not Kind.STREAM:
             ceiling = min(self.SLOTS, level)
             assert self.slots(side) <= math.floor(ceiling * share)
@@ -104,7 +114,11 @@
         # Floating point may admit a flow a moment early.
         window = self.now - 1 + 1e-6
         recent = sum(start > window for start in self.starts[side])
-        assert recent <= level
+        assert recent <= max(
+            allowed
+            for offered, allowed in self.levels[side]
+            if offered > window
+        )
 
     def slots(self, side):
         return sum(kind is not Kind.STREAM for kind in self.open[side])
@@ -129,9 +143,20 @@
         self.owners[side].become_cold(self.now)
         self.cold_since[side] = self.now
         self.starts[side].clear()
+        self.levels[side].clear()
+
+    @stateful.rule(side=strategies.integers(0, 1))
+    def take_over_with_replica(self, side):
+        self.owners[side] = self.make_owner()
+        for kind in self.open[side]:
+            self.owners[side].adopt(kind)
+        self.cold_since[side] = self.now
+        self.closed_until[side] = 0.0
+        self.starts[side].clear()
+        self.levels[side].clear()
 
     @stateful.rule(side=strategies.integers(0, 1))
-    def lose_records(self, side):
+    def begin_recovery(self, side):
         self.owners[side].begin_recovery(self.now)
         self.closed_until[side] = self.now + 3.0
 
@@ -314,7 +339,8 @@
     for number in range(500):
         now = number / 100
         assert try_admit(admission, now) is Verdict.ADMIT
-        if number % 20 == 19:
+        # Some of these resets are the first event of a window.
+        if number and number % 20 == 0:
             admission.note_reset(True, now)
         admission.release(Kind.STREAM, now)
         slow = number % 10 == 9
