--- a/src/chivedoor/dataplane/packet.py
+++ b/src/chivedoor/dataplane/packet.py
@@ -174,18 +174,7 @@
     # A refusal must go to a single host (RFC 1122 section 3.2.2).
     if not 0 < source[0] < _FIRST_IPV4_MULTICAST_BYTE:
         raise exceptions.PacketError(_DropReason.BAD_SOURCE)
-    if source == destination:
-        raise exceptions.PacketError(_DropReason.SAME_ADDRESS)
-    if protocol == _TCP:
-        payload, flags = _parse_tcp(buffer, size, _IPV4_HEADER_BYTES)
-    elif protocol == _UDP:
-        payload = _parse_udp(size, _IPV4_HEADER_BYTES, transport_length)
-        flags = 0
-    else:
-        raise exceptions.PacketError(_DropReason.UNSUPPORTED_PROTOCOL)
-    if not source_port or not destination_port:
-        raise exceptions.PacketError(_DropReason.ZERO_PORT)
-    return Packet(
+    return _parse_transport(
         buffer,
         _IPV4,
         protocol,
@@ -193,9 +182,9 @@
         destination,
         source_port,
         destination_port,
-        flags,
+        transport_length,
+        checksum,
         _IPV4_HEADER_BYTES,
-        payload,
     )
 
 
@@ -221,36 +210,63 @@
         raise exceptions.PacketError(_DropReason.TTL_EXPIRED)
     if source[0] == _IPV6_MULTICAST_BYTE or source == _IPV6_UNSPECIFIED:
         raise exceptions.PacketError(_DropReason.BAD_SOURCE)
+    return _parse_transport(
+        buffer,
+        _IPV6,
+        protocol,
+        source,
+        destination,
+        source_port,
+        destination_port,
+        transport_length,
+        checksum,
+        _IPV6_HEADER_BYTES,
+    )
+
+
+def _parse_transport(
+    buffer: bytearray,
+    version: int,
+    protocol: int,
+    source: bytes,
+    destination: bytes,
+    source_port: int,
+    destination_port: int,
+    length: int,
+    checksum: int,
+    offset: int,
+) -> Packet:
     if source == destination:
         raise exceptions.PacketError(_DropReason.SAME_ADDRESS)
     if protocol == _TCP:
-        payload, flags = _parse_tcp(buffer, size, _IPV6_HEADER_BYTES)
+        payload, flags = _parse_tcp(buffer, offset)
     elif protocol == _UDP:
-        payload = _parse_udp(size, _IPV6_HEADER_BYTES, transport_length)
+        payload = _parse_udp(len(buffer), offset, length)
         flags = 0
         # RFC 8200 section 8.1 requires a UDP checksum over IPv6.
-        if not checksum:
+        if not checksum and version == _IPV6:
             raise exceptions.PacketError(_DropReason.ZERO_CHECKSUM)
     else:
-        raise exceptions.PacketError(_classify_next_header(protocol))
+        raise exceptions.PacketError(_classify_protocol(version, protocol))
     if not source_port or not destination_port:
         raise exceptions.PacketError(_DropReason.ZERO_PORT)
     return Packet(
         buffer,
-        _IPV6,
+        version,
         protocol,
         source,
         destination,
         source_port,
         destination_port,
         flags,
-        _IPV6_HEADER_BYTES,
+        offset,
         payload,
     )
 
 
-def _parse_tcp(buffer: bytearray, size: int, offset: int) -> tuple[int, int]:
+def _parse_tcp(buffer: bytearray, offset: int) -> tuple[int, int]:
     """Returns the offset of the payload and the flags."""
+    size = len(buffer)
     if size < offset + _TCP_HEADER_BYTES:
         raise exceptions.PacketError(_DropReason.TRUNCATED)
     header = (buffer[offset + _TCP_DATA_OFFSET] >> 4) * 4
@@ -276,7 +292,9 @@
     return _DropReason.IP_OPTIONS
 
 
-def _classify_next_header(protocol: int) -> exceptions.DropReason:
+def _classify_protocol(version: int, protocol: int) -> exceptions.DropReason:
+    if version == _IPV4:
+        return _DropReason.UNSUPPORTED_PROTOCOL
     if protocol == const.IPV6_FRAGMENT_HEADER:
         return _DropReason.FRAGMENT
     if protocol in const.IPV6_EXTENSION_HEADERS:
