--- a/src/chivedoor/cli/fleet.py
+++ b/src/chivedoor/cli/fleet.py
@@ -99,8 +99,9 @@
         """
         answers = await self.async_ask(addresses, commands.PeersCommand())
         require_one(answers)
+        # A member that joined just now may not have announced its port yet.
         found = [
-            Address(peer.address, peer.operator_port)
+            Address(peer.address, peer.operator_port or answer.address.port)
             for answer in answers
             if answer.reply is not None
             for peer in answer.reply.peers
--- a/src/chivedoor/control/commands.py
+++ b/src/chivedoor/control/commands.py
@@ -110,7 +110,8 @@
         domain: Its failure domain.
         state: The name of its member state.
         address: Its address.
-        operator_port: The TCP port of its operators' interface.
+        operator_port: The TCP port of its operators' interface; 0 when it is
+            not known yet.
     """
 
     id: str
--- a/src/chivedoor/telemetry/metrics.py
+++ b/src/chivedoor/telemetry/metrics.py
@@ -66,7 +66,8 @@
         Args:
             metric: A metric with one label.
             values: Totals by the value of the label. An enum member stands
-                for its value if that is a string, else for its name.
+                for its value if that is a string, else for its name. Labels
+                are in lower case, with hyphens.
 
         Raises:
             MetricLabelError: The metric has not exactly one label, or too
@@ -109,9 +110,9 @@
 
 def format_label(key: enum.Enum | str) -> str:
     """Returns the label value of an enum member or a string."""
-    if not isinstance(key, enum.Enum):
-        return key
-    value = key.value if isinstance(key.value, str) else key.name
+    value = key
+    if isinstance(key, enum.Enum):
+        value = key.value if isinstance(key.value, str) else key.name
     return value.lower().replace("_", "-").replace(" ", "-")
 
 
--- a/tests/cli/test_control.py
+++ b/tests/cli/test_control.py
@@ -88,6 +88,16 @@
     assert len(alone.out.splitlines()) == 2
 
 
+async def test_member_without_a_known_port_is_asked_on_the_usual_one(
+    group, async_run
+):
+    # Guards against a new member that is reported as not reachable.
+    first = await group.async_add("vm-1")
+    group.add_peer("vm-2", 0)
+    result = await async_run("status", "--all", "--address", first.address)
+    assert result.code == ExitCode.FINE
+
+
 async def test_status_json_holds_the_same_figures(
     group, async_run, closed_address
 ):
