--- a/standins/demonstration.py
+++ b/standins/demonstration.py
@@ -244,11 +244,17 @@
         int, cappa.Arg(long=True, help="Range of addresses, 0 to 24.")
     ] = 0
     document: Annotated[pathlib.Path, cappa.Arg(long=True)] = _EXAMPLE
+    folder: Annotated[
+        pathlib.Path | None,
+        cappa.Arg(long=True, help="Where settings and logs are kept."),
+    ] = None
 
     def __call__(self) -> None:
         """Runs the demonstration."""
-        with tempfile.TemporaryDirectory(prefix="chivedoor-") as folder:
-            summary = asyncio.run(self.async_run(pathlib.Path(folder)))
+        with tempfile.TemporaryDirectory(prefix="chivedoor-") as temporary:
+            folder = self.folder or pathlib.Path(temporary)
+            folder.mkdir(parents=True, exist_ok=True)
+            summary = asyncio.run(self.async_run(folder.resolve()))
         print(format_summary(summary))
         sys.exit(0 if summary.is_good else 1)
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -33,7 +33,7 @@
 
 
 _MODULES = {
-    BalancerKind.CHIVEDOORD: ["-m", "chivedoor.cli.daemon", "run"],
+    BalancerKind.CHIVEDOORD: ["-m", "chivedoor.cli.daemon"],
     BalancerKind.DIRECT: ["-m", "standins.direct"],
 }
 
--- a/tests/balancer/fleet.py
+++ b/tests/balancer/fleet.py
@@ -4,8 +4,9 @@
 import dataclasses
 import itertools
 
-from chivedoor import ids
 from chivedoor.admission import target as admissions
+
+from chivedoor import ids
 from chivedoor.balancer import actions
 from chivedoor.balancer import balancer as balancers
 from chivedoor.configuration import document as documents
