standins: follow documents and stop balancers as planned

Tests of changes need targets that appear with a document, also at an address that another service had, and a planned stop of an entry VM. Uploads are answered with a digest of all received bytes.

--- a/standins/caller_flows.py
+++ b/standins/caller_flows.py
@@ -336,7 +336,8 @@
     fault = answer.get("fault")
     if fault is not None:
         return _CONTENT_OUTCOMES[content.Fault(fault)]
-    if answer.get("blocks") != shape.blocks or filler:
+    digest = content.build_digest(flow, shape.blocks, shape.block_bytes)
+    if answer.get("digest") != digest or filler:
         return Outcome.CORRUPTED
     return Outcome.FINISHED
 
--- a/standins/content.py
+++ b/standins/content.py
@@ -35,6 +35,15 @@
     return (header + filler * repeats)[:size_bytes]
 
 
+def build_digest(flow: str, count: int, size_bytes: int) -> str:
+    """Returns the digest of the first `count` records of a flow."""
+    tag = tag_flow(flow)
+    digest = xxhash.xxh3_128()
+    for number in range(count):
+        digest.update(build_record(tag, number, size_bytes))
+    return digest.hexdigest()
+
+
 def find_fault(
     data: bytes, *, tag: int, number: int, size_bytes: int
 ) -> Fault | None:
@@ -61,14 +70,21 @@
         self._tag = tag_flow(flow)
         self._size_bytes = size_bytes
         self._partial = bytearray()
+        self._hash = xxhash.xxh3_128()
 
     @property
     def partial_bytes(self) -> int:
         """Bytes of a record that is not complete."""
         return len(self._partial)
 
+    @property
+    def digest(self) -> str:
+        """The digest of all bytes so far, in hexadecimal form."""
+        return self._hash.hexdigest()
+
     def feed(self, data: bytes) -> None:
         """Checks more bytes; the first fault is kept."""
+        self._hash.update(data)
         self._partial += data
         while self.fault is None and len(self._partial) >= self._size_bytes:
             record = bytes(self._partial[: self._size_bytes])
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -1,10 +1,12 @@
 """A whole deployment on one machine, for the demonstration and the bench."""
 
+import asyncio
 import configparser
 import dataclasses
 import enum
 import json
 import pathlib
+import signal
 import socket
 from typing import Any
 
@@ -23,6 +25,8 @@
 _PEER_KEY = "000102030405060708090a0b0c0d0e0f"
 _OPERATOR_KEY = "202122232425262728292a2b2c2d2e2f"
 _MAXIMUM_SEEDS = 3
+# A stop as planned may take 30 s.
+_RETIRE_TIMEOUT_S = 45.0
 
 
 class BalancerKind(enum.Enum):
@@ -129,7 +133,10 @@
     async def async_publish(self, document: dict) -> None:
         """Makes a document, with addresses of block 0, the newest one."""
         self.document = shift_document(document, self._block)
+        await self.async_ask_targets("document", document=self.document)
+        await self._async_announce_services()
         await self._async_put("document", self.document)
+        await self.async_ask_callers("document", document=self.document)
 
     async def async_set_vms(self, states: dict[str, str]) -> None:
         """Publishes the entry VMs, `live` but for the given states."""
@@ -162,6 +169,18 @@
         """Lets the fabric send no more packets to an entry VM."""
         await self.async_ask_fabric("remove_balancer", name=name)
 
+    async def async_retire(self, name: str, lag_s: float = 0.5) -> int:
+        """Stops a balancer as planned; returns its exit status.
+
+        The fabric sends packets to it for `lag_s` seconds more.
+        """
+        process = self.processes[name]
+        await self.async_set_vms({name: "leaving"})
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(lag_s)
+        await self.async_detach(name)
+        return await process.async_stop(_RETIRE_TIMEOUT_S)
+
     async def async_start_balancer(self, name: str) -> None:
         """Starts the balancer of an entry VM again, and attaches it."""
         vm = self.vms[name]
@@ -220,6 +239,9 @@
             arguments,
             processes.build_admin_check(self.fabric_admin),
         )
+        await self._async_announce_services()
+
+    async def _async_announce_services(self) -> None:
         addresses = [
             address
             for service in self.document["services"]
--- a/standins/sessions.py
+++ b/standins/sessions.py
@@ -173,6 +173,7 @@
         answer = {
             "flow": self._request["flow"],
             "blocks": checker.count,
+            "digest": checker.digest,
             "fault": checker.fault.value if checker.fault else None,
         }
         connection.write(json.dumps(answer).encode() + b"\n")
--- a/standins/target.py
+++ b/standins/target.py
@@ -109,6 +109,14 @@
         self._stack = hosts.Stack(
             send=self._send, timers=self._timers, generator=self._generator
         )
+        self._open_ports()
+
+    def set_service(self, service: document.Service) -> None:
+        """Uses the ports and the policy of a newer document."""
+        self.service = service
+        self._open_ports()
+
+    def _open_ports(self) -> None:
         for port in self.service.ports:
             local = (self._address, port.target_port)
             if port.protocol is document.Protocol.TCP:
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 import dataclasses
+import json
 import pathlib
 import random
 import time
@@ -74,10 +75,11 @@
         self._ledger = ledgers.Ledger()
         self._targets: dict[bytes, target_module.Target] = {}
         self._links: dict[str, link.Link] = {}
-        self._health: list[HealthServer] = []
+        self._health: dict[str, HealthServer] = {}
         self._administration = administration.Administration(
             address=admin_address,
             operations={
+                "document": self._async_follow,
                 "faults": self._set_faults,
                 "die": self._kill,
                 "restart": self._restart,
@@ -97,27 +99,42 @@
     async def async_close(self) -> None:
         """Closes all sockets."""
         await self._administration.async_close()
-        for server in self._health:
+        for server in self._health.values():
             await server.async_close()
         for opened in self._links.values():
             await opened.async_close()
         await self._ticker.async_close()
 
-    async def async_add(self, document: documents.Document) -> None:
-        """Starts the targets of a document that do not run yet."""
-        added = [
-            (service, endpoint)
-            for service in document.services.values()
-            for endpoint in service.endpoints
-            if endpoint.address not in self._targets
-        ]
-        for domain in sorted({endpoint.domain for _, endpoint in added}):
-            if domain not in self._links:
-                await self._async_open_link(domain)
-        for service, endpoint in added:
-            await self._async_start(service, endpoint)
+    async def async_follow(self, document: documents.Document) -> None:
+        """Starts the new targets of a document and updates the others.
+
+        A target whose address now belongs to another service dies; removed
+        endpoints stay, as their flows may last.
+        """
+        for service in document.services.values():
+            for endpoint in service.endpoints:
+                await self._async_place(service, endpoint)
         await self._async_register()
 
+    async def _async_place(
+        self, service: documents.Service, endpoint: documents.Endpoint
+    ) -> None:
+        target = self._targets.get(endpoint.address)
+        if target is not None and target.service.id == service.id:
+            target.set_service(service)
+            return
+        if target is not None:
+            target.die(target_module.Death.SILENT)
+            await self._async_close_health(target)
+        if endpoint.domain not in self._links:
+            await self._async_open_link(endpoint.domain)
+        await self._async_start(service, endpoint)
+
+    async def _async_close_health(self, target: target_module.Target) -> None:
+        server = self._health.pop(target.name, None)
+        if server is not None:
+            await server.async_close()
+
     async def _async_open_link(self, domain: str) -> None:
         opened = link.Link(address=(self._address, 0), handle=self._handle)
         await opened.async_open()
@@ -139,7 +156,7 @@
         if endpoint.health_port is not None:
             server = HealthServer(target=target)
             await server.async_open()
-            self._health.append(server)
+            self._health[target.name] = server
 
     async def _async_register(self) -> None:
         for domain, opened in self._links.items():
@@ -180,6 +197,10 @@
             raise exceptions.PlanError("the request names no known target")
         return selected
 
+    async def _async_follow(self, request: dict) -> None:
+        data = json.dumps(request["document"]).encode()
+        await self.async_follow(documents.parse_document(data))
+
     def _set_faults(self, request: dict) -> None:
         for target in self._select(request):
             target.set_faults(request["faults"])
@@ -249,7 +270,7 @@
         )
         document = documents.parse_document(self.document.read_bytes())
         try:
-            await process.async_add(document)
+            await process.async_follow(document)
             await process.async_open()
             await administration.async_wait_for_signal()
         finally:
--- a/tests/standins/test_deployment.py
+++ b/tests/standins/test_deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+import aiohttp
 import pytest
 
 from standins import demonstration
@@ -52,11 +53,36 @@
         assert fabric["balancers"] == ["vm-a1", "vm-b1"]
         with pytest.raises(exceptions.PlanError):
             await deployment.async_ask_fabric("faults", los=1)
+        assert await deployment.async_retire("vm-b1") == 0
+        await follow_a_reused_address(deployment)
     finally:
         statuses = await deployment.async_close()
     assert set(statuses.values()) == {0}
 
 
+async def follow_a_reused_address(deployment):
+    document = json.loads(conftest.EXAMPLE.read_text())
+    document["version"] += 1
+    moved = document["services"][1]["endpoints"].pop()
+    document["services"][0]["endpoints"].append([11, *moved[1:]])
+    await deployment.async_publish(document)
+    name = deployment.document["services"][0]["endpoints"][-1][1]
+    health = f"http://{name}:9001/health"
+    assert await read_health(health) == "ready"
+    await deployment.async_ask_targets("restart", targets=[name], cold_s=60)
+    assert await read_health(health) == "cold"
+    await deployment.async_ask_targets("die", targets=[name])
+    with pytest.raises(aiohttp.ClientError):
+        await read_health(health)
+    state = await deployment.async_ask_targets("statistics")
+    assert state["targets"][name]["service"] == "listening"
+
+
+async def read_health(url):
+    async with aiohttp.ClientSession() as session, session.get(url) as answer:
+        return (await answer.json())["state"]
+
+
 @pytest.fixture
 def statistics(document):
     callers = {
