standins: reserve the addresses of a deployment

A demonstration failed because another one on the machine used the same addresses, and its readiness checks had reached the other's processes. A deployment now holds a lock socket of its range while it runs, and takes a free range unless one is given.

--- a/standins/demonstration.py
+++ b/standins/demonstration.py
@@ -241,8 +241,9 @@
         deployments.BalancerKind.CHIVEDOORD
     )
     block: Annotated[
-        int, cappa.Arg(long=True, help="Range of addresses, 0 to 24.")
-    ] = 0
+        int | None,
+        cappa.Arg(long=True, help="Range of addresses, 0 to 24."),
+    ] = None
     document: Annotated[pathlib.Path, cappa.Arg(long=True)] = _EXAMPLE
     folder: Annotated[
         pathlib.Path | None,
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -73,7 +73,7 @@
         folder: pathlib.Path,
         kind: BalancerKind = BalancerKind.CHIVEDOORD,
         seed: int = 1,
-        block: int = 0,
+        block: int | None = None,
         spray: str = "packet",
         limits: dict[str, int] | None = None,
     ):
@@ -85,10 +85,16 @@
             folder: Where settings and logs go.
             kind: Which balancer runs on the entry VMs.
             seed: Seed of all stand-ins.
-            block: Number of the range of addresses, 0 to 24.
+            block: Number of the range of addresses, 0 to 24; None for one
+                that no other deployment uses.
             spray: How the fabric spreads packets, `packet` or `flow`.
             limits: Values of the `limits` section of the settings.
+
+        Raises:
+            PlanError: Another deployment uses the block.
         """
+        self.block, self._holder = reserve_block(block)
+        block = self.block
         self.document = shift_document(document, block)
         self.processes = processes.ProcessGroup(logs=folder)
         self.vms = build_vms(document, balancers, block)
@@ -100,7 +106,6 @@
         self._folder = folder
         self._kind = kind
         self._seed = seed
-        self._block = block
         self._spray = spray
         self._limits = {
             "control_bytes_per_s": 4000,
@@ -128,11 +133,13 @@
 
     async def async_close(self) -> dict[str, int]:
         """Stops all processes; returns the exit status of each."""
-        return await self.processes.async_stop()
+        statuses = await self.processes.async_stop()
+        self._holder.close()
+        return statuses
 
     async def async_publish(self, document: dict) -> None:
         """Makes a document, with addresses of block 0, the newest one."""
-        self.document = shift_document(document, self._block)
+        self.document = shift_document(document, self.block)
         await self.async_ask_targets("document", document=self.document)
         await self._async_announce_services()
         await self._async_put("document", self.document)
@@ -265,7 +272,7 @@
         arguments += self._build_fabric_arguments()
         arguments += ["--address", self.callers_admin[0]]
         arguments += ["--admin", format_address(self.callers_admin)]
-        arguments += ["--inner", shift_address("127.2.0.1", self._block)]
+        arguments += ["--inner", shift_address("127.2.0.1", self.block)]
         await self.processes.async_start(
             "callers",
             arguments,
@@ -320,15 +327,19 @@
             parser.write(file)
 
 
-def reserve_block() -> tuple[int, socket.socket]:
+def reserve_block(wanted: int | None = None) -> tuple[int, socket.socket]:
     """Returns a block that no other run on this machine has reserved.
 
     The block stays reserved until the returned socket is closed.
 
+    Args:
+        wanted: The only block that will do; None for any.
+
     Raises:
-        PlanError: All blocks are reserved.
+        PlanError: The block, or each of them, is reserved.
     """
-    for block in range(1, _BLOCKS):
+    candidates = range(1, _BLOCKS) if wanted is None else [wanted]
+    for block in candidates:
         holder = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             holder.bind((shift_address("127.0.0.1", block), _LOCK_PORT))
@@ -336,7 +347,7 @@
             holder.close()
         else:
             return block, holder
-    raise exceptions.PlanError("all blocks of addresses are reserved")
+    raise exceptions.PlanError(f"blocks already reserved: {[*candidates]}")
 
 
 def shift_address(address: str, block: int) -> str:
--- a/tests/standins/test_deployment.py
+++ b/tests/standins/test_deployment.py
@@ -21,7 +21,7 @@
         await asyncio.sleep(0.1)
 
 
-async def test_a_deployment_serves_flows_and_survives_signals(block, tmp_path):
+async def test_a_deployment_serves_flows_and_survives_signals(tmp_path):
     # Guards against a deployment whose processes do not find each other, or
     # whose balancers cannot be paused, killed and started again.
     deployment = deployments.Deployment(
@@ -29,7 +29,6 @@
         balancers=2,
         folder=tmp_path,
         kind=deployments.BalancerKind.DIRECT,
-        block=block,
     )
     try:
         await deployment.async_open()
@@ -141,6 +140,8 @@
     other, holder = deployments.reserve_block()
     holder.close()
     assert other != block
+    with pytest.raises(exceptions.PlanError):
+        deployments.reserve_block(block)
     assert deployments.shift_address("127.2.0.1", 3) == "127.32.0.1"
     with pytest.raises(exceptions.PlanError):
         deployments.shift_address("10.0.0.1", 0)
