--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -1,10 +1,12 @@
 """A whole deployment on one machine, for the demonstration and the bench."""
 
+import asyncio
 import configparser
 import dataclasses
 import enum
 import json
 import pathlib
+import signal
 import socket
 from typing import Any
 
@@ -23,6 +25,8 @@
 _PEER_KEY = "000102030405060708090a0b0c0d0e0f"
 _OPERATOR_KEY = "202122232425262728292a2b2c2d2e2f"
 _MAXIMUM_SEEDS = 3
+# A stop as planned may take 30 s.
+_RETIRE_TIMEOUT_S = 45.0
 
 
 class BalancerKind(enum.Enum):
@@ -69,7 +73,7 @@
         folder: pathlib.Path,
         kind: BalancerKind = BalancerKind.CHIVEDOORD,
         seed: int = 1,
-        block: int = 0,
+        block: int | None = None,
         spray: str = "packet",
         limits: dict[str, int] | None = None,
     ):
@@ -81,10 +85,16 @@
             folder: Where settings and logs go.
             kind: Which balancer runs on the entry VMs.
             seed: Seed of all stand-ins.
-            block: Number of the range of addresses, 0 to 24.
+            block: Number of the range of addresses, 0 to 24; None for one
+                that no other deployment uses.
             spray: How the fabric spreads packets, `packet` or `flow`.
             limits: Values of the `limits` section of the settings.
+
+        Raises:
+            PlanError: Another deployment uses the block.
         """
+        self.block, self._holder = reserve_block(block)
+        block = self.block
         self.document = shift_document(document, block)
         self.processes = processes.ProcessGroup(logs=folder)
         self.vms = build_vms(document, balancers, block)
@@ -96,7 +106,6 @@
         self._folder = folder
         self._kind = kind
         self._seed = seed
-        self._block = block
         self._spray = spray
         self._limits = {
             "control_bytes_per_s": 4000,
@@ -124,12 +133,17 @@
 
     async def async_close(self) -> dict[str, int]:
         """Stops all processes; returns the exit status of each."""
-        return await self.processes.async_stop()
+        statuses = await self.processes.async_stop()
+        self._holder.close()
+        return statuses
 
     async def async_publish(self, document: dict) -> None:
         """Makes a document, with addresses of block 0, the newest one."""
-        self.document = shift_document(document, self._block)
+        self.document = shift_document(document, self.block)
+        await self.async_ask_targets("document", document=self.document)
+        await self._async_announce_services()
         await self._async_put("document", self.document)
+        await self.async_ask_callers("document", document=self.document)
 
     async def async_set_vms(self, states: dict[str, str]) -> None:
         """Publishes the entry VMs, `live` but for the given states."""
@@ -162,6 +176,18 @@
         """Lets the fabric send no more packets to an entry VM."""
         await self.async_ask_fabric("remove_balancer", name=name)
 
+    async def async_retire(self, name: str, lag_s: float = 0.5) -> int:
+        """Stops a balancer as planned; returns its exit status.
+
+        The fabric sends packets to it for `lag_s` seconds more.
+        """
+        process = self.processes[name]
+        await self.async_set_vms({name: "leaving"})
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(lag_s)
+        await self.async_detach(name)
+        return await process.async_stop(_RETIRE_TIMEOUT_S)
+
     async def async_start_balancer(self, name: str) -> None:
         """Starts the balancer of an entry VM again, and attaches it."""
         vm = self.vms[name]
@@ -220,6 +246,9 @@
             arguments,
             processes.build_admin_check(self.fabric_admin),
         )
+        await self._async_announce_services()
+
+    async def _async_announce_services(self) -> None:
         addresses = [
             address
             for service in self.document["services"]
@@ -243,7 +272,7 @@
         arguments += self._build_fabric_arguments()
         arguments += ["--address", self.callers_admin[0]]
         arguments += ["--admin", format_address(self.callers_admin)]
-        arguments += ["--inner", shift_address("127.2.0.1", self._block)]
+        arguments += ["--inner", shift_address("127.2.0.1", self.block)]
         await self.processes.async_start(
             "callers",
             arguments,
@@ -298,15 +327,19 @@
             parser.write(file)
 
 
-def reserve_block() -> tuple[int, socket.socket]:
+def reserve_block(wanted: int | None = None) -> tuple[int, socket.socket]:
     """Returns a block that no other run on this machine has reserved.
 
     The block stays reserved until the returned socket is closed.
 
+    Args:
+        wanted: The only block that will do; None for any.
+
     Raises:
-        PlanError: All blocks are reserved.
+        PlanError: The block, or each of them, is reserved.
     """
-    for block in range(1, _BLOCKS):
+    candidates = range(1, _BLOCKS) if wanted is None else [wanted]
+    for block in candidates:
         holder = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             holder.bind((shift_address("127.0.0.1", block), _LOCK_PORT))
@@ -314,7 +347,7 @@
             holder.close()
         else:
             return block, holder
-    raise exceptions.PlanError("all blocks of addresses are reserved")
+    raise exceptions.PlanError(f"blocks already reserved: {[*candidates]}")
 
 
 def shift_address(address: str, block: int) -> str:
--- a/tests/standins/test_deployment.py
+++ b/tests/standins/test_deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+import aiohttp
 import pytest
 
 from standins import demonstration
@@ -20,7 +21,7 @@
         await asyncio.sleep(0.1)
 
 
-async def test_a_deployment_serves_flows_and_survives_signals(block, tmp_path):
+async def test_a_deployment_serves_flows_and_survives_signals(tmp_path):
     # Guards against a deployment whose processes do not find each other, or
     # whose balancers cannot be paused, killed and started again.
     deployment = deployments.Deployment(
@@ -28,7 +29,6 @@
         balancers=2,
         folder=tmp_path,
         kind=deployments.BalancerKind.DIRECT,
-        block=block,
     )
     try:
         await deployment.async_open()
@@ -52,11 +52,36 @@
         assert fabric["balancers"] == ["vm-a1", "vm-b1"]
         with pytest.raises(exceptions.PlanError):
             await deployment.async_ask_fabric("faults", los=1)
+        assert await deployment.async_retire("vm-b1") == 0
+        await follow_a_reused_address(deployment)
     finally:
         statuses = await deployment.async_close()
     assert set(statuses.values()) == {0}
 
 
+async def follow_a_reused_address(deployment):
+    document = json.loads(conftest.EXAMPLE.read_text())
+    document["version"] += 1
+    moved = document["services"][1]["endpoints"].pop()
+    document["services"][0]["endpoints"].append([11, *moved[1:]])
+    await deployment.async_publish(document)
+    name = deployment.document["services"][0]["endpoints"][-1][1]
+    health = f"http://{name}:9001/health"
+    assert await read_health(health) == "ready"
+    await deployment.async_ask_targets("restart", targets=[name], cold_s=60)
+    assert await read_health(health) == "cold"
+    await deployment.async_ask_targets("die", targets=[name])
+    with pytest.raises(aiohttp.ClientError):
+        await read_health(health)
+    state = await deployment.async_ask_targets("statistics")
+    assert state["targets"][name]["service"] == "listening"
+
+
+async def read_health(url):
+    async with aiohttp.ClientSession() as session, session.get(url) as answer:
+        return (await answer.json())["state"]
+
+
 @pytest.fixture
 def statistics(document):
     callers = {
@@ -115,6 +140,8 @@
     other, holder = deployments.reserve_block()
     holder.close()
     assert other != block
+    with pytest.raises(exceptions.PlanError):
+        deployments.reserve_block(block)
     assert deployments.shift_address("127.2.0.1", 3) == "127.32.0.1"
     with pytest.raises(exceptions.PlanError):
         deployments.shift_address("10.0.0.1", 0)
