configuration: read and check documents in less time

Change: paths are tuples that are formatted for faults only; the checks share one index of endpoints for each document.

--- a/src/chivedoor/configuration/checks.py
+++ b/src/chivedoor/configuration/checks.py
@@ -3,6 +3,7 @@
 from collections.abc import Hashable
 from collections.abc import Iterable
 from collections.abc import Iterator
+import itertools
 import math
 from typing import NamedTuple
 
@@ -29,12 +30,45 @@
         return f"{host}:{self.port}/{self.protocol.name.lower()}"
 
 
-class _Use(NamedTuple):
-    """Where a document uses something that belongs to one user."""
-
-    key: Hashable
-    path: str
-    user: str
+class _Place(NamedTuple):
+    """Endpoint with its position in a document."""
+
+    service_index: int
+    index: int
+    service: documents.Service
+    endpoint: documents.Endpoint
+
+    def extend_path(self, name: str) -> fields.Path:
+        """Returns the path of a field of the endpoint."""
+        return ("services", self.service_index, "endpoints", self.index, name)
+
+
+class _Index:
+    """Endpoints, bindings and addresses of a document, for several checks."""
+
+    def __init__(self, *, document: documents.Document) -> None:
+        self.document = document
+        self.services = tuple(enumerate(document.services.values()))
+        self.places = [
+            _Place(service_index, index, service, endpoint)
+            for service_index, service in self.services
+            for index, endpoint in enumerate(service.endpoints)
+        ]
+        targets = {
+            service.id: _list_targets(service) for _, service in self.services
+        }
+        self.bindings = [
+            (Binding(place.endpoint.address, port, protocol), place)
+            for place in self.places
+            for port, protocol in targets[place.service.id]
+        ]
+        self.users = {
+            binding: place.service.id for binding, place in self.bindings
+        }
+        self.addresses: dict[bytes, set[ids.ServiceId]] = {}
+        for place in self.places:
+            users = self.addresses.setdefault(place.endpoint.address, set())
+            users.add(place.service.id)
 
 
 def check_document(
@@ -59,47 +93,56 @@
     Returns:
         All faults; empty when the document may come into force.
     """
+    index = _Index(document=document)
     found = [
-        *_check_references(document),
+        *_check_references(index),
         *_check_policies(document),
-        *_check_services(document),
-        *_check_numbers(document),
-        *_check_bindings(document),
-        *_check_service_addresses(document),
-        *_check_reservations(document, document.retired, wall_s),
+        *_check_services(index),
+        *_check_numbers(index),
+        *_check_bindings(index),
+        *_check_service_addresses(index),
+        *_check_reservations(index, document.retired, wall_s),
     ]
     if previous is not None:
+        former = _Index(document=previous)
         found += _check_version(document, previous)
-        found += _check_number_history(document, previous)
+        found += _check_number_history(index, former)
         if previous_age_s <= previous.reuse_delay_s:
             removed_s = wall_s - previous_age_s
-            found += _check_reuse(document, previous, wall_s, removed_s)
+            found += _check_reuse(index, former, wall_s, removed_s)
     return list(dict.fromkeys(found))
 
 
-def _check_references(document: documents.Document) -> Iterator[faults.Fault]:
-    for path, service in _list_services(document):
+def _check_references(index: _Index) -> Iterator[faults.Fault]:
+    document = index.document
+    for number, service in index.services:
         if document.policies.get(service.policy.id) != service.policy:
             detail = f"the document has no such policy {service.policy.id}"
             yield _build_fault(
-                f"{path}.policy", FaultReason.UNKNOWN_REFERENCE, detail
+                ("services", number, "policy"),
+                FaultReason.UNKNOWN_REFERENCE,
+                detail,
             )
-    for path, _, endpoint in _list_endpoints(document):
-        if endpoint.domain not in document.domains:
-            detail = f"the document has no failure domain {endpoint.domain}"
+    for place in index.places:
+        domain = place.endpoint.domain
+        if domain not in document.domains:
+            detail = f"the document has no failure domain {domain}"
             yield _build_fault(
-                f"{path}.domain", FaultReason.UNKNOWN_REFERENCE, detail
+                place.extend_path("domain"),
+                FaultReason.UNKNOWN_REFERENCE,
+                detail,
             )
 
 
 def _check_policies(document: documents.Document) -> Iterator[faults.Fault]:
     for policy in document.policies.values():
-        path = fields.format_key("policies", policy.id)
         for name in ("slots", "ramp_initial"):
             if getattr(policy, name) > policy.connections:
                 detail = f"larger than connections ({policy.connections})"
                 yield _build_fault(
-                    f"{path}.{name}", FaultReason.OUT_OF_RANGE, detail
+                    ("policies", policy.id, name),
+                    FaultReason.OUT_OF_RANGE,
+                    detail,
                 )
         for name in ("drain_deadline_s", "idle_timeout_s"):
             if getattr(policy, name) < policy.request_deadline_s:
@@ -108,16 +151,19 @@
                     f" ({policy.request_deadline_s}), so it ends requests"
                 )
                 yield _build_fault(
-                    f"{path}.{name}", FaultReason.OUT_OF_RANGE, detail
+                    ("policies", policy.id, name),
+                    FaultReason.OUT_OF_RANGE,
+                    detail,
                 )
 
 
-def _check_services(document: documents.Document) -> Iterator[faults.Fault]:
-    for path, service in _list_services(document):
+def _check_services(index: _Index) -> Iterator[faults.Fault]:
+    for number, service in index.services:
+        path = ("services", number)
         if not service.ports:
             detail = "a service needs a port"
             yield _build_fault(
-                f"{path}.ports", FaultReason.INVALID_VALUE, detail
+                (*path, "ports"), FaultReason.INVALID_VALUE, detail
             )
         # The source of a reply is rewritten without a record of the flow, so
         # an endpoint's address and port must name one address and port of the
@@ -125,99 +171,109 @@
         if len(service.addresses) != 1:
             detail = "a service has exactly one address"
             yield _build_fault(
-                f"{path}.addresses", FaultReason.INVALID_VALUE, detail
+                (*path, "addresses"), FaultReason.INVALID_VALUE, detail
             )
-        uses = (
-            _Use(
-                key=(port.protocol, port.target_port),
-                path=f"{path}.ports[{index}].target_port",
-                user=f"port {port.port}",
+        yield from _check_target_ports(path, service)
+        yield from _check_families(path, service)
+
+
+def _check_target_ports(
+    path: fields.Path, service: documents.Service
+) -> Iterator[faults.Fault]:
+    first: dict[Hashable, int] = {}
+    for index, port in enumerate(service.ports):
+        other = first.setdefault((port.protocol, port.target_port), port.port)
+        if other != port.port:
+            detail = f"port {other} has the same target port"
+            yield _build_fault(
+                (*path, "ports", index, "target_port"),
+                FaultReason.CONFLICT,
+                detail,
             )
-            for index, port in enumerate(service.ports)
-        )
-        yield from _find_shared(uses, "the target port")
-    yield from _check_families(document)
 
 
-def _check_families(document: documents.Document) -> Iterator[faults.Fault]:
-    for path, service, endpoint in _list_endpoints(document):
-        families = {len(address) for address in service.addresses}
+def _check_families(
+    path: fields.Path, service: documents.Service
+) -> Iterator[faults.Fault]:
+    families = {len(address) for address in service.addresses}
+    for index, endpoint in enumerate(service.endpoints):
         if families and len(endpoint.address) not in families:
             detail = "endpoint and service have different address families"
-            yield _build_fault(f"{path}.address", FaultReason.CONFLICT, detail)
-
-
-def _check_numbers(document: documents.Document) -> Iterator[faults.Fault]:
-    uses = (
-        _Use(
-            key=endpoint.number,
-            path=f"{path}.number",
-            user=f"an endpoint of service {service.id}",
-        )
-        for path, service, endpoint in _list_endpoints(document)
-    )
-    return _find_shared(uses, "the number")
+            yield _build_fault(
+                (*path, "endpoints", index, "address"),
+                FaultReason.CONFLICT,
+                detail,
+            )
 
 
-def _check_bindings(document: documents.Document) -> Iterator[faults.Fault]:
-    uses = (
-        _Use(
-            key=binding,
-            path=f"{path}.address",
-            user=f"endpoint {endpoint.number} of service {service.id}",
-        )
-        for path, service, endpoint in _list_endpoints(document)
-        for binding in _list_bindings(service, endpoint)
-    )
-    return _find_shared(uses, "the address and target port")
+def _check_numbers(index: _Index) -> Iterator[faults.Fault]:
+    first: dict[Hashable, _Place] = {}
+    for place in index.places:
+        other = first.setdefault(place.endpoint.number, place)
+        if other is not place:
+            detail = f"service {other.service.id} has the same number"
+            yield _build_fault(
+                place.extend_path("number"), FaultReason.CONFLICT, detail
+            )
 
 
-def _check_service_addresses(
-    document: documents.Document,
-) -> Iterator[faults.Fault]:
-    uses = [
-        _Use(
-            key=Binding(
-                address=address, port=port.port, protocol=port.protocol
-            ),
-            path=f"{path}.ports[{index}].port",
-            user=f"service {service.id}",
-        )
-        for path, service in _list_services(document)
-        for address in service.addresses
-        for index, port in enumerate(service.ports)
-    ]
-    yield from _find_shared(uses, "the service address and port")
-    # A packet from such an address could be a request or a reply.
-    targets = _map_bindings(document)
-    for use in uses:
-        if use.key in targets:
+def _check_bindings(index: _Index) -> Iterator[faults.Fault]:
+    first: dict[Binding, _Place] = {}
+    for binding, place in index.bindings:
+        other = first.setdefault(binding, place)
+        if other is not place:
             detail = (
-                f"{use.key} is also an endpoint of service {targets[use.key]}"
+                "the address and target port already belong to endpoint"
+                f" {other.endpoint.number} of service {other.service.id}"
+            )
+            yield _build_fault(
+                place.extend_path("address"), FaultReason.CONFLICT, detail
             )
-            yield _build_fault(use.path, FaultReason.CONFLICT, detail)
+
+
+def _check_service_addresses(index: _Index) -> Iterator[faults.Fault]:
+    first: dict[Binding, ids.ServiceId] = {}
+    for number, service in index.services:
+        for address, (position, port) in itertools.product(
+            service.addresses, enumerate(service.ports)
+        ):
+            path = ("services", number, "ports", position, "port")
+            binding = Binding(address, port.port, port.protocol)
+            other = first.setdefault(binding, service.id)
+            if other != service.id:
+                detail = f"{binding} already belongs to service {other}"
+                yield _build_fault(path, FaultReason.CONFLICT, detail)
+            # A packet from such an address could be a request or a reply.
+            if binding in index.users:
+                detail = (
+                    f"{binding} is also an endpoint of service"
+                    f" {index.users[binding]}"
+                )
+                yield _build_fault(path, FaultReason.CONFLICT, detail)
 
 
 def _check_reservations(
-    document: documents.Document,
+    index: _Index,
     retired: Iterable[documents.Retired],
     wall_s: float,
 ) -> Iterator[faults.Fault]:
     reserved: dict[bytes, list[documents.Retired]] = {}
     for entry in retired:
-        if entry.until_s > wall_s:
+        if entry.until_s > wall_s and entry.address in index.addresses:
             reserved.setdefault(entry.address, []).append(entry)
     if not reserved:
         return
-    for path, service, endpoint in _list_endpoints(document):
-        for entry in reserved.get(endpoint.address, ()):
-            if entry.service != service.id:
+    for place in index.places:
+        for entry in reserved.get(place.endpoint.address, ()):
+            if entry.service != place.service.id:
                 detail = (
                     f"{fields.unpack_address(entry.address)} is reserved for"
                     f" service {entry.service} until {entry.until_s}"
                 )
                 yield _build_fault(
-                    f"{path}.address", FaultReason.RESERVED, detail
+                    place.extend_path("address"),
+                    FaultReason.RESERVED,
+                    detail,
                 )
 
 
@@ -226,87 +282,78 @@
 ) -> Iterator[faults.Fault]:
     if document.version <= previous.version:
         detail = f"{document.version} is not above {previous.version}"
-        yield _build_fault("version", FaultReason.VERSION, detail)
+        yield _build_fault(("version",), FaultReason.VERSION, detail)
 
 
 def _check_number_history(
-    document: documents.Document, previous: documents.Document
+    index: _Index, former: _Index
 ) -> Iterator[faults.Fault]:
-    former = {
-        endpoint.number: (service.id, endpoint.address)
-        for _, service, endpoint in _list_endpoints(previous)
+    owners = {
+        place.endpoint.number: (place.service.id, place.endpoint.address)
+        for place in former.places
     }
-    for path, service, endpoint in _list_endpoints(document):
-        current = (service.id, endpoint.address)
-        service_id, address = former.get(endpoint.number, current)
+    for place in index.places:
+        number = place.endpoint.number
+        current = (place.service.id, place.endpoint.address)
+        service_id, address = owners.get(number, current)
         if (service_id, address) != current:
             detail = (
-                f"number {endpoint.number} belonged to"
+                f"number {number} belonged to"
                 f" {fields.unpack_address(address)} of service {service_id};"
                 " numbers are never reused"
             )
-            yield _build_fault(f"{path}.number", FaultReason.CONFLICT, detail)
+            yield _build_fault(
+                place.extend_path("number"), FaultReason.CONFLICT, detail
+            )
 
 
 def _check_reuse(
-    document: documents.Document,
-    previous: documents.Document,
-    wall_s: float,
-    removed_s: float,
+    index: _Index, former: _Index, wall_s: float, removed_s: float
 ) -> Iterator[faults.Fault]:
-    yield from _check_reservations(document, previous.retired, wall_s)
-    yield from _check_dropped_reservations(document, previous, wall_s)
-    yield from _check_moved_bindings(document, previous, wall_s)
-    yield from _check_removed_addresses(document, previous, removed_s)
+    yield from _check_reservations(index, former.document.retired, wall_s)
+    yield from _check_dropped_reservations(index, former, wall_s)
+    yield from _check_moved_bindings(index, former, wall_s)
+    yield from _check_removed_addresses(index, former, removed_s)
 
 
 def _check_dropped_reservations(
-    document: documents.Document,
-    previous: documents.Document,
-    wall_s: float,
+    index: _Index, former: _Index, wall_s: float
 ) -> Iterator[faults.Fault]:
-    current = {
-        documents.get_retired_key(entry): entry.until_s
-        for entry in document.retired
-    }
-    in_use = _map_addresses(document)
-    for entry in previous.retired:
+    until_s = _map_reservations(index)
+    for entry in former.document.retired:
         if entry.until_s <= wall_s + const.RESERVATION_TOLERANCE_S:
             continue
-        if entry.service in in_use.get(entry.address, ()):
+        if entry.service in index.addresses.get(entry.address, ()):
             continue
-        if current.get(documents.get_retired_key(entry), 0) < entry.until_s:
+        if until_s.get(documents.get_retired_key(entry), 0) < entry.until_s:
             detail = (
                 f"the reservation of {fields.unpack_address(entry.address)}"
                 f" for service {entry.service} ends before {entry.until_s}"
             )
-            yield _build_fault("retired", FaultReason.NOT_RETIRED, detail)
+            yield _build_fault(("retired",), FaultReason.NOT_RETIRED, detail)
 
 
 def _check_moved_bindings(
-    document: documents.Document,
-    previous: documents.Document,
-    wall_s: float,
+    index: _Index, former: _Index, wall_s: float
 ) -> Iterator[faults.Fault]:
-    former = _map_bindings(previous)
     expired = {
         documents.get_retired_key(entry)
-        for entry in previous.retired
+        for entry in former.document.retired
         if entry.until_s <= wall_s
     }
-    for path, service, endpoint in _list_endpoints(document):
-        for binding in _list_bindings(service, endpoint):
-            owner = former.get(binding, service.id)
-            if owner == service.id or (endpoint.address, owner) in expired:
-                continue
-            detail = f"{binding} still belonged to service {owner}"
-            yield _build_fault(f"{path}.address", FaultReason.RESERVED, detail)
+    for binding, place in index.bindings:
+        service_id = place.service.id
+        owner = former.users.get(binding, service_id)
+        if owner == service_id or (binding.address, owner) in expired:
+            continue
+        detail = f"{binding} still belonged to service {owner}"
+        yield _build_fault(
+            place.extend_path("address"), FaultReason.RESERVED, detail
+        )
 
 
 def _check_removed_addresses(
-    document: documents.Document,
-    previous: documents.Document,
-    removed_s: float,
+    index: _Index, former: _Index, removed_s: float
 ) -> Iterator[faults.Fault]:
     """Checks that removed addresses are reserved for the reuse delay.
 
@@ -314,15 +361,11 @@
     some balancers still send packets of the former one. `removed_s` is the
     earliest time of the removal.
     """
-    current = _map_addresses(document)
-    until_s = {
-        documents.get_retired_key(entry): entry.until_s
-        for entry in document.retired
-    }
-    end_s = removed_s + previous.reuse_delay_s
-    for address, services in _map_addresses(previous).items():
+    until_s = _map_reservations(index)
+    end_s = removed_s + former.document.reuse_delay_s
+    for address, services in former.addresses.items():
         # A reservation would end the use of an address that services share.
-        if services & current.get(address, set()):
+        if not services.isdisjoint(index.addresses.get(address, ())):
             continue
         for service_id in sorted(services):
             reserved_s = until_s.get((address, service_id), 0)
@@ -332,60 +375,30 @@
                     f" {fields.unpack_address(address)}; list it as retired"
                     f" until {math.ceil(end_s)} or later"
                 )
-                yield _build_fault("retired", FaultReason.NOT_RETIRED, detail)
-
-
-def _list_services(
-    document: documents.Document,
-) -> Iterator[tuple[str, documents.Service]]:
-    for index, service in enumerate(document.services.values()):
-        yield fields.format_index("services", index), service
-
-
-def _list_endpoints(
-    document: documents.Document,
-) -> Iterator[tuple[str, documents.Service, documents.Endpoint]]:
-    for path, service in _list_services(document):
-        for index, endpoint in enumerate(service.endpoints):
-            yield f"{path}.endpoints[{index}]", service, endpoint
+                yield _build_fault(
+                    ("retired",), FaultReason.NOT_RETIRED, detail
+                )
 
 
-def _list_bindings(
-    service: documents.Service, endpoint: documents.Endpoint
-) -> Iterator[Binding]:
+def _list_targets(
+    service: documents.Service,
+) -> list[tuple[int, documents.Protocol]]:
     # Two ports with one target port are a fault of the ports.
-    targets = {(port.target_port, port.protocol) for port in service.ports}
-    for port, protocol in sorted(targets):
-        yield Binding(address=endpoint.address, port=port, protocol=protocol)
+    return sorted({(port.target_port, port.protocol) for port in service.ports})
 
 
-def _map_bindings(
-    document: documents.Document,
-) -> dict[Binding, ids.ServiceId]:
+def _map_reservations(
+    index: _Index,
+) -> dict[tuple[bytes, ids.ServiceId], float]:
     return {
-        binding: service.id
-        for _, service, endpoint in _list_endpoints(document)
-        for binding in _list_bindings(service, endpoint)
+        documents.get_retired_key(entry): entry.until_s
+        for entry in index.document.retired
     }
 
 
-def _map_addresses(
-    document: documents.Document,
-) -> dict[bytes, set[ids.ServiceId]]:
-    users: dict[bytes, set[ids.ServiceId]] = {}
-    for _, service, endpoint in _list_endpoints(document):
-        users.setdefault(endpoint.address, set()).add(service.id)
-    return users
-
-
-def _find_shared(uses: Iterable[_Use], what: str) -> Iterator[faults.Fault]:
-    first: dict[Hashable, _Use] = {}
-    for use in uses:
-        other = first.setdefault(use.key, use)
-        if other is not use:
-            detail = f"{what} already belongs to {other.user} ({other.path})"
-            yield _build_fault(use.path, FaultReason.CONFLICT, detail)
-
-
-def _build_fault(path: str, reason: FaultReason, detail: str) -> faults.Fault:
-    return faults.Fault(path=path, reason=reason, detail=detail)
+def _build_fault(
+    path: fields.Path, reason: FaultReason, detail: str
+) -> faults.Fault:
+    return faults.Fault(
+        path=fields.format_path(path), reason=reason, detail=detail
+    )
--- a/src/chivedoor/configuration/difference.py
+++ b/src/chivedoor/configuration/difference.py
@@ -200,7 +200,7 @@
         raise exceptions.DifferenceFaultsError(faults=error.faults) from error
     reader = fields.FieldReader()
     sections = documents.SectionParser(reader=reader)
-    top = reader.open_object(value, "", _FIELDS)
+    top = reader.open_object(value, fields.ROOT, _FIELDS)
     top.read("format", reader.read_integer, const.FORMAT, const.FORMAT)
     from_version = top.read("from", sections.parse_version)
     to_version = top.read("to", sections.parse_version)
@@ -276,7 +276,7 @@
 
 
 def _parse_removals(
-    value: object, path: str, reader: fields.FieldReader
+    value: object, path: fields.Path, reader: fields.FieldReader
 ) -> Removals:
     record = reader.open_object(value, path, _REMOVED_FIELDS)
     return Removals(
@@ -288,15 +288,15 @@
 
 
 def _parse_ids(
-    value: object, path: str, reader: fields.FieldReader
+    value: object, path: fields.Path, reader: fields.FieldReader
 ) -> frozenset[Any]:
     return frozenset(reader.read_items(value, path, reader.read_id, str))
 
 
 def _parse_retired_keys(
-    value: object, path: str, reader: fields.FieldReader
+    value: object, path: fields.Path, reader: fields.FieldReader
 ) -> frozenset[RetiredKey]:
-    def parse_key(item: object, item_path: str) -> RetiredKey | None:
+    def parse_key(item: object, item_path: fields.Path) -> RetiredKey | None:
         row = reader.open_row(item, item_path, _RETIRED_KEY_COLUMNS)
         address = row.read("address", reader.read_address)
         service_id = row.read("service", reader.read_id)
--- a/src/chivedoor/configuration/document.py
+++ b/src/chivedoor/configuration/document.py
@@ -292,7 +292,7 @@
 def _parse_value(value: object) -> Document:
     reader = fields.FieldReader()
     sections = SectionParser(reader=reader)
-    top = reader.open_object(value, "", _DOCUMENT_FIELDS)
+    top = reader.open_object(value, fields.ROOT, _DOCUMENT_FIELDS)
     top.read("format", reader.read_integer, const.FORMAT, const.FORMAT)
     version = top.read("version", sections.parse_version)
     reuse_delay_s = top.read("reuse_delay_s", sections.parse_reuse_delay)
@@ -321,18 +321,18 @@
     def __init__(self, *, reader: fields.FieldReader) -> None:
         self._reader = reader
 
-    def parse_version(self, value: object, path: str) -> Any:
+    def parse_version(self, value: object, path: fields.Path) -> Any:
         """Returns a version."""
         return self._reader.read_integer(value, path, 1, const.MAX_VERSION)
 
-    def parse_reuse_delay(self, value: object, path: str) -> Any:
+    def parse_reuse_delay(self, value: object, path: fields.Path) -> Any:
         """Returns the reuse delay in seconds."""
         return self._reader.read_number(
             value, path, const.MIN_REUSE_DELAY_S, const.MAX_REUSE_DELAY_S
         )
 
     def parse_regions(
-        self, value: object, path: str
+        self, value: object, path: fields.Path
     ) -> dict[ids.DomainId, Domain]:
         """Returns the failure domains of all regions."""
         domains: dict[ids.DomainId, Domain] = {}
@@ -351,7 +351,7 @@
         return domains
 
     def parse_policies(
-        self, value: object, path: str
+        self, value: object, path: fields.Path
     ) -> dict[PolicyId, Policy]:
         """Returns the policies."""
         return {
@@ -359,7 +359,9 @@
             for name, member_path, member in self._read_entries(value, path)
         }
 
-    def _parse_policy(self, name: str, value: object, path: str) -> Policy:
+    def _parse_policy(
+        self, name: str, value: object, path: fields.Path
+    ) -> Policy:
         record = self._reader.open_object(value, path, POLICY_FIELDS)
         integers = {
             field: record.read(field, self._reader.read_integer, low, high)
@@ -372,8 +374,8 @@
         return Policy(id=PolicyId(name), **integers, **durations_s)
 
     def _read_entries(
-        self, value: object, path: str
-    ) -> Iterator[tuple[str, str, Any]]:
+        self, value: object, path: fields.Path
+    ) -> Iterator[tuple[str, fields.Path, Any]]:
         record = self._reader.open_object(value, path)
         for name, member_path, member in record.list_entries():
             self._reader.read_id(name, member_path)
@@ -382,7 +384,7 @@
     def parse_services(
         self,
         value: object,
-        path: str,
+        path: fields.Path,
         policies: Mapping[PolicyId, Policy] | None,
     ) -> dict[ids.ServiceId, Service]:
         """Returns the services, with their policies resolved."""
@@ -398,7 +400,7 @@
         self,
         policies: Mapping[PolicyId, Policy] | None,
         value: object,
-        path: str,
+        path: fields.Path,
     ) -> Service | None:
         record = self._reader.open_object(value, path, _SERVICE_FIELDS)
         service = Service(
@@ -413,7 +415,7 @@
     def _find_policy(
         self,
         value: object,
-        path: str,
+        path: fields.Path,
         policies: Mapping[PolicyId, Policy] | None,
     ) -> Policy | None:
         name = self._reader.read_id(value, path)
@@ -424,12 +426,16 @@
             self._reader.add_fault(path, FaultReason.UNKNOWN_REFERENCE, detail)
         return policies.get(PolicyId(name))
 
-    def _parse_addresses(self, value: object, path: str) -> tuple[bytes, ...]:
+    def _parse_addresses(
+        self, value: object, path: fields.Path
+    ) -> tuple[bytes, ...]:
         return self._reader.read_items(
             value, path, self._reader.read_address, bytes
         )
 
-    def _parse_ports(self, value: object, path: str) -> tuple[ServicePort, ...]:
+    def _parse_ports(
+        self, value: object, path: fields.Path
+    ) -> tuple[ServicePort, ...]:
         return self._reader.read_items(
             value,
             path,
@@ -437,7 +443,9 @@
             operator.attrgetter("protocol", "port"),
         )
 
-    def _parse_port(self, value: object, path: str) -> ServicePort | None:
+    def _parse_port(
+        self, value: object, path: fields.Path
+    ) -> ServicePort | None:
         reader = self._reader
         row = reader.open_row(value, path, PORT_COLUMNS)
         port = ServicePort(
@@ -452,13 +460,15 @@
         return None if None in (port.protocol, port.port) else port
 
     def _parse_endpoints(
-        self, value: object, path: str
+        self, value: object, path: fields.Path
     ) -> tuple[Endpoint, ...]:
         return self._reader.read_items(
             value, path, self._parse_endpoint, operator.attrgetter("number")
         )
 
-    def _parse_endpoint(self, value: object, path: str) -> Endpoint | None:
+    def _parse_endpoint(
+        self, value: object, path: fields.Path
+    ) -> Endpoint | None:
         reader = self._reader
         row = reader.open_row(value, path, ENDPOINT_COLUMNS)
         endpoint = Endpoint(
@@ -473,12 +483,16 @@
         )
         return None if endpoint.number is None else endpoint
 
-    def _parse_health_port(self, value: object, path: str) -> int | None:
+    def _parse_health_port(
+        self, value: object, path: fields.Path
+    ) -> int | None:
         if value is None:
             return None
         return self._reader.read_integer(value, path, 1, const.MAX_PORT)
 
-    def parse_retired(self, value: object, path: str) -> tuple[Retired, ...]:
+    def parse_retired(
+        self, value: object, path: fields.Path
+    ) -> tuple[Retired, ...]:
         """Returns the reserved addresses."""
         return self._reader.read_items(
             value,
@@ -487,7 +501,9 @@
             get_retired_key,
         )
 
-    def _parse_retired_entry(self, value: object, path: str) -> Retired | None:
+    def _parse_retired_entry(
+        self, value: object, path: fields.Path
+    ) -> Retired | None:
         reader = self._reader
         row = reader.open_row(value, path, RETIRED_COLUMNS)
         entry = Retired(
--- a/src/chivedoor/configuration/fields.py
+++ b/src/chivedoor/configuration/fields.py
@@ -10,6 +10,7 @@
 import math
 import socket
 from typing import Any
+from typing import Final
 from typing import TypeVar
 
 from chivedoor.configuration import const
@@ -20,6 +21,15 @@
 
 FaultReason = faults.FaultReason
 
+# Keys and positions that lead to a value. Paths are formatted only for faults,
+# because that takes as long as reading the value.
+Path = tuple[str | int, ...]
+
+ROOT: Final[Path] = ()
+
+# A longer key of a malformed document does not help an operator.
+MAX_KEY_CHARACTERS: Final = 80
+
 
 class JsonObject(dict[str, Any]):
     """JSON object that remembers keys which appeared more than once."""
@@ -42,7 +52,7 @@
 
     __slots__ = ("_content", "path")
 
-    def __init__(self, *, content: Mapping[str, Any], path: str) -> None:
+    def __init__(self, *, content: Mapping[str, Any], path: Path) -> None:
         self._content = content
         self.path = path
 
@@ -52,13 +62,12 @@
         """Returns the value of a name, read by a method of `FieldReader`."""
         if name not in self._content:
             return None
-        path = format_key(self.path, name)
-        return read(self._content[name], path, *arguments)
+        return read(self._content[name], (*self.path, name), *arguments)
 
-    def list_entries(self) -> Iterator[tuple[str, str, Any]]:
+    def list_entries(self) -> Iterator[tuple[str, Path, Any]]:
         """Yields name, path and value of each entry."""
         for name, value in self._content.items():
-            yield name, format_key(self.path, name), value
+            yield name, (*self.path, name), value
 
 
 class ConstantError(ValueError):
@@ -86,15 +95,17 @@
     )
 
 
-def format_key(path: str, key: str) -> str:
-    """Returns the path of a key of the object at `path`."""
-    shown = key if const.ID_PATTERN.fullmatch(key) else json.dumps(key)[:80]
-    return f"{path}.{shown}" if path else shown
-
-
-def format_index(path: str, index: int) -> str:
-    """Returns the path of an item of the list at `path`."""
-    return f"{path}[{index}]"
+def format_path(path: Path) -> str:
+    """Returns a path as operators read it, such as `services[2].ports`."""
+    parts: list[str] = []
+    for key in path:
+        if isinstance(key, int):
+            parts.append(f"[{key}]")
+            continue
+        is_plain = const.ID_PATTERN.fullmatch(key) is not None
+        shown = key if is_plain else json.dumps(key)[:MAX_KEY_CHARACTERS]
+        parts.append(f".{shown}" if parts else shown)
+    return "".join(parts)
 
 
 class FieldReader:
@@ -107,15 +118,17 @@
     def __init__(self) -> None:
         self.faults: list[faults.Fault] = []
 
-    def add_fault(self, path: str, reason: FaultReason, detail: str) -> None:
+    def add_fault(self, path: Path, reason: FaultReason, detail: str) -> None:
         """Adds a fault of the value at `path`."""
-        fault = faults.Fault(path=path, reason=reason, detail=detail)
+        fault = faults.Fault(
+            path=format_path(path), reason=reason, detail=detail
+        )
         self.faults.append(fault)
 
     def open_object(
         self,
         value: object,
-        path: str,
+        path: Path,
         names: Sequence[str] | None = None,
     ) -> Record:
         """Returns the record of an object; empty when it is not an object.
@@ -130,13 +143,13 @@
             return Record(content={}, path=path)
         for key in value.repeated_keys:
             detail = "the key appears more than once"
-            self.add_fault(format_key(path, key), FaultReason.DUPLICATE, detail)
+            self.add_fault((*path, key), FaultReason.DUPLICATE, detail)
         if names is not None:
             self._check_keys(value, path, names)
         return Record(content=value, path=path)
 
     def open_row(
-        self, value: object, path: str, names: Sequence[str]
+        self, value: object, path: Path, names: Sequence[str]
     ) -> Record:
         """Returns the record of a list that has one item for each name."""
         if not isinstance(value, list):
@@ -148,7 +161,7 @@
             return Record(content={}, path=path)
         return Record(content=dict(zip(names, value, strict=True)), path=path)
 
-    def read_list(self, value: object, path: str) -> list[Any]:
+    def read_list(self, value: object, path: Path) -> list[Any]:
         """Returns a list; empty when the value is not a list."""
         if not isinstance(value, list):
             self._add_type_fault(value, path, "a list")
@@ -156,7 +169,7 @@
         return value
 
     def read_integer(
-        self, value: object, path: str, low: int, high: int
+        self, value: object, path: Path, low: int, high: int
     ) -> int | None:
         """Returns an integer between `low` and `high`, both included."""
         if type(value) is not int:
@@ -165,7 +178,7 @@
         return self._check_range(value, path, low, high)
 
     def read_number(
-        self, value: object, path: str, low: float, high: float
+        self, value: object, path: Path, low: float, high: float
     ) -> float | None:
         """Returns a number between `low` and `high`, both included."""
         if type(value) is not int and type(value) is not float:
@@ -177,14 +190,14 @@
             return None
         return self._check_range(value, path, low, high)
 
-    def read_boolean(self, value: object, path: str) -> bool | None:
+    def read_boolean(self, value: object, path: Path) -> bool | None:
         """Returns a boolean."""
         if type(value) is not bool:
             self._add_type_fault(value, path, "true or false")
             return None
         return value
 
-    def read_id(self, value: object, path: str) -> str | None:
+    def read_id(self, value: object, path: Path) -> str | None:
         """Returns an id of letters, digits, dots, dashes and underscores."""
         if not isinstance(value, str):
             self._add_type_fault(value, path, "a string")
@@ -198,7 +211,7 @@
             return None
         return value
 
-    def read_address(self, value: object, path: str) -> bytes | None:
+    def read_address(self, value: object, path: Path) -> bytes | None:
         """Returns an IPv4 or IPv6 address, packed."""
         if not isinstance(value, str):
             self._add_type_fault(value, path, "a string")
@@ -210,7 +223,7 @@
         return packed
 
     def read_choice(
-        self, value: object, path: str, choices: Mapping[str, Choice]
+        self, value: object, path: Path, choices: Mapping[str, Choice]
     ) -> Choice | None:
         """Returns the member that a word stands for."""
         if not isinstance(value, str):
@@ -225,8 +238,8 @@
     def read_items(
         self,
         value: object,
-        path: str,
-        read_item: Callable[[object, str], Value | None],
+        path: Path,
+        read_item: Callable[[object, Path], Value | None],
         get_key: Callable[[Value], Hashable],
     ) -> tuple[Value, ...]:
         """Returns the items of a list that have no fault.
@@ -239,32 +252,31 @@
         """
         items: dict[Hashable, Value] = {}
         for index, content in enumerate(self.read_list(value, path)):
-            item_path = format_index(path, index)
+            item_path = (*path, index)
             item = read_item(content, item_path)
             if item is None:
                 continue
-            if get_key(item) in items:
+            key = get_key(item)
+            if key in items:
                 detail = "the list has the same entry above"
                 self.add_fault(item_path, FaultReason.DUPLICATE, detail)
-            items[get_key(item)] = item
+            items[key] = item
         return tuple(items.values())
 
     def _check_keys(
-        self, value: Mapping[str, Any], path: str, names: Sequence[str]
+        self, value: Mapping[str, Any], path: Path, names: Sequence[str]
     ) -> None:
         for key in value:
             if key not in names:
                 detail = f"expected only {', '.join(names)}"
-                key_path = format_key(path, key)
-                self.add_fault(key_path, FaultReason.UNKNOWN_FIELD, detail)
+                self.add_fault((*path, key), FaultReason.UNKNOWN_FIELD, detail)
         for key in names:
             if key not in value:
                 detail = "the field is required"
-                key_path = format_key(path, key)
-                self.add_fault(key_path, FaultReason.MISSING, detail)
+                self.add_fault((*path, key), FaultReason.MISSING, detail)
 
     def _check_range(
-        self, value: Value, path: str, low: float, high: float
+        self, value: Value, path: Path, low: float, high: float
     ) -> Value | None:
         if low <= value <= high:
             return value
@@ -272,7 +284,7 @@
         self.add_fault(path, FaultReason.OUT_OF_RANGE, detail)
         return None
 
-    def _add_type_fault(self, value: object, path: str, expected: str) -> None:
+    def _add_type_fault(self, value: object, path: Path, expected: str) -> None:
         detail = f"expected {expected}, found {_name_type(value)}"
         self.add_fault(path, FaultReason.WRONG_TYPE, detail)
 
