docs: describe the document

Change: docs/document.md, with a test that its example is valid; services are compared without building copies. Conclusion: the description is kept to the parser by a test.

--- a/src/chivedoor/configuration/difference.py
+++ b/src/chivedoor/configuration/difference.py
@@ -228,9 +228,17 @@
     old: documents.Service | None, new: documents.Service
 ) -> bool:
     """Compares services, with the name of the policy for its content."""
-    if old is None or old.policy.id != new.policy.id:
-        return False
-    return dataclasses.replace(old, policy=new.policy) == new
+    return old is not None and _list_content(old) == _list_content(new)
+
+
+def _list_content(service: documents.Service) -> tuple[object, ...]:
+    return (
+        service.id,
+        service.addresses,
+        service.policy.id,
+        service.ports,
+        service.endpoints,
+    )
 
 
 def _find_removals(
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from chivedoor.configuration import checks
 from chivedoor.configuration import document
 from chivedoor.configuration import settings
 
@@ -41,3 +42,11 @@
     assert loaded.vm.id == "vm-a1"
     assert loaded.peers.seeds[1] == ("127.2.0.3", 6082)
     assert loaded.security.previous_peer_key is not None
+
+
+def test_example_of_the_description_is_valid(examples_path):
+    # Guards against a description that no longer matches the parser.
+    text = (examples_path.parent / "docs" / "document.md").read_text()
+    example = text.split("```json\n")[1].split("```")[0]
+    parsed = document.parse_document(example.encode())
+    assert checks.check_document(parsed, None, wall_s=0) == []
