--- a/src/chivedoor/configuration/difference.py
+++ b/src/chivedoor/configuration/difference.py
@@ -200,7 +200,7 @@
         raise exceptions.DifferenceFaultsError(faults=error.faults) from error
     reader = fields.FieldReader()
     sections = documents.SectionParser(reader=reader)
-    top = reader.open_object(value, "", _FIELDS)
+    top = reader.open_object(value, fields.ROOT, _FIELDS)
     top.read("format", reader.read_integer, const.FORMAT, const.FORMAT)
     from_version = top.read("from", sections.parse_version)
     to_version = top.read("to", sections.parse_version)
@@ -228,9 +228,17 @@
     old: documents.Service | None, new: documents.Service
 ) -> bool:
     """Compares services, with the name of the policy for its content."""
-    if old is None or old.policy.id != new.policy.id:
-        return False
-    return dataclasses.replace(old, policy=new.policy) == new
+    return old is not None and _list_content(old) == _list_content(new)
+
+
+def _list_content(service: documents.Service) -> tuple[object, ...]:
+    return (
+        service.id,
+        service.addresses,
+        service.policy.id,
+        service.ports,
+        service.endpoints,
+    )
 
 
 def _find_removals(
@@ -276,7 +284,7 @@
 
 
 def _parse_removals(
-    value: object, path: str, reader: fields.FieldReader
+    value: object, path: fields.Path, reader: fields.FieldReader
 ) -> Removals:
     record = reader.open_object(value, path, _REMOVED_FIELDS)
     return Removals(
@@ -288,15 +296,15 @@
 
 
 def _parse_ids(
-    value: object, path: str, reader: fields.FieldReader
+    value: object, path: fields.Path, reader: fields.FieldReader
 ) -> frozenset[Any]:
     return frozenset(reader.read_items(value, path, reader.read_id, str))
 
 
 def _parse_retired_keys(
-    value: object, path: str, reader: fields.FieldReader
+    value: object, path: fields.Path, reader: fields.FieldReader
 ) -> frozenset[RetiredKey]:
-    def parse_key(item: object, item_path: str) -> RetiredKey | None:
+    def parse_key(item: object, item_path: fields.Path) -> RetiredKey | None:
         row = reader.open_row(item, item_path, _RETIRED_KEY_COLUMNS)
         address = row.read("address", reader.read_address)
         service_id = row.read("service", reader.read_id)
