Split summaries of large buckets and tell suspects at once

Change: a range that does not fit is continued in the next datagram; the detector pings a member that it has just suspected; urgent deaths have the priority of modes, so that they cannot use up the budget of the probes.

--- a/src/chivedoor/control/antientropy.py
+++ b/src/chivedoor/control/antientropy.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from collections.abc import Hashable
 import dataclasses
-import random
 from typing import Any
 
 from chivedoor import ids
@@ -43,11 +42,13 @@
     """What is still to be sent to one peer, in order of insertion."""
 
     wants: dict[int, None] = dataclasses.field(default_factory=dict)
-    buckets: dict[int, None] = dataclasses.field(default_factory=dict)
+    ranges: dict[tuple[int, int], None] = dataclasses.field(
+        default_factory=dict
+    )
     records: dict[int, None] = dataclasses.field(default_factory=dict)
 
     def __len__(self) -> int:
-        return len(self.wants) + len(self.buckets) + len(self.records)
+        return len(self.wants) + len(self.ranges) + len(self.records)
 
 
 class Synchronizer:
@@ -65,7 +66,6 @@
         *,
         digest: digest_module.Digest,
         load: Callable[[Hashable], Record | None],
-        rng: random.Random,
         capacity: int = const.SYNC_QUEUE,
     ):
         """Initializes the synchronizer.
@@ -73,12 +73,10 @@
         Args:
             digest: Digest of the table.
             load: Returns the record of a key, or None when it is gone.
-            rng: Chooses the part of a bucket that exceeds a datagram.
             capacity: Records, wants and summaries queued for all peers.
         """
         self._digest = digest
         self._load = load
-        self._rng = rng
         self._capacity = capacity
         self._peers: dict[ids.VmId, _Work] = {}
         self._changed_at = float("-inf")
@@ -125,7 +123,8 @@
             raise exceptions.MessageError("malformed sums") from error
         for bucket, is_empty in differing:
             if not is_empty:
-                self._queue(peer, "buckets", bucket)
+                bounds = digest_module.compute_bounds(bucket)
+                self._queue(peer, "ranges", bounds)
                 continue
             for key_hash, _ in self._digest.list_bucket(bucket):
                 self._queue(peer, "records", key_hash)
@@ -178,7 +177,7 @@
         """Drops all work."""
         self._peers.clear()
 
-    def _queue(self, peer: ids.VmId, kind: str, value: int) -> None:
+    def _queue(self, peer: ids.VmId, kind: str, value: Hashable) -> None:
         if len(self) >= self._capacity:
             self.counters["full"] += 1
             return
@@ -205,44 +204,28 @@
     ) -> Batch | None:
         if work.wants:
             return _take_wants(peer, work, room)
-        if work.buckets:
+        if work.ranges:
             return self._take_summary(peer, work, room)
         return self._take_records(peer, work, room)
 
     def _take_summary(self, peer: ids.VmId, work: _Work, room: int) -> Batch:
         ranges = []
-        while work.buckets:
-            bucket = next(iter(work.buckets))
-            items = self._digest.list_bucket(bucket)
+        while work.ranges:
+            start, end = next(iter(work.ranges))
+            items = self._digest.list_range(start, end)
             fitting = (room - _RANGE_BYTES) // _ITEM_BYTES
             if ranges and len(items) > fitting:
                 break
-            del work.buckets[bucket]
-            ranges.append(self._pack_part(bucket, items, fitting))
+            del work.ranges[start, end]
+            if len(items) > fitting:
+                # The rest of the range follows in another datagram.
+                middle = items[fitting][0]
+                work.ranges[middle, end] = None
+                end = middle
+            ranges.append(_pack_range(start, end, items[:fitting]))
             room -= _RANGE_BYTES + len(ranges[-1][2])
         return Batch(recipient=peer, kind=datagrams.Kind.SUMMARY, extra=ranges)
 
-    def _pack_part(
-        self,
-        bucket: int,
-        items: list[tuple[int, digest_module.Item]],
-        fitting: int,
-    ) -> list[Any]:
-        """Packs a bucket, or a random part of one that does not fit.
-
-        Later rounds cover the other parts.
-        """
-        start, end = digest_module.compute_bounds(bucket)
-        if len(items) <= fitting:
-            return _pack_range(start, end, items)
-        first = self._rng.randrange(len(items) - fitting + 1)
-        part = items[first : first + fitting]
-        if first > 0:
-            start = part[0][0]
-        if first + fitting < len(items):
-            end = part[-1][0] + 1
-        return _pack_range(start, end, part)
-
     def _take_records(
         self, peer: ids.VmId, work: _Work, room: int
     ) -> Batch | None:
--- a/src/chivedoor/control/board.py
+++ b/src/chivedoor/control/board.py
@@ -63,7 +63,7 @@
     topic, origin, incarnation, counter, value = fields
     if not isinstance(topic, str) or not isinstance(origin, str):
         raise exceptions.EntryError("a topic or an origin is not text")
-    if not 0 < len(origin) <= const.TOPIC_BYTES:
+    if not 0 < len(origin.encode()) <= const.TOPIC_BYTES:
         raise exceptions.EntryError("the length of an origin is wrong")
     if type(incarnation) is not int or type(counter) is not int:
         raise exceptions.EntryError("a number of an entry is not an integer")
--- a/src/chivedoor/control/datagrams.py
+++ b/src/chivedoor/control/datagrams.py
@@ -120,8 +120,10 @@
     for value in (kind, number, probe, digest):
         if type(value) is not int or not 0 <= value < _NUMBER_LIMIT:
             raise exceptions.MessageError("a number is out of range")
-    if not isinstance(sender, str) or not 0 < len(sender) <= 64:
-        raise exceptions.MessageError("malformed sender")
+    if not isinstance(sender, str):
+        raise exceptions.MessageError("the sender is not text")
+    if not 0 < len(sender.encode()) <= const.TOPIC_BYTES:
+        raise exceptions.MessageError("the length of the sender is wrong")
     if not isinstance(updates, list) or not isinstance(entries, list):
         raise exceptions.MessageError("updates or entries are not arrays")
     return GossipMessage(
--- a/src/chivedoor/control/digest.py
+++ b/src/chivedoor/control/digest.py
@@ -89,13 +89,13 @@
         return sorted(self._items[bucket].items(), key=_get_hash)
 
     def list_range(self, start: int, end: int) -> list[tuple[int, Item]]:
-        """Returns the records with `start <= key hash < end`.
+        """Returns the records with `start <= key hash < end`, sorted.
 
         The range must lie within one bucket.
         """
         return [
             (key_hash, item)
-            for key_hash, item in self._items[start >> _BUCKET_SHIFT].items()
+            for key_hash, item in self.list_bucket(start >> _BUCKET_SHIFT)
             if start <= key_hash < end
         ]
 
--- a/src/chivedoor/control/spreader.py
+++ b/src/chivedoor/control/spreader.py
@@ -30,6 +30,8 @@
 _MEMBER = ""
 _NUMBER_SHIFT = 20
 _MODE_PREFIX = "mode/"
+# A claim has an id of at most 64 characters, two numbers and two states.
+_CLAIM_BYTES = 96
 # Waiting updates ride on probes only. Urgent datagrams stay small, because
 # each member sends four of them on first receipt.
 _PROBE_KINDS = frozenset(
@@ -115,7 +117,7 @@
         self._housekeeping_at = now + const.HOUSEKEEPING_S
         self._pause_callbacks: list[Callable[[float], None]] = []
         self._synchronizer = antientropy.Synchronizer(
-            digest=board.digest, load=self._load_record, rng=rng
+            digest=board.digest, load=self._load_record
         )
         self._detector = detector_module.Detector(
             members=members, rng=rng, on_pause=self._note_pause
@@ -178,14 +180,16 @@
             return
         peers = self._choose_peers(urgent.senders)
         room = datagrams.compute_room(self._members.local.id)
-        for updates in _pack(urgent.updates.values(), room):
-            self._spread(peers, updates=updates)
         for entries in _pack(urgent.registers.values(), room):
             self._spread(peers, entries=entries)
+        # When a region is cut off, hundreds of deaths are urgent at once.
+        # They must not use up the budget of the probes; what does not go
+        # out here rides on them.
+        modes = budget_module.Priority.MODES
+        for updates in _pack(urgent.updates.values(), room):
+            self._spread(peers, updates=updates, priority=modes)
         for entries in _pack(urgent.modes.values(), room):
-            self._spread(
-                peers, entries=entries, priority=budget_module.Priority.MODES
-            )
+            self._spread(peers, entries=entries, priority=modes)
 
     def farewell(self, now: float) -> None:
         """Tells random members that a leaving local member is gone."""
@@ -388,7 +392,7 @@
         ):
             return
         room = datagrams.compute_room(self._members.local.id)
-        batch = self._synchronizer.take(room)
+        batch = self._synchronizer.take(room - _CLAIM_BYTES)
         recipient = batch and self._members.get(batch.recipient)
         if recipient is None:
             return
--- a/src/chivedoor/membership/detector.py
+++ b/src/chivedoor/membership/detector.py
@@ -206,16 +206,22 @@
         for number, probe in tuple(self._probes.items()):
             if clock >= probe.fail_at:
                 del self._probes[number]
-                self._suspect(probe.target, now)
+                outgoing.extend(self._suspect(probe.target, now))
             elif clock >= probe.indirect_at and not probe.relays:
                 outgoing.extend(self._ask_relays(number, probe))
         return outgoing
 
-    def _suspect(self, member_id: ids.VmId, now: float) -> None:
+    def _suspect(
+        self, member_id: ids.VmId, now: float
+    ) -> list[messages.Outgoing]:
         if self._members.get(member_id) is None:
-            return
-        if self._members.suspect(member_id, now):
-            self.counters["suspected"] += 1
+            return []
+        if not self._members.suspect(member_id, now):
+            return []
+        self.counters["suspected"] += 1
+        # Lifeguard's buddy system: messages to a suspect carry the suspicion,
+        # so this ping tells it at once what it has to refute.
+        return [self._build_ping(member_id, self._take_number())]
 
     def _ask_relays(
         self, number: int, probe: _Probe
--- a/src/chivedoor/membership/records.py
+++ b/src/chivedoor/membership/records.py
@@ -13,7 +13,7 @@
 
 _CLAIM_FIELDS = 5
 _RECORD_FIELDS = 11
-_NAME_LIMIT = 64
+_NAME_BYTES = 64
 _PORT_LIMIT = 1 << 16
 
 
@@ -107,8 +107,10 @@
 
 
 def _check_name(value: Any) -> str:
-    if not isinstance(value, str) or not 0 < len(value) <= _NAME_LIMIT:
-        raise exceptions.MemberRecordError("a name is malformed")
+    if not isinstance(value, str):
+        raise exceptions.MemberRecordError("a name is not text")
+    if not 0 < len(value.encode()) <= _NAME_BYTES:
+        raise exceptions.MemberRecordError("the length of a name is wrong")
     return value
 
 
--- a/tests/membership/test_detector.py
+++ b/tests/membership/test_detector.py
@@ -91,6 +91,9 @@
     assert len(requests) == len(set(requests)) == const.INDIRECT_PROBES
     assert "c" not in requests
     assert driver.members.get("c").state is State.SUSPECT
+    # The suspect is told at once.
+    _, last = driver.sent[-1]
+    assert (last.recipient, type(last.message)) == ("c", messages.Ping)
     suspected_at = driver.now
     while driver.members.get("c").state is State.SUSPECT:
         driver.run(_TICK)
@@ -226,6 +229,19 @@
     assert driver.detector.health == const.HEALTH_LIMIT
 
 
+def test_probes_from_before_a_pause_do_not_count(driver):
+    # Guards against the suspicion of a member whose ack was discarded with
+    # everything else that waited in the socket.
+    reachable = driver.reachable
+    driver.reachable = set()
+    while not driver.sent:
+        driver.run(_TICK)
+    driver.reachable = reachable
+    driver.now += 30.0
+    driver.run(10.0)
+    assert driver.detector.counters["suspected"] == 0
+
+
 def test_suspicion_grows_with_the_logarithm_of_the_fleet():
     # Guards against false deaths in a large fleet, where rumours are slow.
     assert detector_module.compute_suspicion_s(12) == pytest.approx(1.5)
--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -147,6 +147,8 @@
     assert members.local.state is State.JOINING
     assert members.local.incarnation == 50
     assert members.local.precedence > before.precedence
+    members.rejoin(50, 2.0)
+    assert members.local.incarnation == 51
 
 
 def test_unknown_members_cannot_be_suspected(members):
--- a/tests/registers/test_registers.py
+++ b/tests/registers/test_registers.py
@@ -80,6 +80,27 @@
     assert replicas[0][0].digest.root == replicas[1][0].digest.root
 
 
+def test_equal_registers_of_several_origins_converge():
+    # Guards against digests that differ for ever, because each board keeps
+    # the entry that it received first.
+    published = [
+        board_module.Entry(
+            topic="domain/a",
+            origin=origin,
+            incarnation=1,
+            counter=1,
+            value=["OUT", 3, "v1"],
+        )
+        for origin in ("v1", "v2")
+    ]
+    roots = set()
+    for order in (published, published[::-1]):
+        board, _ = _build_replica("v3")
+        board.merge(order, 0.0)
+        roots.add(board.digest.root)
+    assert len(roots) == 1
+
+
 @pytest.mark.parametrize(
     "value",
     [None, [], ["OUT", 1], ["GONE", 1, "v1"], ["IN", -1, "v1"], ["IN", 1, 1]],
