--- a/tests/balancer/fleet.py
+++ b/tests/balancer/fleet.py
@@ -4,9 +4,8 @@
 import dataclasses
 import itertools
 
-from chivedoor.admission import target as admissions
-
 from chivedoor import ids
+from chivedoor.admission import target as admissions
 from chivedoor.balancer import actions
 from chivedoor.balancer import balancer as balancers
 from chivedoor.configuration import document as documents
