Fence former owners and end flows of failure domains that are out

Cause: a replica recorded flows of an owner that it had declared dead; later datagrams of a flow and pulled records had no request filter at the replica; flows of a failure domain that is out were adopted by other targets, whose resets were then dropped as stale, so callers waited. Change: headers carry a fingerprint of the sender's life; replicas check it. Datagrams that run once always pass the replica; a record without its datagrams lets none pass. Established flows of an out domain get a RST. The flow rate of a service, the size of the flow table and TTL are enforced.

--- a/src/chivedoor/balancer/actions.py
+++ b/src/chivedoor/balancer/actions.py
@@ -22,6 +22,7 @@
     NOT_ALIVE = "not_alive"
     DOCUMENT_TOO_OLD = "document_too_old"
     RATE_EXCEEDED = "rate_exceeded"
+    DOMAIN_OUT = "domain_out"
 
 
 class Refusal(enum.Enum):
@@ -29,6 +30,8 @@
 
     NO_TARGET = "no_target"
     TARGETS_FULL = "targets_full"
+    TABLE_FULL = "table_full"
+    RATE_EXCEEDED = "rate_exceeded"
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,4 +65,11 @@
     data: bytes | bytearray
 
 
-Action = Deliver | Forward | Drop | Refuse
+@dataclasses.dataclass(slots=True)
+class Abort:
+    """Resets an established flow whose target gets no packets any more."""
+
+    data: bytes | bytearray
+
+
+Action = Deliver | Forward | Drop | Refuse | Abort
--- a/src/chivedoor/balancer/balancer.py
+++ b/src/chivedoor/balancer/balancer.py
@@ -7,7 +7,9 @@
 
 from chivedoor import ids
 from chivedoor.admission import duplicates
+from chivedoor.admission import rate
 from chivedoor.balancer import actions
+from chivedoor.balancer import const
 from chivedoor.balancer import context as contexts
 from chivedoor.balancer import receiver as receivers
 from chivedoor.balancer import resolver as resolvers
@@ -23,6 +25,7 @@
 from chivedoor.routing import hashing
 
 _ForwardKind = encapsulation.ForwardKind
+_RECORDING_KINDS = frozenset({_ForwardKind.CHAIN, _ForwardKind.COPY})
 _REFRESH_WINDOW_S = 600.0
 
 
@@ -45,6 +48,8 @@
         region: ids.RegionId,
         admission_factory: contexts.AdmissionFactory,
         salt: int,
+        now: float,
+        max_flows: int = const.MAX_FLOWS,
     ) -> None:
         self.context = contexts.Context(
             members=members,
@@ -52,18 +57,24 @@
             targets={},
             owner_rankings={},
             replica_rankings={},
+            max_flows=max_flows,
         )
         self._region = region
+        self._limited_services: frozenset[ids.ServiceId] = frozenset()
         self._modes: dict[ids.EndpointNumber, dict[ids.VmId, Mode]] = {}
         self._resolver = resolvers.Resolver(
             context=self.context, request_filter=duplicates.RequestFilter()
         )
+        self._rates = rate.FlowRates(
+            capacity_per_s=const.NEW_FLOWS_PER_S, now=now
+        )
         self._receiver = receivers.Receiver(
             context=self.context,
             resolver=self._resolver,
             refresh_filter=refresh.RefreshFilter(
                 salt=salt, window_s=_REFRESH_WINDOW_S
             ),
+            rates=self._rates,
         )
         self.targets = owned_targets.TargetSet(
             context=self.context, admission_factory=admission_factory
@@ -141,10 +152,23 @@
         handler = handlers.get(header.kind)
         if handler is None:
             return [actions.Drop(actions.RoutingDrop.NO_SERVICE)]
+        if not self._is_trusted(header):
+            return [actions.Drop(actions.RoutingDrop.NOT_ALIVE)]
         if not self._belongs_to_service(header, entry):
             return [actions.Drop(actions.RoutingDrop.NO_ENDPOINT)]
         return handler(packet, entry, key, header, now)
 
+    def _is_trusted(self, header: encapsulation.Header) -> bool:
+        """Returns whether the sender may add to this balancer's records.
+
+        A former owner that was declared dead, and wakes or is reachable
+        from only some balancers, must not admit flows through its replica.
+        """
+        return (
+            header.kind not in _RECORDING_KINDS
+            or header.sender in self.context.live_senders
+        )
+
     def _belongs_to_service(
         self,
         header: encapsulation.Header,
@@ -169,6 +193,8 @@
         source: directories.EndpointEntry,
         now: float,
     ) -> list[actions.Action]:
+        if not self._is_trusted(header):
+            return [actions.Drop(actions.RoutingDrop.NOT_ALIVE)]
         if header.kind is _ForwardKind.COPY:
             return self._resolver.record_target_copy(packet, source, now)
         return self._resolver.answer(packet, source, now)
@@ -194,11 +220,25 @@
             region=self._region,
         )
         self.context.version = document.version
+        self.context.out_domains = out_domains
+        self._update_rates(document, now)
         self.update_members(now)
 
+    def _update_rates(self, document: documents.Document, now: float) -> None:
+        for service_id in self._limited_services - document.services.keys():
+            self._rates.remove_service(service_id)
+        for service in document.services.values():
+            self._rates.set_service(
+                service.id,
+                rate_per_s=service.policy.flow_rate_per_s,
+                priority=service.policy.priority,
+                now=now,
+            )
+        self._limited_services = frozenset(document.services)
+
     def update_members(self, now: float) -> None:
         """Takes changes of the members in view."""
-        self.context.update_rankings()
+        self.context.update_rankings(now)
         self.targets.update_roles(now)
         self._update_direct(self.context.directory.by_number)
 
--- a/src/chivedoor/balancer/context.py
+++ b/src/chivedoor/balancer/context.py
@@ -2,11 +2,15 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
+
+import xxhash
 
 from chivedoor import ids
 from chivedoor.admission import target as admissions
 from chivedoor.balancer import const
 from chivedoor.configuration import document as documents
+from chivedoor.dataplane import encapsulation
 from chivedoor.flows import owner as owners
 from chivedoor.membership import members as memberships
 from chivedoor.routing import directory as directories
@@ -26,6 +30,10 @@
       version: Version of the document in force; 0 without one.
       may_send: False when the confirmation of the document is older than
         the delay after which addresses may belong to another service.
+      max_flows: Most flow records of all targets together.
+      out_domains: Failure domains whose targets get no packets.
+      live_senders: Fingerprints of the members that are not dead.
+      view_changed_at_s: When the members in view last changed.
     """
 
     members: memberships.Members
@@ -35,12 +43,41 @@
     replica_rankings: dict[ids.DomainId, ownership.OwnerRanking]
     version: ids.Version = ids.Version(0)
     may_send: bool = True
+    max_flows: int = const.MAX_FLOWS
+    out_domains: frozenset[ids.DomainId] = frozenset()
+    live_senders: frozenset[int] = frozenset()
+    view_changed_at_s: float = 0.0
 
     @property
     def local_id(self) -> ids.VmId:
         """Returns the id of this balancer's VM."""
         return self.members.local.id
 
+    def make_header(
+        self,
+        kind: encapsulation.ForwardKind,
+        endpoint: documents.Endpoint,
+        *,
+        hops: int = 1,
+    ) -> encapsulation.Header:
+        """Returns the header of a packet to another balancer."""
+        return encapsulation.Header(
+            kind=kind,
+            hops=hops,
+            document_version=self.version,
+            endpoint_number=endpoint.number,
+            sender=_compute_fingerprint(self.members.local),
+        )
+
+    def is_out(self, endpoint: documents.Endpoint) -> bool:
+        """Returns whether a target's failure domain was taken out."""
+        return endpoint.domain in self.out_domains
+
+    def is_full(self) -> bool:
+        """Returns whether there is no room for another flow record."""
+        held = sum(len(target.flows) for target in self.targets.values())
+        return held >= self.max_flows
+
     def find_owner(self, endpoint: documents.Endpoint) -> ids.VmId | None:
         """Returns the owner of a target, or None when none is in view."""
         ranking = self.owner_rankings.get(endpoint.domain)
@@ -86,8 +123,15 @@
             return 1.0
         return 0.5 if 2 * visible == listed else 0.0
 
-    def update_rankings(self) -> None:
+    def update_rankings(self, now: float) -> None:
         """Takes the members in view into the ownership rankings."""
+        senders = frozenset(
+            _compute_fingerprint(member)
+            for member in self.members.live_members()
+        )
+        if senders != self.live_senders:
+            self.live_senders = senders
+            self.view_changed_at_s = now
         domains = {e.domain for _, e in self.directory.by_number.values()}
         for domain in domains:
             _rank(self.owner_rankings, domain).update_candidates(
@@ -98,6 +142,15 @@
             )
 
 
+@functools.lru_cache(maxsize=const.FINGERPRINTS_KEPT)
+def _hash_life(member_id: ids.VmId, incarnation: ids.Incarnation) -> int:
+    return xxhash.xxh32_intdigest(f"{member_id}/{incarnation}".encode())
+
+
+def _compute_fingerprint(member: memberships.Member) -> int:
+    return _hash_life(member.id, member.incarnation)
+
+
 def _rank(
     rankings: dict[ids.DomainId, ownership.OwnerRanking],
     domain: ids.DomainId,
--- a/src/chivedoor/balancer/receiver.py
+++ b/src/chivedoor/balancer/receiver.py
@@ -1,6 +1,7 @@
 """Decisions on packets that the fabric hands to a balancer."""
 
 from chivedoor import ids
+from chivedoor.admission import rate
 from chivedoor.balancer import actions
 from chivedoor.balancer import context as contexts
 from chivedoor.balancer import resolver as resolvers
@@ -8,7 +9,6 @@
 from chivedoor.configuration import document as documents
 from chivedoor.dataplane import encapsulation
 from chivedoor.dataplane import packet as packets
-from chivedoor.dataplane import rewrite
 from chivedoor.flows import refresh
 from chivedoor.routing import directory as directories
 from chivedoor.routing import hashing
@@ -23,10 +23,12 @@
         context: contexts.Context,
         resolver: resolvers.Resolver,
         refresh_filter: refresh.RefreshFilter,
+        rates: rate.FlowRates,
     ) -> None:
         self._context = context
         self._resolver = resolver
         self._refresh = refresh_filter
+        self._rates = rates
 
     def receive(
         self, packet: packets.Packet, now: float
@@ -68,16 +70,13 @@
         routes = entry.routes
         base = routes.table.find_base(key)
         if base is None:
-            return self._refuse(packet)
+            return resolvers.refuse_new_flow(packet, actions.Refusal.NO_TARGET)
         if (
             base.number in routes.direct
             and segments.is_established(packet)
             and not self._refresh.is_due(key, now)
         ):
-            rewrite.rewrite_destination(
-                packet, base.address, entry.port.target_port
-            )
-            return [actions.Deliver(packet.buffer)]
+            return resolvers.deliver(packet, entry, base)
         return self._send_to_owner(packet, entry, key, base, now)
 
     def _send_to_owner(
@@ -88,16 +87,17 @@
         base: documents.Endpoint,
         now: float,
     ) -> list[actions.Action]:
+        if segments.starts_flow(packet) and not self._rates.admit(
+            entry.routes.service.id, now
+        ):
+            return resolvers.refuse_excess(packet)
         owner = self._context.find_owner(base)
         if owner is None:
             return self._resolver.resolve_without_owner(
                 packet, entry, key, base, now
             )
-        header = encapsulation.Header(
-            kind=encapsulation.ForwardKind.RESOLVE,
-            hops=1,
-            document_version=self._context.version,
-            endpoint_number=base.number,
+        header = self._context.make_header(
+            encapsulation.ForwardKind.RESOLVE, base
         )
         if owner == self._context.local_id:
             return self._resolver.resolve(packet, entry, key, header, now)
@@ -110,20 +110,11 @@
         now: float,
     ) -> list[actions.Action]:
         if segments.is_established(packet):
-            rewrite.rewrite_source(
-                packet, source.service_address, source.port.port
-            )
-            return [actions.Deliver(packet.buffer)]
+            return resolvers.deliver_answer(packet, source)
         owner = self._context.find_owner(source.endpoint)
-        header = encapsulation.Header(
-            kind=encapsulation.ForwardKind.ANSWER,
-            hops=1,
-            document_version=self._context.version,
-            endpoint_number=source.endpoint.number,
+        header = self._context.make_header(
+            encapsulation.ForwardKind.ANSWER, source.endpoint
         )
         if owner is None or owner == self._context.local_id:
             return self._resolver.answer(packet, source, now)
         return [actions.Forward(owner, header, packet.buffer)]
-
-    def _refuse(self, packet: packets.Packet) -> list[actions.Action]:
-        return resolvers.refuse_new_flow(packet, actions.Refusal.NO_TARGET)
--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -16,6 +16,7 @@
 from chivedoor.dataplane import packet as packets
 from chivedoor.dataplane import refusal
 from chivedoor.dataplane import rewrite
+from chivedoor.flows import const as flows_const
 from chivedoor.flows import owner as owners
 from chivedoor.flows import records
 from chivedoor.routing import const as routing_const
@@ -86,12 +87,7 @@
         are looked for there and otherwise sent to the base target, which
         may still be reachable.
         """
-        header = encapsulation.Header(
-            kind=_ForwardKind.LOOKUP,
-            hops=0,
-            document_version=self._context.version,
-            endpoint_number=base.number,
-        )
+        header = self._context.make_header(_ForwardKind.LOOKUP, base, hops=0)
         ranking = entry.routes.table.rank_endpoints(key)
         reachable = [
             e for e in ranking if self._context.find_owner(e) is not None
@@ -99,7 +95,7 @@
         if not reachable:
             if segments.starts_flow(packet):
                 return refuse_new_flow(packet, actions.Refusal.NO_TARGET)
-            return _deliver(packet, entry, base)
+            return deliver(packet, entry, base)
         return self._ask_endpoint(packet, entry, key, reachable[0], header, now)
 
     def look_up(
@@ -156,6 +152,8 @@
             return [actions.Drop(actions.RoutingDrop.UNCERTAIN)]
         if key in target.pending:
             return self._search(packet, entry, key, base, header, now)
+        if self._context.is_full():
+            return refuse_new_flow(packet, actions.Refusal.TABLE_FULL)
         share = self._context.find_share(base.domain)
         verdict = target.admit(key, entry.port.kind, share, now)
         if verdict is admissions.Verdict.ADMIT:
@@ -179,7 +177,9 @@
         if key in target.pending or not self._knows_overrides(entry, base):
             return self._search(packet, entry, key, base, header, now)
         if packet.is_reset:
-            return _deliver(packet, entry, base)
+            return deliver(packet, entry, base)
+        if self._lived_in_out_domain(entry, key):
+            return abort_flow(packet)
         return self._adopt(packet, entry, key, base, now)
 
     def _search(
@@ -210,7 +210,7 @@
     ) -> list[actions.Action]:
         base = entry.routes.table.find_base(key)
         if base is not None and self._context.find_owner(base) is None:
-            return _deliver(packet, entry, base)
+            return deliver(packet, entry, base)
         searched = self._list_searched(packet, entry, key, base)
         following = _follow(searched, endpoint)
         if following is None:
@@ -266,11 +266,10 @@
     ) -> list[actions.Action]:
         if header.hops >= const.MAX_HOPS:
             return [actions.Drop(actions.RoutingDrop.TOO_MANY_HOPS)]
-        passed = encapsulation.Header(
-            kind=header.kind,
-            hops=header.hops + 1,
-            document_version=self._context.version,
-            endpoint_number=endpoint.number,
+        if self._context.is_out(endpoint):
+            return abort_flow(packet)
+        passed = self._context.make_header(
+            header.kind, endpoint, hops=header.hops + 1
         )
         owner = self._context.find_owner(endpoint)
         if owner is None:
@@ -293,11 +292,8 @@
             return self.resolve_without_owner(packet, entry, key, base, now)
         if header.hops >= const.MAX_HOPS:
             return [actions.Drop(actions.RoutingDrop.TOO_MANY_HOPS)]
-        passed = encapsulation.Header(
-            kind=_ForwardKind.RESOLVE,
-            hops=header.hops + 1,
-            document_version=self._context.version,
-            endpoint_number=base.number,
+        passed = self._context.make_header(
+            _ForwardKind.RESOLVE, base, hops=header.hops + 1
         )
         return [actions.Forward(owner, passed, packet.buffer)]
 
@@ -337,6 +333,13 @@
         rest = [e for e in candidates if e.number != former.number]
         return [found[1], *rest]
 
+    def _lived_in_out_domain(
+        self, entry: directories.ServiceEntry, key: ids.FlowKey
+    ) -> bool:
+        """Returns whether a flow's base target was taken out."""
+        former = entry.routes.whole.find_base(key)
+        return former is not None and self._context.is_out(former)
+
     def _knows_overrides(
         self, entry: directories.ServiceEntry, base: documents.Endpoint
     ) -> bool:
@@ -376,13 +379,13 @@
             return self._restart(packet, entry, key, endpoint, now)
         if not packet.is_fin and not packet.is_reset:
             target.flows.touch(key, now)
-            return _deliver(packet, entry, endpoint)
+            return deliver(packet, entry, endpoint)
         if packet.is_reset:
             target.close(key, now)
         else:
             target.close_caller(key, now)
         copies = self._copy(packet, endpoint, key, entry.routes)
-        return copies + _deliver(packet, entry, endpoint)
+        return copies + deliver(packet, entry, endpoint)
 
     def _adopt(
         self,
@@ -433,6 +436,10 @@
         is_request = port.kind is documents.PortKind.REQUEST
         runs_once = is_request and not port.idempotent
         if runs_once:
+            if not self._requests.list_digests(key):
+                # The record came without the datagrams that were passed, so
+                # this one may be one of them.
+                return [actions.Drop(actions.RoutingDrop.UNCERTAIN)]
             passage = self._requests.check(key, packet.payload)
             if passage is not duplicates.Passage.PASS:
                 return [actions.Drop(actions.RoutingDrop.DUPLICATE_REQUEST)]
@@ -444,7 +451,9 @@
                 return refuse_new_flow(packet, actions.Refusal.TARGETS_FULL)
             return self._chain(packet, entry, endpoint)
         target.flows.touch(key, now)
-        return _deliver(packet, entry, endpoint)
+        if runs_once:
+            return self._chain(packet, entry, endpoint)
+        return deliver(packet, entry, endpoint)
 
     def _chain(
         self,
@@ -455,8 +464,8 @@
         """Sends a first packet to the target by way of the replica."""
         replica = self._context.find_replica(endpoint)
         if replica is None:
-            return _deliver(packet, entry, endpoint)
-        header = self._address(_ForwardKind.CHAIN, endpoint)
+            return deliver(packet, entry, endpoint)
+        header = self._context.make_header(_ForwardKind.CHAIN, endpoint)
         return [actions.Forward(replica, header, packet.buffer)]
 
     def _copy(
@@ -471,7 +480,7 @@
         base = routes.table.find_base(key)
         if base is not None and base.number != endpoint.number:
             receivers.add(self._context.find_owner(base))
-        header = self._address(_ForwardKind.COPY, endpoint)
+        header = self._context.make_header(_ForwardKind.COPY, endpoint)
         data = bytes(packet.buffer)
         return [
             actions.Forward(member, header, data)
@@ -497,19 +506,9 @@
                 key, endpoint.number, now
             )
             return []
-        header = self._address(_ForwardKind.COPY, endpoint)
+        header = self._context.make_header(_ForwardKind.COPY, endpoint)
         return [actions.Forward(owner, header, bytes(packet.buffer))]
 
-    def _address(
-        self, kind: _ForwardKind, endpoint: documents.Endpoint
-    ) -> encapsulation.Header:
-        return encapsulation.Header(
-            kind=kind,
-            hops=1,
-            document_version=self._context.version,
-            endpoint_number=endpoint.number,
-        )
-
     # Packets at the replica.
 
     def record_and_deliver(
@@ -530,7 +529,7 @@
             target.replicate(key, entry.port.kind, now)
             if entry.port.kind is documents.PortKind.REQUEST:
                 self._requests.check(key, packet.payload)
-        return _deliver(packet, entry, found[1])
+        return deliver(packet, entry, found[1])
 
     def record_caller_copy(
         self,
@@ -586,7 +585,7 @@
         if packet.protocol != _TCP:
             return self._answer_datagram(packet, source, key, target, now)
         if packet.is_reset:
-            if target.flows.is_adopted(key, now):
+            if self._is_doubtful(key, target, now):
                 target.release(target.flows.remove(key), now)
                 return [actions.Drop(actions.RoutingDrop.STALE_RESET)]
             target.admission.note_reset(
@@ -598,7 +597,21 @@
             if packet.is_fin or packet.is_reset
             else []
         )
-        return copies + _deliver_answer(packet, source)
+        return copies + deliver_answer(packet, source)
+
+    def _is_doubtful(
+        self, key: ids.FlowKey, target: owners.TargetOwner, now: float
+    ) -> bool:
+        """Returns whether an adopted flow may live on another target.
+
+        After a change of view, overrides of the other side of a healed
+        partition may not be known yet.
+        """
+        settled_s = now - self._context.view_changed_at_s
+        return (
+            target.flows.is_adopted(key, now)
+            and settled_s < flows_const.ADOPTION_GRACE_S
+        )
 
     def record_target_copy(
         self,
@@ -625,13 +638,13 @@
         target: owners.TargetOwner | None,
     ) -> list[actions.Action]:
         if target is None or not target.has_records:
-            return _deliver_answer(packet, source)
+            return deliver_answer(packet, source)
         if packet.protocol != _TCP:
             return [actions.Drop(actions.RoutingDrop.STALE_ANSWER)]
         if packet.is_reset:
             # The target does not have the flow because another one has it.
             return [actions.Drop(actions.RoutingDrop.STALE_RESET)]
-        return _deliver_answer(packet, source)
+        return deliver_answer(packet, source)
 
     def _answer_datagram(
         self,
@@ -645,10 +658,10 @@
             target.note_handshake(key, now, is_timed=False)
         if source.port.kind is documents.PortKind.STREAM:
             target.flows.touch(key, now)
-            return _deliver_answer(packet, source)
+            return deliver_answer(packet, source)
         target.close(key, now)
         copies = self._copy(packet, source.endpoint, key, source.routes)
-        return copies + _deliver_answer(packet, source)
+        return copies + deliver_answer(packet, source)
 
     def _note_answer(
         self,
@@ -674,7 +687,7 @@
     identities = (
         (endpoint.number, context.find_identity(endpoint))
         for endpoint in routes.service.endpoints
-        if endpoint.number != base.number
+        if endpoint.number != base.number and not context.is_out(endpoint)
     )
     return {
         number: identity
@@ -696,6 +709,24 @@
     return [actions.Refuse(reason, _build_refusal(packet))]
 
 
+def refuse_excess(packet: packets.Packet) -> list[actions.Action]:
+    """Refuses a new connection, or drops a datagram, above the flow rate.
+
+    A datagram may repeat a request that runs already, so only a SYN, which
+    runs nothing, can be refused truthfully here.
+    """
+    if packet.protocol == _TCP:
+        return refuse_new_flow(packet, actions.Refusal.RATE_EXCEEDED)
+    return [actions.Drop(actions.RoutingDrop.RATE_EXCEEDED)]
+
+
+def abort_flow(packet: packets.Packet) -> list[actions.Action]:
+    """Ends a flow whose target gets no packets any more."""
+    if segments.starts_flow(packet) or packet.is_reset:
+        return [actions.Drop(actions.RoutingDrop.DOMAIN_OUT)]
+    return [actions.Abort(refusal.build_abort(packet))]
+
+
 def key_of_answer(
     packet: packets.Packet, source: directories.EndpointEntry
 ) -> ids.FlowKey:
@@ -715,20 +746,24 @@
     return refusal.build_unreachable(packet, refusal.UnreachableCode.PROHIBITED)
 
 
-def _deliver(
+def deliver(
     packet: packets.Packet,
     entry: directories.ServiceEntry,
     endpoint: documents.Endpoint,
 ) -> list[actions.Action]:
+    """Rewrites a caller's packet for a target and hands it to the fabric."""
+    rewrite.decrement_ttl(packet)
     rewrite.rewrite_destination(
         packet, endpoint.address, entry.port.target_port
     )
     return [actions.Deliver(packet.buffer)]
 
 
-def _deliver_answer(
+def deliver_answer(
     packet: packets.Packet, source: directories.EndpointEntry
 ) -> list[actions.Action]:
+    """Rewrites a target's packet for the caller and hands it to the fabric."""
+    rewrite.decrement_ttl(packet)
     rewrite.rewrite_source(packet, source.service_address, source.port.port)
     return [actions.Deliver(packet.buffer)]
 
@@ -747,9 +782,4 @@
 def _with_kind(
     header: encapsulation.Header, kind: _ForwardKind
 ) -> encapsulation.Header:
-    return encapsulation.Header(
-        kind=kind,
-        hops=header.hops,
-        document_version=header.document_version,
-        endpoint_number=header.endpoint_number,
-    )
+    return header._replace(kind=kind)
--- a/src/chivedoor/daemon/application.py
+++ b/src/chivedoor/daemon/application.py
@@ -111,6 +111,8 @@
             region=settings.vm.region,
             admission_factory=self._create_admission,
             salt=random.getrandbits(63),
+            now=self._clock(),
+            max_flows=settings.limits.max_flows,
         )
         self._traffic = traffic_module.Traffic(
             settings=settings,
--- a/src/chivedoor/daemon/figures.py
+++ b/src/chivedoor/daemon/figures.py
@@ -121,6 +121,7 @@
             (_Metric.FORWARDED_PACKETS, "sent_"),
             (_Metric.DROPPED_PACKETS, "drop_"),
             (_Metric.REFUSED_FLOWS, "refusal_"),
+            (_Metric.BROKEN_FLOWS, "aborted_"),
         ):
             metrics.set_values(
                 metric,
--- a/src/chivedoor/daemon/traffic.py
+++ b/src/chivedoor/daemon/traffic.py
@@ -54,6 +54,7 @@
         self.perform.register(actions.Forward, self._forward)
         self.perform.register(actions.Drop, self._drop)
         self.perform.register(actions.Refuse, self._refuse)
+        self.perform.register(actions.Abort, self._abort)
 
     async def async_open(self) -> None:
         """Opens both sockets and starts the heartbeat of the loop."""
@@ -148,5 +149,9 @@
         self._count("refusal", action.reason)
         self._fabric_port.send(action.data, self._fabric)
 
+    def _abort(self, action: actions.Abort) -> None:
+        self.counters["aborted_domain_out"] += 1
+        self._fabric_port.send(action.data, self._fabric)
+
     def _count(self, name: str, reason: enum.Enum) -> None:
         self.counters[f"{name}_{reason.value}"] += 1
--- a/src/chivedoor/dataplane/encapsulation.py
+++ b/src/chivedoor/dataplane/encapsulation.py
@@ -11,8 +11,8 @@
 
 _SealFault = exceptions.SealFault
 
-# Version, kind, hops, key slot, document version, endpoint number.
-_FIELDS = struct.Struct("!BBBBII")
+# Version, kind, hops, key slot, document version, endpoint number, sender.
+_FIELDS = struct.Struct("!BBBBIII")
 _TAG_OFFSET = _FIELDS.size
 _PACKET_OFFSET = const.ENCAPSULATION_HEADER_BYTES
 
@@ -43,12 +43,14 @@
         hops: Balancers passed so far, at most `const.MAX_HOPS`.
         document_version: Version of the sender's document.
         endpoint_number: The endpoint that the packet concerns.
+        sender: Fingerprint of the sending balancer's life.
     """
 
     kind: ForwardKind
     hops: int
     document_version: int
     endpoint_number: int
+    sender: int = 0
 
 
 class Keys:
@@ -128,7 +130,7 @@
         exceptions.EncapsulationError: A field is out of its range, or the
             packet has passed too many balancers.
     """
-    kind, hops, document_version, endpoint_number = header
+    kind, hops, document_version, endpoint_number, sender = header
     if hops > const.MAX_HOPS:
         raise exceptions.EncapsulationError(_SealFault.TOO_MANY_HOPS)
     try:
@@ -139,6 +141,7 @@
             keys.slot,
             document_version,
             endpoint_number,
+            sender,
         )
     except struct.error as error:
         raise exceptions.EncapsulationError(_SealFault.FIELD_RANGE) from error
@@ -164,7 +167,7 @@
     view = memoryview(datagram)
     if len(view) < _PACKET_OFFSET:
         raise exceptions.EncapsulationError(_SealFault.TRUNCATED)
-    version, kind, hops, slot, document_version, endpoint_number = (
+    version, kind, hops, slot, document_version, endpoint_number, sender = (
         _FIELDS.unpack_from(view)
     )
     if version != const.ENCAPSULATION_VERSION:
@@ -178,7 +181,10 @@
         raise exceptions.EncapsulationError(_SealFault.UNKNOWN_KIND)
     if hops > const.MAX_HOPS:
         raise exceptions.EncapsulationError(_SealFault.TOO_MANY_HOPS)
-    return Header(forward_kind, hops, document_version, endpoint_number), data
+    header = Header(
+        forward_kind, hops, document_version, endpoint_number, sender
+    )
+    return header, data
 
 
 def _derive_slot(key: bytes) -> int:
--- a/src/chivedoor/routing/directory.py
+++ b/src/chivedoor/routing/directory.py
@@ -17,6 +17,7 @@
     Attributes:
       service: The service as the document in force lists it.
       table: The table of the current generation.
+      whole: The table with the failure domains that are out.
       previous: The table of the generation before, if any. A flow that the
         new base target's owner does not know may live on the old one.
       direct: Numbers of the endpoints whose mode is `DIRECT`.
@@ -24,6 +25,7 @@
 
     service: documents.Service
     table: tables.RoutingTable
+    whole: tables.RoutingTable
     previous: tables.RoutingTable | None = None
     direct: frozenset[ids.EndpointNumber] = frozenset()
 
@@ -134,9 +136,19 @@
         region=region,
     )
     table = tables.RoutingTable(endpoints=selected)
+    whole = tables.RoutingTable(
+        endpoints=tables.select_endpoints(
+            service=service,
+            domains=domains,
+            out_domains=frozenset(),
+            region=region,
+        )
+    )
     if known is None:
-        return ServiceRoutes(service=service, table=table), True
+        routes = ServiceRoutes(service=service, table=table, whole=whole)
+        return routes, True
     known.service = service
+    known.whole = whole
     if known.table.generation == table.generation:
         return known, False
     known.previous = known.table
--- a/tests/balancer/fleet.py
+++ b/tests/balancer/fleet.py
@@ -150,6 +150,7 @@
             region=REGION,
             admission_factory=create_admission,
             salt=len(self.balancers),
+            now=self.now,
         )
 
     def apply(self, document, *, out=frozenset(), only=None) -> None:
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -6,6 +6,7 @@
 from chivedoor.balancer import actions
 from chivedoor.configuration import document as documents
 from chivedoor.dataplane import encapsulation
+from chivedoor.routing import hashing
 from standins import segments
 from tests.balancer import fleet as fleets
 
@@ -316,12 +317,113 @@
     )
     service = fleets.make_service(_endpoints())
     fleet.apply(fleets.make_document(2, service, other))
-    header = encapsulation.Header(_KIND.CHAIN, 1, 1, 9)
+    context = fleet.balancers["a1"].context
+    _, foreign = context.directory.by_number[9]
+    header = context.make_header(_KIND.CHAIN, foreign)
     data = segments.build_packet(fleets.make_segment(5011, fleets.SYN))
     result = fleet.balancers["a0"].handle_forwarded(header, data, fleet.now)
     assert result == [actions.Drop(actions.RoutingDrop.NO_ENDPOINT)]
 
 
+def test_replica_rejects_flows_of_an_owner_that_it_sees_dead(fleet):
+    # Guards against two owners that both admit flows up to the limit.
+    owner = fleet.find_owner(1)
+    replica = "a1" if owner == "a0" else "a0"
+    port = next(p for p in range(5100, 5200) if _find_base(fleet, p) == 1)
+    fleet.see_dead(replica, owner)
+    assert fleet.send(owner, fleets.make_segment(port, fleets.SYN)) == []
+    assert fleet.drops[actions.RoutingDrop.NOT_ALIVE] == 1
+
+
+def _find_base(fleet, port):
+    (routes,) = fleet.balancers["a0"].context.directory.routes.values()
+    segment = fleets.make_segment(port, fleets.SYN)
+    key = hashing.compute_flow_key(
+        protocol=6,
+        caller=segment.source,
+        caller_port=port,
+        service=segment.destination,
+        service_port=segment.destination_port,
+    )
+    return routes.table.find_base(key).number
+
+
+def test_second_datagram_of_a_flow_runs_once_across_a_death(fleet):
+    # Guards against a replica that knows only a flow's first datagram.
+    (first,) = fleet.send("a0", fleets.make_datagram(5020, b"request 1"))
+    assert len(fleet.send("a0", fleets.make_datagram(5020, b"request 2"))) == 1
+    fleet.kill(fleet.find_owner(first.packet.destination[3]))
+    fleet.settle()
+    assert fleet.send("c1", fleets.make_datagram(5020, b"request 2")) == []
+
+
+def test_record_without_its_datagrams_lets_none_pass(fleet):
+    # Guards against a request that runs again after two deaths in turn, when
+    # the new replica pulled the record but has not seen the datagram.
+    document = fleets.make_document(1, fleets.make_service(_endpoints()))
+    fleet = fleets.Fleet(per_domain=3, document=document)
+    fleet.open_slots()
+    fleet.settle()
+    (first,) = fleet.send("a0", fleets.make_datagram(5021, b"request 1"))
+    number = first.packet.destination[3]
+    for _ in range(2):
+        fleet.kill(fleet.find_owner(number))
+        fleet.pull()
+    survivor = next(iter(fleet.balancers))
+    assert fleet.send(survivor, fleets.make_datagram(5021, b"request 1")) == []
+
+
+def test_flows_of_a_failure_domain_that_is_out_are_reset(fleet, document):
+    # Guards against packets to its targets, and callers that wait forever.
+    opened = {
+        port: _open_flow(fleet, "b0", port).packet.destination[3]
+        for port in range(6000, 6100)
+    }
+    fleet.apply(document, out=frozenset({ids.DomainId("a")}))
+    for settled in (False, True):
+        if settled:
+            fleet.settle()
+        for port, number in opened.items():
+            for name in ("a0", "b0", "c1"):
+                for delivered in fleet.send(
+                    name, fleets.make_segment(port, fleets.ACK)
+                ):
+                    gone = number in (1, 4, 7)
+                    assert delivered.packet.destination[3] == (
+                        7 if gone else number
+                    )
+                    assert bool(delivered.packet.flags & fleets.RST) == gone
+
+
+def test_flows_above_the_rate_of_a_service_are_refused(document):
+    # Guards against a flood that takes all time from established flows.
+    service = fleets.make_service(
+        _endpoints(), policy=fleets.make_policy(flow_rate_per_s=10)
+    )
+    fleet = fleets.Fleet(
+        per_domain=2, document=fleets.make_document(1, service)
+    )
+    fleet.settle()
+    for port in range(6000, 6040):
+        fleet.send("a0", fleets.make_segment(port, fleets.SYN))
+    assert fleet.refusals[actions.Refusal.RATE_EXCEEDED] >= 20
+    before = fleet.drops.total()
+    fleet.send("a0", fleets.make_segment(6000, fleets.ACK))
+    assert fleet.drops.total() == before
+
+
+def test_full_table_refuses_new_flows_and_keeps_old_ones(fleet):
+    # Guards against records that push out those of established flows.
+    target = _open_flow(fleet, "a0", 6000).packet.destination
+    for balancer in fleet.balancers.values():
+        balancer.context.max_flows = 1
+    for port in range(6001, 6020):
+        fleet.send("a0", fleets.make_segment(port, fleets.SYN))
+    assert fleet.refusals[actions.Refusal.TABLE_FULL] > 0
+    (delivered,) = fleet.send("b0", fleets.make_segment(6000, fleets.ACK))
+    assert delivered.packet.destination == target
+
+
 def test_too_old_document_stops_sending(fleet):
     # Guards against packets for an address that has a new service by now.
     balancer = fleet.balancers["a0"]
--- a/tests/dataplane/test_encapsulation.py
+++ b/tests/dataplane/test_encapsulation.py
@@ -16,7 +16,11 @@
 NEW = bytes(range(32))
 KEYS = encapsulation.Keys(current=OLD)
 HEADER = encapsulation.Header(
-    kind=Kind.RESOLVE, hops=1, document_version=7, endpoint_number=42
+    kind=Kind.RESOLVE,
+    hops=1,
+    document_version=7,
+    endpoint_number=42,
+    sender=9,
 )
 
 
@@ -40,20 +44,22 @@
     strategies.integers(0, 6),
     strategies.integers(0, 2**32 - 1),
     strategies.integers(0, 2**32 - 1),
+    strategies.integers(0, 2**32 - 1),
     strategies.binary(max_size=1500),
 )
-def test_seal_and_open(kind, hops, version, number, data):
+def test_seal_and_open(kind, hops, version, number, sender, data):
     # Guards against fields that are cut or exchanged on the way.
-    header = encapsulation.Header(kind, hops, version, number)
+    header = encapsulation.Header(kind, hops, version, number, sender)
     sealed = encapsulation.seal_packet(header, data, KEYS)
     assert encapsulation.open_packet(sealed, KEYS) == (header, data)
-    assert len(sealed) == 20 + len(data)
+    assert len(sealed) == 24 + len(data)
 
 
 def test_wire_format():
     # Guards against a change of the format without a new version number.
     sealed = encapsulation.seal_packet(HEADER, b"x", KEYS)
-    fields = bytes([1, 1, 1, KEYS.slot, 0, 0, 0, 7, 0, 0, 0, 42])
+    start = bytes([1, 1, 1, KEYS.slot])
+    fields = start + bytes([0, 0, 0, 7, 0, 0, 0, 42, 0, 0, 0, 9])
     assert sealed == seal_fields(fields)
 
 
@@ -85,9 +91,9 @@
 )
 def test_faults(start, key, fault):
     # Guards against a fault that is counted under another reason.
-    sealed = seal_fields(bytes(start) + bytes(8), key)
+    sealed = seal_fields(bytes(start) + bytes(12), key)
     assert open_or_fault(sealed) is fault
-    assert open_or_fault(sealed[:19]) is Fault.TRUNCATED
+    assert open_or_fault(sealed[:23]) is Fault.TRUNCATED
 
 
 @pytest.mark.parametrize(
