configuration: refuse every move of an address in one step

Change: no exception; tests for the four other gaps. Conclusion: an address changes hands by removal, reservation and a later document only.

--- a/src/chivedoor/configuration/checks.py
+++ b/src/chivedoor/configuration/checks.py
@@ -312,7 +312,7 @@
 ) -> Iterator[faults.Fault]:
     yield from _check_reservations(index, former.document.retired, wall_s)
     yield from _check_dropped_reservations(index, former, wall_s)
-    yield from _check_moved_bindings(index, former, wall_s)
+    yield from _check_moved_bindings(index, former)
     yield from _check_removed_addresses(index, former, removed_s)
 
 
@@ -334,22 +334,17 @@
 
 
 def _check_moved_bindings(
-    index: _Index, former: _Index, wall_s: float
+    index: _Index, former: _Index
 ) -> Iterator[faults.Fault]:
-    expired = {
-        documents.get_retired_key(entry)
-        for entry in former.document.retired
-        if entry.until_s <= wall_s
-    }
+    # A balancer with the previous document sends packets of the former service
+    # to the address now, whatever the document lists as retired.
     for binding, place in index.bindings:
-        service_id = place.service.id
-        owner = former.users.get(binding, service_id)
-        if owner == service_id or (binding.address, owner) in expired:
-            continue
-        detail = f"{binding} still belonged to service {owner}"
-        yield _build_fault(
-            place.extend_path("address"), FaultReason.RESERVED, detail
-        )
+        owner = former.users.get(binding, place.service.id)
+        if owner != place.service.id:
+            detail = f"{binding} still belonged to service {owner}"
+            yield _build_fault(
+                place.extend_path("address"), FaultReason.RESERVED, detail
+            )
 
 
 def _check_removed_addresses(
--- a/tests/configuration/conftest.py
+++ b/tests/configuration/conftest.py
@@ -39,7 +39,7 @@
                 "policy": "streams",
                 "ports": [
                     ["tcp", 8000, 9000, "stream", True],
-                    ["udp", 8000, 9000, "request", False],
+                    ["udp", 8002, 9000, "request", False],
                 ],
                 "endpoints": [
                     [1, "127.1.0.1", "a", 100, "active", 9001],
--- a/tests/configuration/test_checks.py
+++ b/tests/configuration/test_checks.py
@@ -311,6 +311,31 @@
     assert check(successor, value) == [("retired", FaultReason.NOT_RETIRED)]
 
 
+def test_reservation_ends_when_its_service_returns(check, value, successor):
+    # Guards against a removal that cannot be undone without keeping its
+    # reservation.
+    value["retired"] = [["127.1.0.9", "listening", WALL_S + DELAY_S]]
+    successor["retired"] = []
+    successor["services"][0]["endpoints"].append(
+        [4, "127.1.0.9", "b", 50, "active", None]
+    )
+    assert check(successor, value) == []
+
+
+def test_reservation_of_an_address_in_use_permits_no_move(
+    check, value, successor
+):
+    # Guards against an ended reservation that was listed while the former
+    # service still used the address.
+    value["retired"] = [["127.1.0.1", "listening", WALL_S]]
+    del successor["services"][0]["endpoints"][0]
+    successor["services"][0]["ports"][0][2] = 9010
+    successor["services"][1]["ports"][0][2] = 9000
+    assert check(successor, value) == [
+        ("services[1].endpoints[0].address", FaultReason.RESERVED)
+    ]
+
+
 def test_dropped_reservation_still_counts(check, value, successor):
     # Guards against dropping an entry and using the address in one document,
     # within the tolerance for clocks.
--- a/tests/configuration/test_document.py
+++ b/tests/configuration/test_document.py
@@ -40,7 +40,7 @@
     assert service.addresses == (bytes([203, 0, 113, 10]),)
     assert service.ports[1] == document.ServicePort(
         protocol=document.Protocol.UDP,
-        port=8000,
+        port=8002,
         target_port=9000,
         kind=document.PortKind.REQUEST,
         idempotent=False,
@@ -125,8 +125,8 @@
             FaultReason.INVALID_VALUE,
         ),
         (
-            ["services", 0, "ports", 1, 0],
-            "tcp",
+            ["services", 0, "ports", 1],
+            ["tcp", 8000, 9001, "stream", True],
             "services[0].ports[1]",
             FaultReason.DUPLICATE,
         ),
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -47,6 +47,14 @@
     assert empty.get_differences(0) == ()
 
 
+def test_confirmation_without_a_document_does_not_count(build):
+    # Guards against a first document from a peer that is used unconfirmed.
+    newcomer = store.DocumentStore()
+    newcomer.confirm(0, 0, 100.0)
+    newcomer.accept_data(build(7), 100.0, wall_s=WALL_S)
+    assert not newcomer.may_send(100.0)
+
+
 def test_higher_version_comes_into_force(filled, build):
     # Guards against a store that keeps its first document.
     filled.accept_data(build(9), 101.0, wall_s=WALL_S)
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -8,6 +8,7 @@
 
 from chivedoor.platform import backoff
 from chivedoor.platform import client
+from chivedoor.platform import const
 from chivedoor.platform import exceptions
 from standins import platform
 
@@ -24,18 +25,26 @@
 
     def __init__(self):
         self.count = 0
+        self.drawn_s = []
 
     async def async_sleep(self, delay_s):
         self.count += delay_s > DELAY_S / 2
 
+    def draw(self, original):
+        self.drawn_s.append(original)
+        return DELAY_S
+
 
 @pytest.fixture
 def delays(monkeypatch):
     """Delays between calls, which are counted and not waited for."""
     log = DelayLog()
     monkeypatch.setattr(client.asyncio, "sleep", log.async_sleep)
+    draw_delay_s = backoff.Backoff.draw_delay_s
     monkeypatch.setattr(
-        backoff.Backoff, "draw_delay_s", lambda backoff: DELAY_S
+        backoff.Backoff,
+        "draw_delay_s",
+        lambda delays: log.draw(draw_delay_s(delays)),
     )
     return log
 
@@ -284,6 +293,11 @@
     for _ in range(3):
         await reader.async_list_vms()
     assert delays.count == 8
+    assert delays.drawn_s[-1] > const.BACKOFF_INITIAL_S
+    standin.set_faults(platform.Faults(down=platform.DownMode.UNAVAILABLE))
+    with pytest.raises(exceptions.PlatformError):
+        await reader.async_list_vms()
+    assert delays.drawn_s[-1] <= const.BACKOFF_INITIAL_S
 
 
 async def test_refused_document_is_tried_again_at_a_low_rate(
