Free a slot when both ends have closed

Change: a flow frees what it uses with the second FIN or a RST. Verdicts of an owner are in the dump; the daemon's clock counts suspended time. Conclusion: one round trip more for each slot.

--- a/src/chivedoor/admission/limits.py
+++ b/src/chivedoor/admission/limits.py
@@ -132,26 +132,6 @@
         self._connections = connections
         self._slots = slots
 
-    def release_slot(self) -> None:
-        """Stops counting the slot of a flow whose connection stays open.
-
-        Raises:
-            exceptions.ReleaseError: No slot is counted.
-        """
-        if self._slots < 1:
-            raise exceptions.ReleaseError("no slot is in use")
-        self._slots -= 1
-
-    def release_connection(self) -> None:
-        """Stops counting a flow that uses no slot.
-
-        Raises:
-            exceptions.ReleaseError: No such flow is counted.
-        """
-        if self._connections <= self._slots:
-            raise exceptions.ReleaseError("no flow without a slot is open")
-        self._connections -= 1
-
     def dump_state(self) -> dict:
         """Returns the counts and limits as plain values."""
         return {
--- a/src/chivedoor/admission/target.py
+++ b/src/chivedoor/admission/target.py
@@ -151,23 +151,6 @@
         self._limits.release(kind)
         self._resets.note_close(now)
 
-    def release_slot(self) -> None:
-        """Stops counting the slot of a flow whose target has answered.
-
-        Raises:
-            exceptions.ReleaseError: No slot is counted.
-        """
-        self._limits.release_slot()
-
-    def release_connection(self, now: float) -> None:
-        """Stops counting a flow that has ended and uses no slot.
-
-        Raises:
-            exceptions.ReleaseError: No such flow is counted.
-        """
-        self._limits.release_connection()
-        self._resets.note_close(now)
-
     def note_handshake(self, duration_s: float | None, now: float) -> None:
         """Notes that the target answered a new flow.
 
--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -586,7 +586,7 @@
             return self._answer_datagram(packet, source, key, target, now)
         if packet.is_reset:
             if self._is_doubtful(key, target, now):
-                target.release(target.flows.remove(key), now)
+                target.remove(key, now)
                 return [actions.Drop(actions.RoutingDrop.STALE_RESET)]
             target.admission.note_reset(
                 target.flows.get_state(key) is records.FlowState.OPEN, now
--- a/src/chivedoor/daemon/application.py
+++ b/src/chivedoor/daemon/application.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import functools
 import random
 import time
 from typing import Any
@@ -46,7 +47,8 @@
     ) -> None:
         self._settings = settings
         self._logs = logs
-        self._clock = time.monotonic
+        # It also counts the time in which the VM was suspended.
+        self._clock = functools.partial(time.clock_gettime, time.CLOCK_BOOTTIME)
         self._started_at_s = self._clock()
         self._stopping = asyncio.Event()
         self._out_domains: frozenset[ids.DomainId] = frozenset()
--- a/src/chivedoor/flows/owner.py
+++ b/src/chivedoor/flows/owner.py
@@ -1,5 +1,6 @@
 """The records, overrides and limits of one target at its owner or replica."""
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
@@ -61,6 +62,9 @@
         )
         self.overrides: dict[ids.FlowKey, Override] = {}
         self.pending: dict[ids.FlowKey, float] = {}
+        self.verdicts: collections.Counter[admissions.Verdict] = (
+            collections.Counter()
+        )
         self._policy = policy
         self._pulled: dict[
             ids.EndpointNumber, tuple[OwnerIdentity, ids.Generation]
@@ -111,6 +115,7 @@
           now: Monotonic seconds.
         """
         verdict = self.admission.decide(kind=kind, share=share, now=now)
+        self.verdicts[verdict] += 1
         if verdict is admissions.Verdict.ADMIT:
             self.admission.admit(kind, now)
             self.flows.open(key, kind, now)
@@ -132,24 +137,26 @@
         self.admission.adopt(kind)
         self.flows.adopt(key, kind, now)
 
-    def release(self, freed: records.Freed, now: float) -> None:
-        """Gives back what the end of a flow frees."""
-        if records.Freed.SLOT in freed:
-            self.admission.release_slot()
-        if records.Freed.CONNECTION in freed:
-            self.admission.release_connection(now)
-
     def close_caller(self, key: ids.FlowKey, now: float) -> None:
         """Notes the caller's FIN."""
-        self.release(self.flows.close_caller(key, now), now)
+        if self.flows.close_caller(key, now):
+            self.admission.release(self.flows.get_kind(key), now)
 
     def close_target(self, key: ids.FlowKey, now: float) -> None:
         """Notes the target's FIN."""
-        self.release(self.flows.close_target(key, now), now)
+        if self.flows.close_target(key, now):
+            self.admission.release(self.flows.get_kind(key), now)
 
     def close(self, key: ids.FlowKey, now: float) -> None:
         """Notes the end of a flow in both directions."""
-        self.release(self.flows.close(key, now), now)
+        if self.flows.close(key, now):
+            self.admission.release(self.flows.get_kind(key), now)
+
+    def remove(self, key: ids.FlowKey, now: float) -> None:
+        """Drops the record of a flow that is not on this target."""
+        kind = self.flows.get_kind(key)
+        if self.flows.remove(key):
+            self.admission.release(kind, now)
 
     # Flows of this base target elsewhere.
 
@@ -275,8 +282,8 @@
             idle_timeout_s=self._policy.idle_timeout_s,
             slot_timeout_s=self._policy.request_deadline_s,
         )
-        for freed in closed:
-            self.release(freed, now)
+        for kind in closed:
+            self.admission.release(kind, now)
         for key in _list_expired(self.pending.items(), now):
             del self.pending[key]
         stale = _list_expired(
@@ -310,6 +317,9 @@
             "overrides": len(self.overrides),
             "pending": len(self.pending),
             "pulled": sorted(self._pulled),
+            "verdicts": {
+                verdict.value: count for verdict, count in self.verdicts.items()
+            },
             "admission": self.admission.dump_state(),
         }
 
--- a/src/chivedoor/flows/records.py
+++ b/src/chivedoor/flows/records.py
@@ -11,13 +11,13 @@
 
 _KINDS = tuple(documents.PortKind)
 _KIND_CODES = {kind: code for code, kind in enumerate(_KINDS)}
+_SLOT_KINDS = frozenset({documents.PortKind.UPLOAD, documents.PortKind.REQUEST})
 _STATE_MASK = 0x3
 _KIND_SHIFT = 2
 _KIND_MASK = 0x3
 _CALLER_FIN = 0x10
 _TARGET_FIN = 0x20
-_HOLDS_SLOT = 0x40
-_ADOPTED = 0x80
+_ADOPTED = 0x40
 _SEEN_SHIFT = 8
 _FLAGS_MASK = 0xFF
 
@@ -30,14 +30,6 @@
     CLOSED = 2
 
 
-class Freed(enum.Flag):
-    """What a change of a record gives back to the target's limits."""
-
-    NOTHING = 0
-    SLOT = enum.auto()
-    CONNECTION = enum.auto()
-
-
 class FlowTable:
     """Flow records of one target, each packed into a small integer.
 
@@ -103,33 +95,31 @@
         self._records[key] = self._stamp(flags, now)
         return True
 
-    def close_caller(self, key: ids.FlowKey, now: float) -> Freed:
-        """Notes the caller's FIN."""
+    def close_caller(self, key: ids.FlowKey, now: float) -> bool:
+        """Notes the caller's FIN; returns whether the flow ended by it."""
         return self._note_fin(key, _CALLER_FIN, now)
 
-    def close_target(self, key: ids.FlowKey, now: float) -> Freed:
-        """Notes the target's FIN, after which a request uses no slot."""
+    def close_target(self, key: ids.FlowKey, now: float) -> bool:
+        """Notes the target's FIN; returns whether the flow ended by it."""
         return self._note_fin(key, _TARGET_FIN, now)
 
-    def close(self, key: ids.FlowKey, now: float) -> Freed:
-        """Notes the end of a flow in both directions."""
+    def close(self, key: ids.FlowKey, now: float) -> bool:
+        """Ends a flow; returns whether it was open."""
         record = self._records[key]
         if record & _STATE_MASK == FlowState.CLOSED:
-            return Freed.NOTHING
-        flags = record & _FLAGS_MASK & ~(_STATE_MASK | _HOLDS_SLOT)
+            return False
+        flags = record & _FLAGS_MASK & ~_STATE_MASK
         self._records[key] = self._stamp(flags | FlowState.CLOSED, now)
-        return Freed.CONNECTION | _slot_of(record)
+        return True
 
-    def remove(self, key: ids.FlowKey) -> Freed:
-        """Drops a record, whatever its state."""
+    def remove(self, key: ids.FlowKey) -> bool:
+        """Drops a record; returns whether its flow was open."""
         record = self._records.pop(key)
-        if record & _STATE_MASK == FlowState.CLOSED:
-            return Freed.NOTHING
-        return Freed.CONNECTION | _slot_of(record)
+        return record & _STATE_MASK != FlowState.CLOSED
 
     def expire(
         self, *, now: float, idle_timeout_s: float, slot_timeout_s: float
-    ) -> tuple[list[Freed], list[ids.FlowKey]]:
+    ) -> tuple[list[documents.PortKind], list[ids.FlowKey]]:
         """Closes and drops old records, a bounded number of them at a call.
 
         A flow that timed out stays as a closed one for the time of late
@@ -142,7 +132,8 @@
             ends; its target has given it up by then.
 
         Returns:
-          What the closed flows free, and the keys of dropped records.
+          The kinds of the flows that were closed, and the keys of dropped
+          records.
         """
         closed = []
         dropped = []
@@ -159,7 +150,8 @@
                 del self._records[key]
                 dropped.append(key)
             else:
-                closed.append(self.close(key, now))
+                self.close(key, now)
+                closed.append(self.get_kind(key))
         return closed, dropped
 
     def _next_batch(self) -> Iterable[ids.FlowKey]:
@@ -175,23 +167,26 @@
         state = record & _STATE_MASK
         if state == FlowState.CLOSED:
             return const.CLOSED_LINGER_S
-        if state == FlowState.OPENING and not record & _HOLDS_SLOT:
+        if _KINDS[(record >> _KIND_SHIFT) & _KIND_MASK] in _SLOT_KINDS:
+            return slot_timeout_s
+        if state == FlowState.OPENING:
             return self._opening_timeout_s
-        return slot_timeout_s if record & _HOLDS_SLOT else idle_timeout_s
+        return idle_timeout_s
+
+    def _note_fin(self, key: ids.FlowKey, side: int, now: float) -> bool:
+        """Notes a FIN; a flow ends with the second one.
 
-    def _note_fin(self, key: ids.FlowKey, side: int, now: float) -> Freed:
+        A target may count a request as in work until it has also read the
+        caller's FIN, so its slot is not free before that.
+        """
         record = self._records[key]
         if record & _STATE_MASK == FlowState.CLOSED:
-            return Freed.NOTHING
+            return False
         flags = (record & _FLAGS_MASK) | side
+        self._records[key] = self._stamp(flags, now)
         if flags & _CALLER_FIN and flags & _TARGET_FIN:
             return self.close(key, now)
-        freed = Freed.NOTHING
-        if side == _TARGET_FIN:
-            freed = _slot_of(record)
-            flags &= ~_HOLDS_SLOT
-        self._records[key] = self._stamp(flags, now)
-        return freed
+        return False
 
     def _store(
         self, key: ids.FlowKey, state: FlowState, flags: int, now: float
@@ -207,12 +202,7 @@
 
 
 def _encode(kind: documents.PortKind) -> int:
-    slot = 0 if kind is documents.PortKind.STREAM else _HOLDS_SLOT
-    return (_KIND_CODES[kind] << _KIND_SHIFT) | slot
-
-
-def _slot_of(record: int) -> Freed:
-    return Freed.SLOT if record & _HOLDS_SLOT else Freed.NOTHING
+    return _KIND_CODES[kind] << _KIND_SHIFT
 
 
 def _take(keys: Iterator[ids.FlowKey], count: int) -> list[ids.FlowKey]:
