--- a/tests/control/test_channel.py
+++ b/tests/control/test_channel.py
@@ -230,6 +230,17 @@
     assert replaced.counts.get(Event.REPLIES_SENT) == 1
 
 
+async def test_open_connection_to_a_former_address_is_not_used(fleet, pair):
+    # Guards against requests to a VM that was replaced but still runs.
+    asking, answering = pair
+    await asking.async_request("b", SILENCE, 30)
+    replaced = await fleet.async_add("b")
+    replaced.register(messages.SilenceRequest, async_answer)
+    assert await asking.async_request("b", SILENCE, 30) == SEEN
+    assert answering.counts.get(Event.REPLIES_SENT) == 1
+    assert replaced.counts.get(Event.REPLIES_SENT) == 1
+
+
 async def test_unreachable_and_unknown_members_give_typed_errors(fleet, pair):
     # Guards against errors of the operating system out of the channel.
     asking, answering = pair
@@ -649,17 +660,23 @@
 
 
 async def test_client_that_is_idle_for_too_long_is_dropped(
-    pair, monkeypatch, async_wait_until
+    fleet, pair, monkeypatch, async_wait_until
 ):
     # Guards against connections of peers that vanished without closing.
-    asking, answering = pair
-    await asking.async_request("b", SILENCE, 30)
+    _, answering = pair
+    joined, _ = await async_join(fleet, "b")
+    await async_wait_until(lambda: answering.dump_state()["incoming"] == 1)
     # It applies after the next request, for which the server waits already.
     monkeypatch.setattr(const, "SERVED_IDLE_S", 0.05)
-    await asking.async_request("b", SILENCE, 30)
+    await joined.async_send(
+        envelope.pack_envelope(
+            messages.REGISTRY, envelope.Kind.REQUEST, 0, SILENCE
+        )
+    )
+    await joined.async_receive()
     await async_wait_until(lambda: answering.dump_state()["incoming"] == 0)
-    monkeypatch.undo()
-    assert await asking.async_request("b", SILENCE, 30) == SEEN
+    with pytest.raises(exceptions.LinkClosedError):
+        await joined.async_receive()
 
 
 async def test_request_on_a_connection_that_just_ended_is_sent_again(pair):
