standins: cut entry VMs apart in a deployment

A partition between failure domains needs traffic between balancers to pass a relay, but settings have one address for binding and for peers. The balancer runs unchanged in a process that binds its peer ports behind the relay.

--- a/standins/demonstration.py
+++ b/standins/demonstration.py
@@ -257,6 +257,10 @@
         int | None,
         cappa.Arg(long=True, help="Range of addresses, 0 to 24."),
     ] = None
+    relayed: Annotated[
+        bool,
+        cappa.Arg(long=True, help="Peer traffic passes through a relay."),
+    ] = False
     document: Annotated[pathlib.Path, cappa.Arg(long=True)] = _EXAMPLE
     folder: Annotated[
         pathlib.Path | None,
@@ -281,6 +285,7 @@
             kind=self.kind,
             seed=self.seed,
             block=self.block,
+            relayed=self.relayed,
         )
         try:
             demonstration = Demonstration(deployment=deployment)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -37,19 +37,34 @@
 
 
 _MODULES = {
-    BalancerKind.CHIVEDOORD: ["-m", "chivedoor.cli.daemon"],
-    BalancerKind.DIRECT: ["-m", "standins.direct"],
+    BalancerKind.CHIVEDOORD: "chivedoor.cli.daemon",
+    BalancerKind.DIRECT: "standins.direct",
 }
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Vm:
-    """An entry VM of the deployment."""
+    """An entry VM of the deployment.
+
+    Attributes:
+        name: Its id.
+        domain: Its failure domain.
+        region: The region of the failure domain.
+        address: Its address in the settings.
+        actual_address: Where its peer ports are when they are relayed.
+        packet_port: UDP port for packets from the fabric.
+        peer_port: UDP port for packets from other balancers.
+        gossip_port: UDP port for gossip.
+        channel_port: TCP port for channels.
+        operator_port: TCP port for operators.
+        metrics_port: TCP port for metrics.
+    """
 
     name: str
     domain: str
     region: str
     address: str
+    actual_address: str
     packet_port: int = 6080
     peer_port: int = 6081
     gossip_port: int = 6082
@@ -75,6 +90,7 @@
         seed: int = 1,
         block: int | None = None,
         spray: str = "packet",
+        relayed: bool = False,
         limits: dict[str, int] | None = None,
     ):
         """Creates a deployment without starting it.
@@ -88,6 +104,8 @@
             block: Number of the range of addresses, 0 to 24; None for one
                 that no other deployment uses.
             spray: How the fabric spreads packets, `packet` or `flow`.
+            relayed: Whether traffic between entry VMs passes a relay, which
+                can cut it.
             limits: Values of the `limits` section of the settings.
 
         Raises:
@@ -101,12 +119,14 @@
         self.fabric_admin = (shift_address("127.0.0.2", block), 7001)
         self.targets_admin = (shift_address("127.0.0.3", block), 7002)
         self.callers_admin = (shift_address("127.0.0.4", block), 7003)
+        self.relay_admin = (shift_address("127.0.0.6", block), 7004)
         self._platform = (shift_address("127.0.0.5", block), 8500)
         self._fabric = (self.fabric_admin[0], 7000)
         self._folder = folder
         self._kind = kind
         self._seed = seed
         self._spray = spray
+        self._relayed = relayed
         self._limits = {
             "control_bytes_per_s": 4000,
             "max_flows": 400_000,
@@ -124,6 +144,8 @@
         await self._async_start_platform(path)
         await self._async_start_fabric()
         await self._async_start_targets(path)
+        if self._relayed:
+            await self._async_start_relay()
         for vm in self.vms.values():
             self._start_balancer(vm)
         for vm in self.vms.values():
@@ -213,6 +235,12 @@
             self.callers_admin, operation, arguments
         )
 
+    async def async_ask_relay(self, operation: str, **arguments: Any) -> Any:
+        """Performs an operation of the relay between entry VMs."""
+        return await requests.async_request(
+            self.relay_admin, operation, arguments
+        )
+
     async def _async_put(self, name: str, value: dict) -> None:
         url = f"{self._build_platform_url()}/admin/{name}"
         async with (
@@ -292,7 +320,30 @@
     def _start_balancer(self, vm: Vm) -> None:
         path = self._folder / f"{vm.name}.ini"
         self._write_settings(vm, path)
-        self.processes.start(vm.name, [*_MODULES[self._kind], str(path)])
+        arguments = [_MODULES[self._kind], str(path)]
+        if self._relayed:
+            ports = ",".join(map(str, list_peer_ports(vm)))
+            redirect = ["standins.relayed", vm.address, vm.actual_address]
+            arguments = [*redirect, ports, *arguments]
+        self.processes.start(vm.name, ["-m", *arguments])
+
+    async def _async_start_relay(self) -> None:
+        arguments = ["-m", "standins.relay", "--seed", str(self._seed)]
+        arguments += ["--admin", format_address(self.relay_admin)]
+        is_ready = processes.build_admin_check(self.relay_admin)
+        await self.processes.async_start("relay", arguments, is_ready)
+        table = [
+            {
+                "id": vm.name,
+                "domain": vm.domain,
+                "address": vm.actual_address,
+                "known_address": vm.address,
+                "udp_ports": [vm.peer_port, vm.gossip_port],
+                "tcp_ports": [vm.channel_port],
+            }
+            for vm in self.vms.values()
+        ]
+        await self.async_ask_relay("vms", vms=table)
 
     async def _async_wait_for_balancer(self, vm: Vm) -> None:
         url = f"http://{vm.address}:{vm.metrics_port}/metrics"
@@ -308,6 +359,7 @@
         parser = configparser.RawConfigParser()
         vm_section = dataclasses.asdict(vm)
         vm_section["id"] = vm_section.pop("name")
+        del vm_section["actual_address"]
         parser.read_dict(
             {
                 "vm": vm_section,
@@ -389,11 +441,22 @@
         region, domain = domains[number % len(domains)]
         high, low = divmod(number, _VMS_OF_DOMAIN)
         name = f"vm-{domain}{number // len(domains) + 1}"
-        address = shift_address(f"127.0.{16 + high}.{low + 1}", block)
-        vms[name] = Vm(name=name, domain=domain, region=region, address=address)
+        host = f"{high}.{low + 1}"
+        vms[name] = Vm(
+            name=name,
+            domain=domain,
+            region=region,
+            address=shift_address(f"127.3.{host}", block),
+            actual_address=shift_address(f"127.4.{host}", block),
+        )
     return vms
 
 
+def list_peer_ports(vm: Vm) -> list[int]:
+    """Returns the ports on which a VM talks to its peers."""
+    return [vm.peer_port, vm.gossip_port, vm.channel_port]
+
+
 def format_address(address: link.Address) -> str:
     """Returns `ADDRESS:PORT`."""
     return f"{address[0]}:{address[1]}"
--- a/tests/standins/test_deployment.py
+++ b/tests/standins/test_deployment.py
@@ -29,6 +29,7 @@
         balancers=2,
         folder=tmp_path,
         kind=deployments.BalancerKind.DIRECT,
+        relayed=True,
     )
     try:
         await deployment.async_open()
--- a/tests/standins/test_relay.py
+++ b/tests/standins/test_relay.py
@@ -1,6 +1,7 @@
 """Tests of the relays between entry VMs, over real sockets."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -8,6 +9,7 @@
 from standins import exceptions
 from standins import link
 from standins import relay as relays
+from standins import relayed
 
 UDP_PORT, TCP_PORT = 6081, 6083
 
@@ -123,3 +125,28 @@
     pair.relay.set_faults({})
     assert await asyncio.wait_for(answer, 10) == b"hello"
     writer.close()
+
+
+def test_peer_sockets_move_behind_the_relay(block, monkeypatch):
+    # Guards against a balancer whose peers reach it around the relay, and
+    # whose other ports move.
+    for name in ("bind", "connect"):
+        method = getattr(socket.socket, name)
+        monkeypatch.setattr(socket.socket, name, method)
+    known = deployments.shift_address("127.0.65.1", block)
+    actual = deployments.shift_address("127.0.64.1", block)
+    relayed.redirect_sockets(
+        known=known, actual=actual, ports=frozenset([TCP_PORT])
+    )
+    with socket.socket() as peer, socket.socket() as other:
+        peer.bind((known, TCP_PORT))
+        other.bind((known, TCP_PORT + 1))
+        assert peer.getsockname() == (actual, TCP_PORT)
+        assert other.getsockname() == (known, TCP_PORT + 1)
+        peer.listen()
+        other.listen()
+        with socket.socket() as caller, socket.socket() as plain:
+            caller.connect((actual, TCP_PORT))
+            plain.connect((known, TCP_PORT + 1))
+            assert caller.getsockname()[0] == actual
+            assert plain.getsockname()[0] != actual
