--- a/src/chivedoor/control/spreader.py
+++ b/src/chivedoor/control/spreader.py
@@ -30,6 +30,17 @@
 _MEMBER = ""
 _NUMBER_SHIFT = 20
 _MODE_PREFIX = "mode/"
+# A claim has an id of at most 64 characters, two numbers and two states.
+_CLAIM_BYTES = 96
+# Waiting updates ride on probes only. Urgent datagrams stay small, because
+# each member sends four of them on first receipt.
+_PROBE_KINDS = frozenset(
+    (
+        datagrams.Kind.PING,
+        datagrams.Kind.ACK,
+        datagrams.Kind.PING_REQUEST,
+    )
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -106,7 +117,7 @@
         self._housekeeping_at = now + const.HOUSEKEEPING_S
         self._pause_callbacks: list[Callable[[float], None]] = []
         self._synchronizer = antientropy.Synchronizer(
-            digest=board.digest, load=self._load_record, rng=rng
+            digest=board.digest, load=self._load_record
         )
         self._detector = detector_module.Detector(
             members=members, rng=rng, on_pause=self._note_pause
@@ -169,14 +180,16 @@
             return
         peers = self._choose_peers(urgent.senders)
         room = datagrams.compute_room(self._members.local.id)
-        for updates in _pack(urgent.updates.values(), room):
-            self._spread(peers, updates=updates)
         for entries in _pack(urgent.registers.values(), room):
             self._spread(peers, entries=entries)
+        # When a region is cut off, hundreds of deaths are urgent at once.
+        # They must not use up the budget of the probes; what does not go
+        # out here rides on them.
+        modes = budget_module.Priority.MODES
+        for updates in _pack(urgent.updates.values(), room):
+            self._spread(peers, updates=updates, priority=modes)
         for entries in _pack(urgent.modes.values(), room):
-            self._spread(
-                peers, entries=entries, priority=budget_module.Priority.MODES
-            )
+            self._spread(peers, entries=entries, priority=modes)
 
     def farewell(self, now: float) -> None:
         """Tells random members that a leaving local member is gone."""
@@ -379,7 +392,7 @@
         ):
             return
         room = datagrams.compute_room(self._members.local.id)
-        batch = self._synchronizer.take(room)
+        batch = self._synchronizer.take(room - _CLAIM_BYTES)
         recipient = batch and self._members.get(batch.recipient)
         if recipient is None:
             return
@@ -501,7 +514,9 @@
             return
         room = datagrams.compute_room(self._members.local.id, extra)
         room -= sum(map(len, updates)) + sum(map(len, entries))
-        modes = self._add_waiting(room, updates, entries)
+        modes = []
+        if kind in _PROBE_KINDS:
+            modes = self._add_waiting(room, updates, entries)
         data = self._seal(
             destination,
             kind=kind,
@@ -568,30 +583,43 @@
             self._apply_update(fields, message)
         entries = [self._decode_entry(fields) for fields in message.entries]
         accepted = self._board.merge(filter(None, entries), self._now)
-        if message.kind is datagrams.Kind.SPREAD and accepted:
-            self._urgent.senders.add(message.sender)
-            for entry in accepted:
+        for entry in accepted:
+            if message.kind is datagrams.Kind.SPREAD:
+                self._urgent.senders.add(message.sender)
                 self._add_urgent_entry(entry)
+            elif message.kind is datagrams.Kind.RECORDS:
+                self._choose_queue(entry.topic).discard(_get_key(entry))
 
     def _apply_update(
         self, fields: Any, message: datagrams.GossipMessage
     ) -> None:
+        update = self._decode_update(fields)
+        if update is None:
+            return
         try:
-            update = records.decode_update(fields, self._members)
-            if update is None:
-                return
             is_new = self._members.merge(update, self._now)
         except membership_exceptions.MembersFullError:
             self.dropped[exceptions.DropReason.FULL] += 1
             return
-        except membership_exceptions.MemberRecordError:
-            self.dropped[exceptions.DropReason.MALFORMED] += 1
-            return
-        if is_new and message.kind is datagrams.Kind.SPREAD:
+        if message.kind is datagrams.Kind.RECORDS:
+            self._note_repair(update)
+        elif is_new and message.kind is datagrams.Kind.SPREAD:
             self._urgent.senders.add(message.sender)
             self._add_urgent_update(self._members.get(update.id))
-        if message.kind is datagrams.Kind.RECORDS:
-            self._check_contradiction(update)
+
+    def _decode_update(self, fields: Any) -> members_module.Member | None:
+        try:
+            return records.decode_update(fields, self._members)
+        except membership_exceptions.MemberRecordError:
+            self.dropped[exceptions.DropReason.MALFORMED] += 1
+            return None
+
+    def _note_repair(self, update: members_module.Member) -> None:
+        # What one balancer lacked is not news for the fleet; a newcomer
+        # would otherwise repeat the records of all members.
+        if update.id != self._members.local.id:
+            self._updates.discard(update.id)
+        self._check_contradiction(update)
 
     def _check_contradiction(self, update: members_module.Member) -> None:
         """Reminds a dead member that a peer holds for alive.
--- a/src/chivedoor/daemon/application.py
+++ b/src/chivedoor/daemon/application.py
@@ -19,7 +19,6 @@
 from chivedoor.control import channel as channels
 from chivedoor.control import gossip as gossips
 from chivedoor.control import operators
-from chivedoor.control import pacing
 from chivedoor.daemon import commands as commands_module
 from chivedoor.daemon import const
 from chivedoor.daemon import documents as document_keeping
@@ -102,7 +101,7 @@
             port=vm.channel_port,
             keys=[key for key in keys if key is not None],
             resolve=self._resolve_member,
-            budget=pacing.Pacer(self._budget).async_pace,
+            budget=self._budget,
         )
 
     def _create_decisions(self) -> None:
@@ -112,6 +111,8 @@
             region=settings.vm.region,
             admission_factory=self._create_admission,
             salt=random.getrandbits(63),
+            now=self._clock(),
+            max_flows=settings.limits.max_flows,
         )
         self._traffic = traffic_module.Traffic(
             settings=settings,
@@ -139,7 +140,9 @@
             handle_change=self._apply_document,
         )
         self._platform = clients.PlatformClient(
-            url=settings.platform.url, rng=random.Random()
+            url=settings.platform.url,
+            generator=random.Random(),
+            local_address=settings.vm.address,
         )
         self._documents = document_keeping.DocumentKeeper(
             members=self._members,
@@ -306,7 +309,9 @@
             if listed is not None:
                 self._members.set_listed(
                     memberships.ListedVm(
-                        id=vm.id, domain=vm.domain, leaving=vm.leaving
+                        id=vm.id,
+                        domain=vm.domain,
+                        leaving=vm.state is clients.VmState.LEAVING,
                     )
                     for vm in listed
                 )
--- a/src/chivedoor/daemon/documents.py
+++ b/src/chivedoor/daemon/documents.py
@@ -90,20 +90,25 @@
     async def _async_watch(self) -> None:
         while True:
             try:
-                found = await self._platform.async_watch_document(
+                reading = await self._platform.async_watch_document(
                     self.store.version
                 )
             except base_exceptions.ChivedoorError:
-                await asyncio.sleep(const.DOCUMENT_RETRY_S)
+                # The client waits before the next call.
                 continue
-            if found is not None and found.version > self.store.version:
-                self._accept(found.body)
-            elif found is None:
-                self.store.confirm(self.store.version, 0.0, self._clock())
+            now = self._clock()
+            if reading.state is clients.ReadingState.NEWER:
+                self._accept(reading.data)
+            elif reading.state is clients.ReadingState.CURRENT:
+                self.store.confirm(reading.version, reading.age_s, now)
+            else:
+                self._note_older(reading.version)
             self._announce()
-            # A stale platform answers at once with an old version.
-            if found is not None and found.version <= self.store.version:
-                await asyncio.sleep(const.DOCUMENT_RETRY_S)
+
+    def _note_older(self, version: ids.Version) -> None:
+        self._logs.write_event(
+            events.DocumentOlder(document_version=version, source="platform")
+        )
 
     def _accept(self, body: bytes) -> None:
         try:
--- a/tests/control/conftest.py
+++ b/tests/control/conftest.py
@@ -1,46 +1,20 @@
-"""Channels on the loopback."""
-
-from collections.abc import AsyncIterator
-from typing import Any
+"""Fixtures of the tests of the gossip."""
 
 import pytest
 
-from chivedoor.control import channel
-
-KEY = bytes(range(32))
-
+from tests.control import fleet as fleet_module
 
-class Fleet:
-    """Channels that know each other's ports."""
 
-    def __init__(self) -> None:
-        self.key = KEY
-        self.locations: dict[str, tuple[str, int]] = {}
-        self._channels: list[channel.Channel] = []
-
-    async def async_add(
-        self, member_id: str, *keys: bytes, **options: Any
-    ) -> channel.Channel:
-        member = channel.Channel(
-            local_id=member_id,
-            address="127.0.0.1",
-            port=0,
-            keys=keys or [KEY],
-            resolve=self.locations.__getitem__,
-            **options,
-        )
-        await member.async_open()
-        self.locations[member_id] = ("127.0.0.1", member.port)
-        self._channels.append(member)
-        return member
-
-    async def async_close(self) -> None:
-        for member in self._channels:
-            await member.async_close()
+@pytest.fixture
+def network() -> fleet_module.FakeNetwork:
+    return fleet_module.FakeNetwork()
 
 
 @pytest.fixture
-async def fleet() -> AsyncIterator[Fleet]:
-    members = Fleet()
-    yield members
-    await members.async_close()
+def fleet(network) -> fleet_module.FakeNetwork:
+    """A network of 8 nodes that know one another."""
+    for number in range(1, 9):
+        network.start(number)
+    network.run(5.0)
+    assert network.count_live() == [8] * 8
+    return network
