standins: free a slot when the work is done

A target kept a slot until the caller's FIN arrived, which the owner of the target sees earlier, so a new flow could overtake it. The slot is now free with the answer. The summary also shows what the balancers refused and dropped, by reason.

--- a/standins/demonstration.py
+++ b/standins/demonstration.py
@@ -1,6 +1,7 @@
 """Runs a whole deployment with callers and prints what happened to flows."""
 
 import asyncio
+import collections
 import copy
 import dataclasses
 import json
@@ -24,6 +25,7 @@
 # After a start of all balancers, slots stay closed for the request deadline.
 _SETTLE_S = 5.0 + _REQUEST_DEADLINE_S
 _EXAMPLE = processes.ROOT / "examples" / "mtskheta.json"
+_REFUSAL_METRICS = ("chivedoor_refused_", "chivedoor_dropped_")
 _COLUMNS = ("opened", "finished", "broken", "refused", "unanswered", "wrong")
 
 
@@ -98,6 +100,7 @@
     over_ramp: int
     wrong_service: int
     imbalance: dict[str, float]
+    refusals: dict[str, int]
 
     @property
     def is_good(self) -> bool:
@@ -109,11 +112,17 @@
 
 
 def summarize(
-    callers: dict, targets: dict, runs: dict, document: dict
+    *,
+    callers: dict,
+    targets: dict,
+    runs: dict,
+    refusals: dict[str, int],
+    document: dict,
 ) -> Summary:
-    """Summarizes the statistics of callers and targets.
+    """Summarizes the statistics of callers, targets and balancers.
 
-    `runs` holds the refused flows that a target ran all the same.
+    `runs` holds the refused flows that a target ran all the same, and
+    `refusals` what balancers refused and dropped, by reason.
     """
     events: dict[str, int] = {}
     for counted in targets["events"].values():
@@ -134,6 +143,7 @@
             service["id"]: measure_imbalance(service, targets["events"])
             for service in document["services"]
         },
+        refusals=refusals,
     )
 
 
@@ -185,6 +195,8 @@
         "wrong_service",
     ):
         lines.append(f"{name.replace('_', ' ')}: {getattr(summary, name)}")
+    for name, count in sorted(summary.refusals.items()):
+        lines.append(f"{name}: {count}")
     return "\n".join(lines)
 
 
@@ -229,7 +241,24 @@
         runs = await deployment.async_ask_targets(
             "runs", flows=callers["refused"]
         )
-        return summarize(callers, targets, runs, deployment.document)
+        return summarize(
+            callers=callers,
+            targets=targets,
+            runs=runs,
+            refusals=await self._async_count_refusals(),
+            document=deployment.document,
+        )
+
+    async def _async_count_refusals(self) -> dict[str, int]:
+        """Returns the counters of refusals over all balancers."""
+        totals: collections.Counter = collections.Counter()
+        for name in self._deployment.vms:
+            text = await self._deployment.async_read_metrics(name)
+            for line in text.splitlines():
+                metric, _, value = line.rpartition(" ")
+                if metric.startswith(_REFUSAL_METRICS):
+                    totals[metric] += int(float(value))
+        return {name: count for name, count in totals.items() if count}
 
 
 def _format_progress(state: dict[str, Any]) -> str:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -241,6 +241,16 @@
             self.relay_admin, operation, arguments
         )
 
+    async def async_read_metrics(self, name: str) -> str:
+        """Returns the text of the metrics of an entry VM."""
+        vm = self.vms[name]
+        url = f"http://{vm.address}:{vm.metrics_port}/metrics"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(url) as response,
+        ):
+            return await response.text()
+
     async def _async_put(self, name: str, value: dict) -> None:
         url = f"{self._build_platform_url()}/admin/{name}"
         async with (
--- a/standins/sessions.py
+++ b/standins/sessions.py
@@ -23,6 +23,8 @@
 
     `run` performs a request: it gets the fields of the line and a function
     that takes the answer, and returns a function that cancels the work.
+    `free` is called when the work is done and its slot is free, and `release`
+    when the connection has ended; a slot that is not free yet becomes so.
     """
 
     timers: hosts.Timers
@@ -30,6 +32,7 @@
     service: str
     count: Callable[[str], None]
     run: Callable[[dict, float, Callable], Callable[[], None]]
+    free: Callable[[], None]
     release: Callable[[], None]
     idle_limit_s: float
 
@@ -154,6 +157,7 @@
             self._end(connection)
             return
         self._answered = True
+        self._context.free()
         connection.write(answer)
         connection.finish()
         self._context.stack.flush(connection, now)
@@ -170,6 +174,7 @@
         elif checker.count < self._request["blocks"]:
             return
         self._answered = True
+        self._context.free()
         answer = {
             "flow": self._request["flow"],
             "blocks": checker.count,
--- a/standins/target.py
+++ b/standins/target.py
@@ -265,13 +265,30 @@
         self._tokens -= 1.0
         return True
 
-    def _build_release(self, kind: document.PortKind) -> Callable[[], None]:
+    def _build_free(self, kind: document.PortKind) -> Callable[[], None]:
+        """Returns a function that frees the slot of a flow, once.
+
+        The slot is free as soon as the work is done: the balancer may learn
+        of it earlier than the end of the connection reaches the target.
+        """
+        life = self._life
+        is_held = kind is not document.PortKind.STREAM
+
+        def free() -> None:
+            nonlocal is_held
+            if is_held and self._life is life:
+                self.slots -= 1
+            is_held = False
+
+        return free
+
+    def _build_release(self, free: Callable[[], None]) -> Callable[[], None]:
         life = self._life
 
         def release() -> None:
+            free()
             if self._life is life:
                 self.connections -= 1
-                self.slots -= kind is not document.PortKind.STREAM
 
         return release
 
@@ -280,13 +297,15 @@
     ) -> hosts.Callback | None:
         if not self._admit(port.kind, now):
             return None
+        free = self._build_free(port.kind)
         context = sessions.Context(
             timers=self._timers,
             stack=self._stack,
             service=self.service.id,
             count=self._count,
             run=self._build_runner(port),
-            release=self._build_release(port.kind),
+            free=free,
+            release=self._build_release(free),
             idle_limit_s=self.service.policy.request_deadline_s,
         )
         session = sessions.Session(kind=port.kind, context=context)
@@ -348,7 +367,7 @@
         if not self._admit(port.kind, now):
             return
         self._remember(flow, b"")
-        release = self._build_release(port.kind)
+        release = self._build_release(self._build_free(port.kind))
         life = self._life
 
         def answer(data: bytes | None, _: float) -> None:
--- a/tests/standins/test_deployment.py
+++ b/tests/standins/test_deployment.py
@@ -91,12 +91,17 @@
         "outcomes": {"x": {"finished": 2}},
     }
     events = {"127.1.0.1": {"admitted_stream": 3, "admitted_draining": 3}}
-    return callers, {"events": events, "doubled": []}, {}
+    return {
+        "callers": callers,
+        "targets": {"events": events, "doubled": []},
+        "runs": {},
+        "refusals": {"chivedoor_refused_flows": 3},
+    }
 
 
 def summarize(statistics):
     text = conftest.EXAMPLE.read_text()
-    return demonstration.summarize(*statistics, json.loads(text))
+    return demonstration.summarize(**statistics, document=json.loads(text))
 
 
 def test_a_run_without_faults_is_good(statistics):
@@ -120,19 +125,20 @@
 )
 def test_a_harmed_flow_fails_the_run(statistics, outcome):
     # Guards against a demonstration that cannot fail.
-    statistics[0]["outcomes"]["x"] = {"finished": 1, outcome: 1}
+    statistics["callers"]["outcomes"]["x"] = {"finished": 1, outcome: 1}
     assert not summarize(statistics).is_good
 
 
 def test_doubled_misrouted_and_falsely_refused_flows_fail_it(statistics):
     # Guards against faults that only targets can see being left out.
-    callers, targets, _ = statistics
-    assert not summarize((callers, targets, {"flow": 1})).is_good
-    assert not summarize((callers, {**targets, "doubled": ["f"]}, {})).is_good
+    targets = statistics["targets"]
+    assert not summarize({**statistics, "runs": {"flow": 1}}).is_good
+    doubled = {**targets, "doubled": ["flow"]}
+    assert not summarize({**statistics, "targets": doubled}).is_good
     targets["events"]["127.1.0.2"] = {"wrong_service": 1}
     assert not summarize(statistics).is_good
     targets["events"].clear()
-    callers["open"] = 1
+    statistics["callers"]["open"] = 1
     assert not summarize(statistics).is_good
 
 
