Eject unhealthy targets by agreement and end recoveries on evidence

Change: idle reports over 12 s end a recovery; owners publish bad targets and eject at most half of a service; handshakes are not timed while the loop is late by more than 10 ms.

--- a/src/chivedoor/admission/target.py
+++ b/src/chivedoor/admission/target.py
@@ -213,6 +213,10 @@
         self._slots_closed_until = now + self._request_deadline_s
         self._granted = None
 
+    def end_recovery(self, now: float) -> None:
+        """Opens the slots: nothing of the former owner runs any more."""
+        self._slots_closed_until = now
+
     def dump_state(self) -> dict:
         """Returns the state as plain values for the operators' dump."""
         return {
--- a/src/chivedoor/balancer/context.py
+++ b/src/chivedoor/balancer/context.py
@@ -33,6 +33,7 @@
       max_flows: Most flow records of all targets together.
       out_domains: Failure domains whose targets get no packets.
       live_senders: Fingerprints of the members that are not dead.
+      loop_is_late: Whether packets wait for this balancer's own loop.
       view_changed_at_s: When the members in view last changed.
     """
 
@@ -47,6 +48,7 @@
     out_domains: frozenset[ids.DomainId] = frozenset()
     live_senders: frozenset[int] = frozenset()
     view_changed_at_s: float = 0.0
+    loop_is_late: bool = False
 
     @property
     def local_id(self) -> ids.VmId:
--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -675,7 +675,9 @@
         elif packet.is_fin:
             target.close_target(key, now)
         elif target.flows.confirm(key, now):
-            target.note_handshake(key, now, is_timed=True)
+            # A late loop would make every target look slow.
+            is_timed = not self._context.loop_is_late
+            target.note_handshake(key, now, is_timed=is_timed)
 
 
 def find_peers(
--- a/src/chivedoor/daemon/application.py
+++ b/src/chivedoor/daemon/application.py
@@ -24,6 +24,7 @@
 from chivedoor.daemon import const
 from chivedoor.daemon import documents as document_keeping
 from chivedoor.daemon import domains as domains_module
+from chivedoor.daemon import ejections
 from chivedoor.daemon import figures
 from chivedoor.daemon import health
 from chivedoor.daemon import modes
@@ -129,6 +130,9 @@
         self._modes = modes.ModeAnnouncer(
             balancer=self._balancer, board=self._board
         )
+        self._ejections = ejections.EjectionAnnouncer(
+            balancer=self._balancer, board=self._board
+        )
         self._transfers = transfers_module.Transfers(
             balancer=self._balancer, channel=self._channel, clock=self._clock
         )
@@ -284,6 +288,7 @@
                 now
             )
             self._modes.announce(now)
+            self._ejections.announce(now)
             self._documents.update_role()
             missing = self._transfers.start_pulls()
             self._activate_when_ready(missing, now)
@@ -350,6 +355,7 @@
         self._traffic.discard_waiting()
         self._started_at_s = self._clock()
         self._modes.forget()
+        self._ejections.forget()
         self._balancer.restart(self._clock())
         self._publish_port()
 
--- a/src/chivedoor/daemon/const.py
+++ b/src/chivedoor/daemon/const.py
@@ -5,6 +5,9 @@
 # A loop that did not run for this long acts on an old view of the fleet.
 PAUSE_S: Final = 1.0
 HEARTBEAT_S: Final = 0.1
+# Above this delay of the heartbeat, handshake times say more about this
+# balancer than about the targets.
+LOOP_LATE_S: Final = 0.01
 
 TICK_S: Final = 0.1
 MODE_CHECK_S: Final = 0.1
--- /dev/null
+++ b/src/chivedoor/daemon/ejections.py
@@ -0,0 +1,78 @@
+"""Which unhealthy targets get no new flows, agreed among their owners."""
+
+from chivedoor import ids
+from chivedoor.admission import health
+from chivedoor.balancer import balancer as balancers
+from chivedoor.control import board as boards
+from chivedoor.flows import owner as owners
+from chivedoor.routing import directory as directories
+
+_PREFIX = "bad/"
+
+
+class EjectionAnnouncer:
+    """Publishes which owned targets are `BAD` and ejects at most half.
+
+    Each target's owner alone knows its health. Without the others' it could
+    not tell one bad target from a cause that makes all of them look bad, in
+    which case ejecting all of them would leave the service without any.
+    """
+
+    def __init__(
+        self, *, balancer: balancers.Balancer, board: boards.Board
+    ) -> None:
+        self._context = balancer.context
+        self._board = board
+        self._announced: frozenset[ids.EndpointNumber] = frozenset()
+
+    def forget(self) -> None:
+        """Forgets what was announced in a former incarnation."""
+        self._announced = frozenset()
+
+    def announce(self, now: float) -> None:
+        """Publishes changes and decides on the owned targets."""
+        owned = self._list_owned()
+        bad = frozenset(
+            number
+            for number, target in owned.items()
+            if target.admission.estimate is health.Estimate.BAD
+        )
+        for number in bad - self._announced:
+            self._board.publish(f"{_PREFIX}{number}", True, False, now)
+        for number in self._announced - bad:
+            self._board.publish(f"{_PREFIX}{number}", None, False, now)
+        self._announced = bad
+        for number in bad:
+            routes, _ = self._context.directory.by_number[number]
+            ejected = health.choose_ejected(self._collect(routes))
+            owned[number].admission.set_ejectable(number in ejected)
+
+    def _list_owned(self) -> dict[ids.EndpointNumber, owners.TargetOwner]:
+        return {
+            number: target
+            for number, target in self._context.targets.items()
+            if target.role is owners.Role.OWNER
+        }
+
+    def _collect(
+        self, routes: directories.ServiceRoutes
+    ) -> dict[ids.EndpointNumber, health.Estimate]:
+        """Returns the estimates of a service's targets by their owners."""
+        return {
+            endpoint.number: (
+                health.Estimate.BAD
+                if self._is_announced(endpoint.number)
+                else health.Estimate.GOOD
+            )
+            for endpoint in routes.service.endpoints
+        }
+
+    def _is_announced(self, number: ids.EndpointNumber) -> bool:
+        if number in self._announced:
+            return True
+        _, endpoint = self._context.directory.by_number[number]
+        owner = self._context.find_owner(endpoint)
+        if owner is None:
+            return False
+        entry = self._board.get_from(f"{_PREFIX}{number}", owner)
+        return entry is not None and entry.value is True
--- a/src/chivedoor/daemon/health.py
+++ b/src/chivedoor/daemon/health.py
@@ -21,6 +21,9 @@
     TypeError,
 )
 
+# A target that does not report its slots may use them all.
+_UNKNOWN_SLOTS = 1
+
 # A draining target serves its flows, so its health is not at fault.
 _REPORTS = {
     "ready": estimates.Report.READY,
@@ -83,9 +86,13 @@
             async with self._session.get(url) as response:
                 values = await response.json()
             report = _REPORTS[values["state"]]
+            slots_in_use = int(values.get("slots_in_use", _UNKNOWN_SLOTS))
         except _POLL_ERRORS:
             self.failures += 1
             report = estimates.Report.SILENT
+            slots_in_use = _UNKNOWN_SLOTS
         target = self._balancer.context.targets.get(number)
         if target is not None:
-            target.admission.note_report(report, self._clock())
+            now = self._clock()
+            target.admission.note_report(report, now)
+            target.note_load(slots_in_use, now)
--- a/src/chivedoor/daemon/traffic.py
+++ b/src/chivedoor/daemon/traffic.py
@@ -80,6 +80,8 @@
         return discarded
 
     def _beat(self) -> None:
+        late_s = self._clock() - self._last_heartbeat_s - const.HEARTBEAT_S
+        self._balancer.context.loop_is_late = late_s > const.LOOP_LATE_S
         self._check_pause()
         loop = asyncio.get_running_loop()
         self._heartbeat = loop.call_later(const.HEARTBEAT_S, self._beat)
--- a/src/chivedoor/flows/const.py
+++ b/src/chivedoor/flows/const.py
@@ -33,3 +33,7 @@
 # A reset of a flow that was adopted this recently may come from a target
 # that never had the flow.
 ADOPTION_GRACE_S: Final = 3.0
+
+# A health endpoint may lag by 10 s, so idle slots count as evidence only
+# after they were reported for longer than that.
+RECOVERY_EVIDENCE_S: Final = 12.0
--- a/src/chivedoor/flows/owner.py
+++ b/src/chivedoor/flows/owner.py
@@ -70,6 +70,7 @@
             ids.EndpointNumber, tuple[OwnerIdentity, ids.Generation]
         ] = {}
         self._recovered_at_s: float | None = None
+        self._idle_since_s: float | None = None
         self._settled_at_s = now
         self._opened_at_s: dict[ids.FlowKey, float] = {}
 
@@ -81,6 +82,7 @@
         self._pulled.clear()
         if not self.has_records:
             self._recovered_at_s = now + self._policy.request_deadline_s
+            self._idle_since_s = None
             self.admission.begin_recovery(now)
 
     def become_replica(self) -> None:
@@ -97,6 +99,23 @@
             self._policy = policy
             self.admission.set_policy(policy)
 
+    def note_load(self, slots_in_use: int, now: float) -> None:
+        """Ends a recovery early when the target has been idle for a while.
+
+        Args:
+          slots_in_use: What the target's health endpoint reports.
+          now: Monotonic seconds.
+        """
+        if self._recovered_at_s is None:
+            return
+        if slots_in_use or self.admission.slots:
+            self._idle_since_s = None
+        elif self._idle_since_s is None:
+            self._idle_since_s = now
+        elif now - self._idle_since_s >= const.RECOVERY_EVIDENCE_S:
+            self.admission.end_recovery(now)
+            self._recovered_at_s = now
+
     # Flows on this target.
 
     def admit(
--- /dev/null
+++ b/tests/flows/test_owner.py
@@ -0,0 +1,126 @@
+"""Tests of the records and the recovery of one target."""
+
+import pytest
+
+from chivedoor import ids
+from chivedoor.admission import target as admissions
+from chivedoor.configuration import document as documents
+from chivedoor.flows import const
+from chivedoor.flows import owner as owners
+from tests.balancer import fleet as fleets
+
+_REQUEST = documents.PortKind.REQUEST
+_STREAM = documents.PortKind.STREAM
+_KEY = ids.FlowKey(7)
+
+
+@pytest.fixture
+def policy():
+    return fleets.make_policy(request_deadline_s=300.0, idle_timeout_s=3600.0)
+
+
+@pytest.fixture
+def owner(policy):
+    result = owners.TargetOwner(
+        endpoint=fleets.make_endpoint(1, "a"),
+        policy=policy,
+        admission=admissions.TargetAdmission(policy=policy, cold=False, now=0),
+        now=0.0,
+    )
+    result.become_owner(0.0)
+    return result
+
+
+def _decide(owner, now, kind=_REQUEST):
+    return owner.admission.decide(kind=kind, share=1.0, now=now)
+
+
+def test_slots_stay_closed_until_the_deadline(owner):
+    # Guards against requests of a dead owner that run beside new ones.
+    assert _decide(owner, 299.0) is admissions.Verdict.SLOTS_FULL
+    assert _decide(owner, 1.0, _STREAM) is admissions.Verdict.ADMIT
+    assert _decide(owner, 300.0) is admissions.Verdict.ADMIT
+
+
+def test_idle_reports_open_the_slots_early(owner):
+    # Guards against a first start that refuses requests for minutes.
+    for now in range(13):
+        assert _decide(owner, now) is admissions.Verdict.SLOTS_FULL
+        owner.note_load(0, float(now))
+    owner.tick(13.0)
+    assert _decide(owner, 13.0) is admissions.Verdict.ADMIT
+    assert owner.has_records
+
+
+def test_a_request_in_work_keeps_the_slots_closed(owner):
+    # Guards against slots that open while a former request still runs.
+    for now in range(12):
+        owner.note_load(0, float(now))
+    owner.note_load(1, 12.0)
+    for now in range(13, 24):
+        owner.note_load(0, float(now))
+    assert _decide(owner, 24.0) is admissions.Verdict.SLOTS_FULL
+
+
+def test_an_adopted_request_keeps_the_slots_closed(owner):
+    # Guards against a report that hides what the traffic shows.
+    owner.adopt(_KEY, _REQUEST, 1.0)
+    for now in range(30):
+        owner.note_load(0, float(now))
+    assert _decide(owner, 30.0) is admissions.Verdict.SLOTS_FULL
+
+
+def test_replica_that_takes_over_keeps_counts_and_open_slots(policy):
+    # Guards against a takeover that closes slots although all is known.
+    replica = owners.TargetOwner(
+        endpoint=fleets.make_endpoint(1, "a"),
+        policy=policy,
+        admission=admissions.TargetAdmission(policy=policy, cold=False, now=0),
+        now=0.0,
+    )
+    replica.has_records = True
+    replica.replicate(_KEY, _REQUEST, 1.0)
+    replica.replicate(_KEY, _REQUEST, 1.5)
+    replica.become_owner(2.0)
+    assert replica.admission.slots == 1
+    assert _decide(replica, 2.0) is admissions.Verdict.ADMIT
+
+
+def test_timed_out_request_stays_closed_for_late_copies(owner):
+    # Guards against a datagram that runs again after its deadline.
+    owner.has_records = True
+    owner.replicate(_KEY, _REQUEST, 0.0)
+    owner.tick(310.0)
+    assert owner.admission.slots == 0
+    assert _KEY in owner.flows
+    assert owner.tick(310.0 + const.CLOSED_LINGER_S + 10.0) == [_KEY]
+    assert owner.admission.connections == 0
+
+
+def test_flow_ends_with_the_second_fin_and_only_once(owner):
+    # Guards against a slot that is free while the target still counts it.
+    owner.replicate(_KEY, _REQUEST, 0.0)
+    owner.close_target(_KEY, 1.0)
+    owner.close_target(_KEY, 1.1)
+    assert owner.admission.slots == 1
+    owner.close_caller(_KEY, 2.0)
+    owner.close_caller(_KEY, 2.1)
+    owner.close(_KEY, 2.2)
+    assert (owner.admission.slots, owner.admission.connections) == (0, 0)
+
+
+def test_pull_counts_only_for_its_owner_and_generation(owner):
+    # Guards against a mode `DIRECT` before all overrides are known.
+    first = owners.OwnerIdentity(
+        member=ids.VmId("b0"), incarnation=ids.Incarnation(1)
+    )
+    again = owners.OwnerIdentity(
+        member=ids.VmId("b0"), incarnation=ids.Incarnation(2)
+    )
+    number = ids.EndpointNumber(2)
+    owner.note_pull(number, first, ids.Generation(5))
+    assert owner.find_missing_pulls({number: first}, ids.Generation(5)) == []
+    assert owner.find_missing_pulls({number: again}, ids.Generation(5))
+    assert owner.find_missing_pulls({number: first}, ids.Generation(6))
+    owner.forget_pulls(frozenset())
+    assert owner.find_missing_pulls({number: first}, ids.Generation(5))
