Share the handlers of the channel tests

Change: one fixture has the handler; no test or assertion goes.

Conclusion: the tests state only what differs.

--- a/tests/control/test_channel.py
+++ b/tests/control/test_channel.py
@@ -63,10 +63,40 @@
     await members.async_close()
 
 
+DOCUMENT = messages.DocumentRequest(known_version=1)
+
+
+def create_document(version=1, document=None):
+    return messages.DocumentReply(
+        version=version, change=None, document=document, confirmed_age_s=0.0
+    )
+
+
 async def async_answer(request):
     return SEEN
 
 
+class Gate:
+    """A handler of document requests that answers when it is released."""
+
+    def __init__(self):
+        self.asked = asyncio.Event()
+        self.release = asyncio.Event()
+
+    async def async_wait(self, request):
+        self.asked.set()
+        await self.release.wait()
+        return create_document()
+
+
+@pytest.fixture
+def gate(pair):
+    """The gate of the answering channel."""
+    gate = Gate()
+    pair[1].register(messages.DocumentRequest, gate.async_wait)
+    return gate
+
+
 @pytest.fixture
 async def pair(fleet):
     """A channel that asks and one that answers."""
@@ -103,12 +133,7 @@
 
     async def async_echo(request):
         await asyncio.sleep(0 if request.known_version % 2 else 0.01)
-        return messages.DocumentReply(
-            version=request.known_version,
-            change=None,
-            document=None,
-            confirmed_age_s=0.0,
-        )
+        return create_document(request.known_version)
 
     answering.register(messages.DocumentRequest, async_echo)
     requests = [messages.DocumentRequest(known_version=n) for n in range(20)]
@@ -125,51 +150,31 @@
     document = bytes(1_048_576)
 
     async def async_document(request):
-        return messages.DocumentReply(
-            version=2, change=None, document=document, confirmed_age_s=1.0
-        )
+        return create_document(2, document)
 
     answering.register(messages.DocumentRequest, async_document)
-    request = messages.DocumentRequest(known_version=1)
-    reply = await asking.async_request("b", request, 60)
+    reply = await asking.async_request("b", DOCUMENT, 60)
     assert reply.document == document
 
 
-async def test_peer_that_does_not_answer_is_a_timeout(pair):
+async def test_peer_that_does_not_answer_is_a_timeout(pair, gate):
     # Guards against a caller that waits for ever, or that sees a
     # cancellation instead of an error.
     asking, answering = pair
-
-    async def async_hang(request):
-        await asyncio.Event().wait()
-
-    answering.register(messages.DocumentRequest, async_hang)
-    request = messages.DocumentRequest(known_version=1)
     with pytest.raises(exceptions.RequestTimeoutError):
-        await asking.async_request("b", request, 0.05)
+        await asking.async_request("b", DOCUMENT, 0.05)
     assert asking.counts.get(Event.TIMEOUTS) == 1
     assert await asking.async_request("b", SILENCE, 30) == SEEN
 
 
-async def test_late_reply_is_ignored(pair, async_wait_until):
+async def test_late_reply_is_ignored(pair, async_wait_until, gate):
     # Guards against a late reply that answers the next request.
     asking, answering = pair
-    asked, release = asyncio.Event(), asyncio.Event()
-
-    async def async_late(request):
-        asked.set()
-        await release.wait()
-        return messages.DocumentReply(
-            version=1, change=None, document=None, confirmed_age_s=0.0
-        )
-
-    answering.register(messages.DocumentRequest, async_late)
-    request = messages.DocumentRequest(known_version=1)
-    late = asyncio.create_task(asking.async_request("b", request, 60))
-    await asked.wait()
+    late = asyncio.create_task(asking.async_request("b", DOCUMENT, 60))
+    await gate.asked.wait()
     late.cancel()
     await asyncio.wait([late])
-    release.set()
+    gate.release.set()
     await async_wait_until(lambda: asking.counts.get(Event.REPLIES_LATE) == 1)
     assert await asking.async_request("b", SILENCE, 30) == SEEN
     assert asking.counts.get(Event.LINKS_OPENED) == 1
@@ -266,37 +271,23 @@
             await asking.async_request("c", SILENCE, 30)
 
 
-async def test_peer_that_closes_fails_its_requests(pair, async_wait_until):
+async def test_peer_that_closes_fails_its_requests(
+    pair, async_wait_until, gate
+):
     # Guards against a request that waits for a peer that is gone.
     asking, answering = pair
-    asked = asyncio.Event()
-
-    async def async_hang(request):
-        asked.set()
-        await asyncio.Event().wait()
-
-    answering.register(messages.DocumentRequest, async_hang)
-    request = messages.DocumentRequest(known_version=1)
-    waiting = asyncio.create_task(asking.async_request("b", request, 60))
-    await asked.wait()
+    waiting = asyncio.create_task(asking.async_request("b", DOCUMENT, 60))
+    await gate.asked.wait()
     await answering.async_close()
     with pytest.raises(exceptions.PeerUnreachableError):
         await waiting
 
 
-async def test_closing_fails_requests_under_way(fleet, pair):
+async def test_closing_fails_requests_under_way(fleet, pair, gate):
     # Guards against a stop that cancels the caller or leaves it waiting.
     asking, answering = pair
-    asked = asyncio.Event()
-
-    async def async_hang(request):
-        asked.set()
-        await asyncio.Event().wait()
-
-    answering.register(messages.DocumentRequest, async_hang)
-    request = messages.DocumentRequest(known_version=1)
-    waiting = asyncio.create_task(asking.async_request("b", request, 60))
-    await asked.wait()
+    waiting = asyncio.create_task(asking.async_request("b", DOCUMENT, 60))
+    await gate.asked.wait()
     await asking.async_close()
     with pytest.raises(exceptions.LinkClosedError):
         await waiting
@@ -328,9 +319,7 @@
     # Guards against a handler's fault that ends the session or leaks text.
     asking, answering = pair
     with pytest.raises(exceptions.RequestRefusedError) as caught:
-        await asking.async_request(
-            "b", messages.DocumentRequest(known_version=1), 30
-        )
+        await asking.async_request("b", DOCUMENT, 30)
     assert caught.value.code is exceptions.RefusalCode.NO_HANDLER
 
     async def async_fail(request):
@@ -338,9 +327,7 @@
 
     answering.register(messages.DocumentRequest, async_fail)
     with pytest.raises(exceptions.RequestRefusedError) as caught:
-        await asking.async_request(
-            "b", messages.DocumentRequest(known_version=1), 30
-        )
+        await asking.async_request("b", DOCUMENT, 30)
     assert caught.value.code is exceptions.RefusalCode.FAILED
     assert "inner detail" not in str(caught.value)
     assert answering.counts.get(Event.HANDLER_FAILURES) == 1
@@ -356,9 +343,7 @@
 
     answering.register(messages.DocumentRequest, async_confuse)
     with pytest.raises(exceptions.MessageError):
-        await asking.async_request(
-            "b", messages.DocumentRequest(known_version=1), 30
-        )
+        await asking.async_request("b", DOCUMENT, 30)
 
 
 async def test_handler_timeout_does_not_end_the_session(pair):
@@ -370,30 +355,18 @@
 
     answering.register(messages.DocumentRequest, async_time_out)
     with pytest.raises(exceptions.RequestRefusedError):
-        await asking.async_request(
-            "b", messages.DocumentRequest(known_version=1), 30
-        )
+        await asking.async_request("b", DOCUMENT, 30)
     assert await asking.async_request("b", SILENCE, 30) == SEEN
     assert asking.counts.get(Event.LINKS_OPENED) == 1
 
 
 async def test_requests_of_one_client_are_bounded(
-    fleet, pair, async_wait_until
+    fleet, pair, async_wait_until, gate
 ):
     # Guards against one peer that takes all the memory for replies.
     asking, answering = pair
-    release = asyncio.Event()
-
-    async def async_wait(request):
-        await release.wait()
-        return messages.DocumentReply(
-            version=1, change=None, document=None, confirmed_age_s=0.0
-        )
-
-    answering.register(messages.DocumentRequest, async_wait)
-    request = messages.DocumentRequest(known_version=1)
     waiting = [
-        asyncio.create_task(asking.async_request("b", request, 60))
+        asyncio.create_task(asking.async_request("b", DOCUMENT, 60))
         for _ in range(const.LINK_REQUESTS_MAX)
     ]
     received = Event.REQUESTS_RECEIVED
@@ -403,7 +376,7 @@
     with pytest.raises(exceptions.RequestRefusedError) as caught:
         await asking.async_request("b", SILENCE, 60)
     assert caught.value.code is exceptions.RefusalCode.BUSY
-    release.set()
+    gate.release.set()
     await asyncio.gather(*waiting)
     assert await asking.async_request("b", SILENCE, 60) == SEEN
 
@@ -419,28 +392,16 @@
     assert asking.dump_state()["outgoing"] == ["c", "d"]
 
 
-async def test_busy_connections_do_not_give_way(fleet, pair, monkeypatch):
+async def test_busy_connections_do_not_give_way(fleet, pair, monkeypatch, gate):
     # Guards against a request that is lost because another one begins.
     asking, answering = pair
     monkeypatch.setattr(const, "OUTGOING_LINKS_MAX", 1)
-    asked = asyncio.Event()
-    release = asyncio.Event()
-
-    async def async_wait(request):
-        asked.set()
-        await release.wait()
-        return messages.DocumentReply(
-            version=1, change=None, document=None, confirmed_age_s=0.0
-        )
-
-    answering.register(messages.DocumentRequest, async_wait)
-    request = messages.DocumentRequest(known_version=1)
-    waiting = asyncio.create_task(asking.async_request("b", request, 60))
-    await asked.wait()
+    waiting = asyncio.create_task(asking.async_request("b", DOCUMENT, 60))
+    await gate.asked.wait()
     await fleet.async_add("c")
     with pytest.raises(exceptions.LinksExhaustedError):
         await asking.async_request("c", SILENCE, 30)
-    release.set()
+    gate.release.set()
     assert (await waiting).version == 1
 
 
@@ -698,21 +659,15 @@
     monkeypatch.setattr(const, "SEND_TIMEOUT_S", 0.2)
 
     async def async_document(request):
-        return messages.DocumentReply(
-            version=2,
-            change=None,
-            document=bytes(1_000_000),
-            confirmed_age_s=1.0,
-        )
+        return create_document(2, bytes(1_000_000))
 
     answering.register(messages.DocumentRequest, async_document)
     joined, connection = await async_join(fleet, "b")
     connection.transport.pause_reading()
-    request = messages.DocumentRequest(known_version=1)
     for number in range(const.LINK_REQUESTS_MAX):
         await joined.async_send(
             envelope.pack_envelope(
-                messages.REGISTRY, envelope.Kind.REQUEST, number, request
+                messages.REGISTRY, envelope.Kind.REQUEST, number, DOCUMENT
             )
         )
     await async_wait_until(lambda: answering.dump_state()["incoming"] == 0)
@@ -721,24 +676,14 @@
 
 
 async def test_requests_of_all_clients_are_bounded(
-    fleet, pair, monkeypatch, async_wait_until
+    fleet, pair, monkeypatch, async_wait_until, gate
 ):
     # Guards against many peers that together take all the memory.
     monkeypatch.setattr(const, "REQUESTS_MAX", 2)
     first, answering = pair
     second = await fleet.async_add("c")
-    release = asyncio.Event()
-
-    async def async_wait(request):
-        await release.wait()
-        return messages.DocumentReply(
-            version=1, change=None, document=None, confirmed_age_s=0.0
-        )
-
-    answering.register(messages.DocumentRequest, async_wait)
-    request = messages.DocumentRequest(known_version=1)
     waiting = [
-        asyncio.create_task(member.async_request("b", request, 60))
+        asyncio.create_task(member.async_request("b", DOCUMENT, 60))
         for member in (first, second)
     ]
     received = Event.REQUESTS_RECEIVED
@@ -746,7 +691,7 @@
     with pytest.raises(exceptions.RequestRefusedError) as caught:
         await second.async_request("b", SILENCE, 60)
     assert caught.value.code is exceptions.RefusalCode.BUSY
-    release.set()
+    gate.release.set()
     await asyncio.gather(*waiting)
     assert await second.async_request("b", SILENCE, 60) == SEEN
 
