Add experiments on whole deployments

Runs 12 balancers as processes through steady load, rolling change, deaths, a failure domain out and in, overload, cold targets, a pause and lying health endpoints, and judges each run by section 8 of the design.

--- /dev/null
+++ b/bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on whole deployments of processes, judged by stated goals."""
--- /dev/null
+++ b/bench/experiments/cases.py
@@ -0,0 +1,401 @@
+"""The cases: loads, schedules of faults, and the goals that apply."""
+
+import asyncio
+from collections.abc import Callable
+import copy
+import dataclasses
+
+from bench.experiments import const
+from bench.experiments import exceptions
+from bench.experiments import goals
+from bench.experiments import loads
+from bench.experiments import operators
+from bench.experiments import run as runs
+from chivedoor.control import commands
+from chivedoor.routing import ownership
+
+_ENDPOINT_NUMBER, _ENDPOINT_ADDRESS, _ENDPOINT_DOMAIN = 0, 1, 2
+_ENDPOINT_WEIGHT, _ENDPOINT_STATE = 3, 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Case:
+    """One experiment.
+
+    Attributes:
+        name: Name on the command line.
+        summary: What happens, in one line.
+        build_loads: Returns the loads that run all the time.
+        load_s: Time for which flows are opened, at least.
+        script: Injects the faults.
+        harm: How many broken flows the goals allow.
+        judges_balance: Whether the targets and weights stay the same.
+    """
+
+    name: str
+    summary: str
+    load_s: float
+    script: runs.Script
+    build_loads: Callable[[], list[dict]] = loads.build_mixed_loads
+    harm: goals.Harm = goals.Harm.NONE
+    judges_balance: bool = False
+
+
+async def async_do_nothing(run: runs.Run) -> None:
+    """Injects no fault."""
+
+
+async def async_change(run: runs.Run) -> None:
+    """Replaces three balancers and publishes three documents meanwhile."""
+    edits = [_add_endpoint, _drain_endpoint, _halve_weight]
+    names = ["vm-a1", "vm-b1", "vm-c1"]
+    await run.async_wait_until(4.0)
+    for name, edit in zip(names, edits, strict=True):
+        retirement = asyncio.create_task(_async_replace(run, name))
+        await asyncio.sleep(1.0)
+        await _async_publish(run, edit)
+        await retirement
+
+
+async def _async_replace(run: runs.Run, name: str) -> None:
+    run.note(f"{name} is asked to stop")
+    status = await run.deployment.async_retire(name)
+    run.note(f"{name} has ended with status {status}")
+    await run.deployment.async_set_vms({})
+    await run.deployment.async_start_balancer(name)
+    if not run.is_naive:
+        await operators.async_wait_until_active(run.deployment, name)
+    run.note(f"{name} is active again")
+
+
+async def _async_publish(run: runs.Run, edit: Callable[[dict], str]) -> None:
+    document = copy.deepcopy(run.document)
+    document["version"] += 1
+    text = edit(document)
+    await run.deployment.async_publish(document)
+    run.document = document
+    run.note(f"document {document['version']}: {text}")
+
+
+def _get_endpoints(document: dict) -> list[list]:
+    services = {service["id"]: service for service in document["services"]}
+    return services[loads.LISTENING]["endpoints"]
+
+
+def _add_endpoint(document: dict) -> str:
+    _get_endpoints(document).append([11, "127.1.0.8", "b", 100, "active", 9001])
+    return "endpoint 11 added"
+
+
+def _drain_endpoint(document: dict) -> str:
+    _get_endpoints(document)[1][_ENDPOINT_STATE] = "draining"
+    return "endpoint 2 draining"
+
+
+def _halve_weight(document: dict) -> str:
+    _get_endpoints(document)[2][_ENDPOINT_WEIGHT] = 50
+    return "endpoint 3 at half its weight"
+
+
+def _find_owners(run: runs.Run) -> tuple[str, str]:
+    """Returns the owner and the backup of the first target."""
+    endpoint = _get_endpoints(run.document)[0]
+    candidates = [
+        vm.name
+        for vm in run.deployment.vms.values()
+        if vm.domain == endpoint[_ENDPOINT_DOMAIN]
+    ]
+    owner, backup = ownership.rank_owners(
+        endpoint[_ENDPOINT_NUMBER], candidates, 2
+    )
+    return owner, backup
+
+
+async def _async_kill(run: runs.Run, *names: str) -> None:
+    for name in names:
+        run.deployment.processes[name].kill()
+    run.note(f"{' and '.join(names)} killed")
+    await asyncio.sleep(const.FABRIC_LAG_S)
+    for name in names:
+        await run.deployment.async_detach(name)
+    run.note("the fabric uses them no more")
+
+
+async def async_kill_one(run: runs.Run) -> None:
+    """Kills the owner of the first target."""
+    await run.async_wait_until(8.0)
+    await _async_kill(run, _find_owners(run)[0])
+
+
+async def async_kill_two(run: runs.Run) -> None:
+    """Kills owner and backup of the first target, which is the worst pair."""
+    await run.async_wait_until(8.0)
+    await _async_kill(run, *_find_owners(run))
+
+
+async def async_pause(run: runs.Run) -> None:
+    """Pauses the owner of the first target for 15 s."""
+    await run.async_wait_until(6.0)
+    name = _find_owners(run)[0]
+    process = run.deployment.processes[name]
+    process.pause()
+    run.note(f"{name} paused")
+    await asyncio.sleep(const.FABRIC_LAG_S)
+    await run.deployment.async_detach(name)
+    await run.async_wait_until(21.0)
+    process.resume()
+    run.note(f"{name} goes on")
+    await asyncio.sleep(const.FABRIC_LAG_S)
+    await run.deployment.async_attach(name)
+
+
+async def async_move_domain(run: runs.Run) -> None:
+    """Takes a failure domain out for 8 s through one balancer."""
+    await run.async_wait_until(6.0)
+    out_s = run.elapsed_s
+    await _async_set_domain(run, is_out=True)
+    await run.async_wait_until(out_s + 8.0)
+    run.measures[goals.LAST_PACKET] = (
+        await _async_find_last_packet(run, "b") - out_s
+    )
+    in_s = run.elapsed_s
+    await _async_set_domain(run, is_out=False)
+    await run.async_wait_until(in_s + const.FULL_USE_S + 1.0)
+    run.measures[goals.FULL_USE] = find_full_use(
+        run.samples, _list_targets(run, "b"), _list_targets(run), in_s
+    )
+
+
+async def _async_set_domain(run: runs.Run, *, is_out: bool) -> None:
+    state = "out" if is_out else "in"
+    run.note(f"failure domain b {state}")
+    if run.is_naive:
+        await _async_publish(run, lambda found: _flag_domain(found, is_out))
+        return
+    command_type = (
+        commands.DomainOutCommand if is_out else commands.DomainInCommand
+    )
+    await operators.async_send(
+        run.deployment, "vm-a1", command_type(domain="b")
+    )
+
+
+def _flag_domain(document: dict, is_out: bool) -> str:
+    document["regions"]["r1"]["b"]["out"] = is_out
+    return f"the flag of failure domain b is {is_out}"
+
+
+def _list_targets(run: runs.Run, domain: str | None = None) -> list[str]:
+    """Returns the targets of `listening`, in one failure domain or in all."""
+    return [
+        endpoint[_ENDPOINT_ADDRESS]
+        for endpoint in _get_endpoints(run.deployment.document)
+        if domain in (None, endpoint[_ENDPOINT_DOMAIN])
+    ]
+
+
+async def _async_find_last_packet(run: runs.Run, domain: str) -> float:
+    """Returns when a target of a failure domain last received a packet."""
+    addresses = {
+        endpoint[_ENDPOINT_ADDRESS]
+        for service in run.deployment.document["services"]
+        for endpoint in service["endpoints"]
+        if endpoint[_ENDPOINT_DOMAIN] == domain
+    }
+    state = await run.deployment.async_ask_fabric("statistics")
+    last = max(
+        when
+        for _, address, when in state["last_delivery"]
+        if address in addresses
+    )
+    return run.elapsed_s - (state["now"] - last)
+
+
+def find_full_use(
+    samples: list[runs.Sample],
+    returned: list[str],
+    targets: list[str],
+    in_s: float,
+) -> float:
+    """Returns how long returned targets took to receive their share again.
+
+    They do when, over 3 s, they admit at least 0.85 of their fair share of
+    the flows of all targets. The result is infinite when they never did.
+    """
+    fair = len(returned) / len(targets)
+    for first in samples:
+        if first.at_s < in_s:
+            continue
+        end_s = first.at_s + const.FULL_USE_WINDOW_S
+        last = next((s for s in samples if s.at_s >= end_s - 0.1), None)
+        if last is None:
+            break
+        here = _count_between(first, last, returned)
+        everywhere = _count_between(first, last, targets)
+        if here >= const.FULL_USE_SHARE * fair * everywhere > 0:
+            return last.at_s - in_s
+    return float("inf")
+
+
+def _count_between(
+    first: runs.Sample, last: runs.Sample, targets: list[str]
+) -> int:
+    return sum(
+        last.admitted.get(target, 0) - first.admitted.get(target, 0)
+        for target in targets
+    )
+
+
+_SLOW_WORK_S = 1.0
+_OVERLOAD = 10.0
+
+
+def _build_overload_loads() -> list[dict]:
+    # 20 requests/s fill 20 of the 28 slots.
+    slow = loads.build_slow_requests(20.0, _SLOW_WORK_S)
+    return [*loads.build_overload_base(), slow]
+
+
+async def async_overload(run: runs.Run) -> None:
+    """Opens requests at 10 times the capacity of the slots for 20 s."""
+    slots = run.document["policies"][loads.LISTENING]["slots"]
+    capacity_per_s = slots * len(_list_targets(run)) / _SLOW_WORK_S
+    await run.async_wait_until(6.0)
+    rate_per_s = _OVERLOAD * capacity_per_s
+    load = loads.build_slow_requests(rate_per_s - 20.0, _SLOW_WORK_S)
+    limit = int(load["rate_per_s"] * 20.0)
+    await run.deployment.async_ask_callers(
+        "start", loads=[{**load, "limit": limit}]
+    )
+    run.note(f"{rate_per_s:.0f} requests/s, capacity {capacity_per_s:.0f}/s")
+    await run.async_wait_until(26.0)
+    run.note("the overload ends")
+    # The first requests end after their work.
+    watched = [s for s in run.samples if 8.0 <= s.at_s <= 26.0]
+    first, last = watched[0], watched[-1]
+    finished = _count_slow(last) - _count_slow(first)
+    goodput = finished / (last.at_s - first.at_s)
+    run.measures["goodput (requests/s)"] = goodput
+    run.measures[goals.GOODPUT] = goodput / capacity_per_s
+
+
+def _count_slow(sample: runs.Sample) -> int:
+    return sample.ended.get("slow-request", {}).get("finished", 0)
+
+
+async def async_cool_all(run: runs.Run) -> None:
+    """Restarts all targets of a service, which are cold then."""
+    targets = _list_targets(run)
+    await run.async_wait_until(6.0)
+    await run.deployment.async_ask_targets(
+        "die", targets=targets, death="refusing"
+    )
+    run.note("all targets of listening died")
+    await run.async_wait_until(11.0)
+    await run.deployment.async_ask_targets(
+        "restart", targets=targets, cold_s=20.0
+    )
+    run.note("they are back, cold for 20 s")
+
+
+async def async_lie(run: runs.Run) -> None:
+    """Lets health endpoints lie and lag while targets die and return."""
+    targets = _list_targets(run)
+    ask = run.deployment.async_ask_targets
+    await run.async_wait_until(5.0)
+    await ask("faults", targets=targets[:1], faults={"health_lag_s": 10.0})
+    lie = {"state": "draining", "slots_in_use": 4}
+    await ask("faults", targets=targets[3:4], faults={"health_lie": lie})
+    run.note("target 4 says that it drains; the report of target 1 lags 10 s")
+    state = await ask("statistics")
+    victims = [targets[0], targets[1]]
+    run.measures["connections of the killed targets"] = sum(
+        state["targets"][name]["connections"] for name in victims
+    )
+    await ask("die", targets=victims[:1], death="silent")
+    await ask("die", targets=victims[1:], death="refusing")
+    run.note("target 1 dies silently, target 2 refuses")
+    await ask("faults", targets=targets[2:3], faults={"shed": 1.0})
+    run.note("target 3 refuses all flows but says that it is ready")
+    await run.async_wait_until(16.0)
+    await ask("restart", targets=victims, cold_s=8.0)
+    await ask("faults", targets=[*targets[2:4]], faults={})
+    run.note("targets 1 and 2 are back, cold for 8 s; 3 and 4 are healthy")
+
+
+_CASES = [
+    Case(
+        name="steady",
+        summary="no fault; balance over targets",
+        load_s=30.0,
+        script=async_do_nothing,
+        build_loads=loads.build_balance_loads,
+        judges_balance=True,
+    ),
+    Case(
+        name="change",
+        summary="three balancers replaced while documents change",
+        load_s=30.0,
+        script=async_change,
+    ),
+    Case(
+        name="death",
+        summary="SIGKILL of a balancer",
+        load_s=25.0,
+        script=async_kill_one,
+    ),
+    Case(
+        name="two-deaths",
+        summary="SIGKILL of owner and backup of a target at once",
+        load_s=25.0,
+        script=async_kill_two,
+        harm=goals.Harm.TWO_DEATHS,
+    ),
+    Case(
+        name="domain",
+        summary="a failure domain is taken out and back in by command",
+        load_s=46.0,
+        script=async_move_domain,
+        harm=goals.Harm.DOMAIN_OUT,
+    ),
+    Case(
+        name="overload",
+        summary="requests at 10 times the capacity",
+        load_s=28.0,
+        script=async_overload,
+        build_loads=_build_overload_loads,
+    ),
+    Case(
+        name="cold",
+        summary="all targets of a service die and return cold",
+        load_s=35.0,
+        script=async_cool_all,
+        harm=goals.Harm.NOT_STATED,
+    ),
+    Case(
+        name="pause",
+        summary="SIGSTOP of a balancer for 15 s",
+        load_s=32.0,
+        script=async_pause,
+    ),
+    Case(
+        name="health",
+        summary="health endpoints lie and lag while targets die",
+        load_s=32.0,
+        script=async_lie,
+        harm=goals.Harm.NOT_STATED,
+    ),
+]
+CASES = {case.name: case for case in _CASES}
+
+
+def get_case(name: str) -> Case:
+    """Returns a case by its name.
+
+    Raises:
+        UnknownCaseError: No case has this name.
+    """
+    if name not in CASES:
+        known = ", ".join(CASES)
+        raise exceptions.UnknownCaseError(f"no case {name!r}; known: {known}")
+    return CASES[name]
--- /dev/null
+++ b/bench/experiments/goals.py
@@ -0,0 +1,145 @@
+"""The goals for today's deployments, and how a run is judged by them."""
+
+import dataclasses
+import enum
+
+from bench.experiments import const
+from bench.experiments import report as reports
+
+
+class Harm(enum.Enum):
+    """How many broken flows the goals allow in a case."""
+
+    NONE = "none"
+    TWO_DEATHS = "two-deaths"
+    # The planned resets of a failure domain that was taken out.
+    DOMAIN_OUT = "domain-out"
+    # The goals state no bound, as targets or networks fail in the case.
+    NOT_STATED = "not-stated"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Verdict:
+    """One goal, with what was measured.
+
+    A goal that says `under` or `fewer than` excludes the limit itself.
+    """
+
+    goal: str
+    measured: float
+    limit: float
+    at_least: bool = False
+    excludes_limit: bool = False
+
+    @property
+    def is_met(self) -> bool:
+        """Whether the measurement keeps to the bound."""
+        if self.at_least:
+            return self.measured >= self.limit
+        if self.excludes_limit:
+            return self.measured < self.limit
+        return self.measured <= self.limit
+
+
+def judge(
+    report: reports.Report, *, harm: Harm, judges_balance: bool = False
+) -> list[Verdict]:
+    """Judges a run by the goals that apply to it."""
+    mixed = sum(row.mixed for row in report.rows)
+    zeros = {
+        "requests run twice": report.doubled,
+        "false refusals": report.false_refusals,
+        "responses mixed or duplicated": mixed,
+        "packets to another service": report.wrong_service,
+        "targets over limit": len(report.over_limit),
+        "targets over ramp": len(report.over_ramp),
+    }
+    if harm is not Harm.NOT_STATED:
+        zeros["responses lost"] = report.lost
+    verdicts = [
+        Verdict(goal=goal, measured=count, limit=0)
+        for goal, count in zeros.items()
+    ]
+    verdicts += _judge_broken(report, harm)
+    control = max(report.control_bytes_per_s.values(), default=0.0)
+    verdicts.append(
+        Verdict(
+            goal="control bytes/s of a node",
+            measured=control,
+            limit=const.CONTROL_BYTES_PER_S,
+            excludes_limit=True,
+        )
+    )
+    if judges_balance:
+        verdicts += _judge_balance(report)
+    return verdicts + _judge_measures(report)
+
+
+def _judge_broken(report: reports.Report, harm: Harm) -> list[Verdict]:
+    if harm is Harm.NOT_STATED:
+        return []
+    if harm is Harm.TWO_DEATHS:
+        return [
+            Verdict(
+                goal="broken flows per thousand",
+                measured=report.broken_per_thousand,
+                limit=const.BROKEN_PER_THOUSAND_TWO_DEATHS,
+                excludes_limit=True,
+            )
+        ]
+    planned = 0.0
+    if harm is Harm.DOMAIN_OUT:
+        planned = report.broken_reasons.get("domain-out", 0.0)
+    return [Verdict(goal="broken flows", measured=report.broken, limit=planned)]
+
+
+def _judge_balance(report: reports.Report) -> list[Verdict]:
+    return [
+        Verdict(
+            goal=f"imbalance of {service}",
+            measured=balance.max_over_mean,
+            limit=const.IMBALANCE,
+            excludes_limit=True,
+        )
+        for service, balance in report.balance.items()
+        if balance.flows_per_target >= const.JUDGED_FLOWS_PER_TARGET
+    ]
+
+
+LAST_PACKET = "last packet to the domain after the command (s)"
+FULL_USE = "full use of the returned domain after (s)"
+GOODPUT = "goodput of capacity in the overload"
+_MEASURES = {
+    LAST_PACKET: (const.DOMAIN_OUT_S, False),
+    FULL_USE: (const.FULL_USE_S, False),
+    GOODPUT: (const.GOODPUT, True),
+}
+
+
+def _judge_measures(report: reports.Report) -> list[Verdict]:
+    return [
+        Verdict(
+            goal=goal,
+            measured=report.measures[goal],
+            limit=limit,
+            at_least=at_least,
+        )
+        for goal, (limit, at_least) in _MEASURES.items()
+        if goal in report.measures
+    ]
+
+
+def format_verdicts(verdicts: list[Verdict]) -> str:
+    """Returns one line for each goal."""
+    return "\n".join(
+        f"{'met   ' if verdict.is_met else 'MISSED'}  {verdict.goal}: "
+        f"{verdict.measured:.2f} "
+        f"(goal: {_name_relation(verdict)} {verdict.limit:g})"
+        for verdict in verdicts
+    )
+
+
+def _name_relation(verdict: Verdict) -> str:
+    if verdict.at_least:
+        return ">="
+    return "<" if verdict.excludes_limit else "<="
--- /dev/null
+++ b/bench/experiments/nodes.py
@@ -0,0 +1,117 @@
+"""Figures of balancers from their metrics and from the system."""
+
+import asyncio
+import collections
+import re
+
+import aiohttp
+import psutil
+
+from bench.experiments import const
+from standins import deployment as deployments
+
+_LINE = re.compile(r"^(chivedoor_\w+)(?:\{([^}]*)\})? (\S+)$")
+
+_STAND_INS = ("fabric", "targets", "callers")
+
+Figures = dict[tuple[str, str], float]
+
+
+def parse_metrics(text: str) -> Figures:
+    """Returns the values by name and labels, as in `reason="cold"`."""
+    figures = {}
+    for line in text.splitlines():
+        if found := _LINE.match(line):
+            name, labels, value = found.groups()
+            figures[(name, labels or "")] = float(value)
+    return figures
+
+
+class NodeFigures:
+    """Sums up the counters of balancers, across their restarts.
+
+    A counter that is lower than before belongs to a new process, and counts
+    from 0.
+    """
+
+    def __init__(self, *, deployment: deployments.Deployment):
+        """Creates figures whose first sample is the baseline."""
+        self._deployment = deployment
+        self._last: dict[str, Figures] = {}
+        self._cpu: dict[int, float] = {}
+        self.counts: dict[str, collections.Counter] = {
+            name: collections.Counter() for name in deployment.vms
+        }
+        self.cpu_s: collections.Counter = collections.Counter()
+        self.stand_in_cpu_s: collections.Counter = collections.Counter()
+
+    async def async_sample(self) -> None:
+        """Adds what happened since the last sample."""
+        for name in _STAND_INS:
+            pid = self._deployment.processes[name].pid
+            self._add_cpu(self.stand_in_cpu_s, name, pid)
+        await asyncio.gather(*map(self._async_sample, self._deployment.vms))
+
+    async def _async_sample(self, name: str) -> None:
+        process = self._deployment.processes[name]
+        if not process.is_running:
+            return
+        self._add_cpu(self.cpu_s, name, process.pid)
+        figures = await self._async_scrape(name)
+        if figures:
+            self.add(name, figures)
+
+    def _add_cpu(self, sums: collections.Counter, name: str, pid: int) -> None:
+        try:
+            times = psutil.Process(pid).cpu_times()
+        except psutil.Error:
+            return
+        used_s = times.user + times.system
+        # A process that is new since the baseline counts from its start.
+        default = 0.0 if name in sums else used_s
+        sums[name] += used_s - self._cpu.get(pid, default)
+        self._cpu[pid] = used_s
+
+    async def _async_scrape(self, name: str) -> Figures:
+        vm = self._deployment.vms[name]
+        url = f"http://{vm.address}:{vm.metrics_port}/metrics"
+        timeout = aiohttp.ClientTimeout(total=const.SCRAPE_TIMEOUT_S)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.get(url) as response,
+            ):
+                return parse_metrics(await response.text())
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return {}
+
+    def add(self, name: str, figures: Figures) -> None:
+        """Adds the counters of one scrape; the first one is the baseline."""
+        before = self._last.get(name)
+        self._last[name] = figures
+        if before is None:
+            return
+        for key, value in figures.items():
+            if key[0].endswith("_total"):
+                old = before.get(key, 0.0)
+                self.counts[name][key] += value - (old if value >= old else 0)
+
+    def add_up(self, metric: str, label: str = "") -> dict[str, float]:
+        """Returns the sum of a metric on each node, over matching labels."""
+        return {
+            name: sum(
+                value
+                for (found, labels), value in counts.items()
+                if found == metric and label in labels
+            )
+            for name, counts in self.counts.items()
+        }
+
+    def add_up_labels(self, metric: str) -> dict[str, float]:
+        """Returns the sum of a metric over all nodes by label value."""
+        sums: collections.Counter = collections.Counter()
+        for counts in self.counts.values():
+            for (found, labels), value in counts.items():
+                if found == metric and value:
+                    sums[labels.partition('="')[2].rstrip('"')] += value
+        return dict(sums)
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -60,6 +60,7 @@
                 "stop": lambda _: self.caller.stop(),
                 "document": self._set_document,
                 "statistics": self._report,
+                "open": lambda _: self.caller.results.dump_counts(),
             },
         )
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -23,7 +23,7 @@
 _LOCK_PORT = 7999
 _VMS_OF_DOMAIN = 250
 _PEER_KEY = "000102030405060708090a0b0c0d0e0f"
-_OPERATOR_KEY = "202122232425262728292a2b2c2d2e2f"
+OPERATOR_KEY = "202122232425262728292a2b2c2d2e2f"
 _MAXIMUM_SEEDS = 3
 # A stop as planned may take 30 s.
 _RETIRE_TIMEOUT_S = 45.0
@@ -318,7 +318,7 @@
                 "peers": {"seeds": ", ".join(seeds[:_MAXIMUM_SEEDS])},
                 "security": {
                     "peer_key": _PEER_KEY,
-                    "operator_key": _OPERATOR_KEY,
+                    "operator_key": OPERATOR_KEY,
                 },
                 "limits": self._limits,
             }
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -139,6 +139,11 @@
         """Returns a process by its name."""
         return self._processes[name]
 
+    def is_running(self, name: str) -> bool:
+        """Returns whether a process of this name was started and runs."""
+        process = self._processes.get(name)
+        return process is not None and process.is_running
+
     def start(self, name: str, arguments: list[str]) -> Process:
         """Starts a process, again when one of this name has ended.
 
--- a/standins/results.py
+++ b/standins/results.py
@@ -90,8 +90,8 @@
         ended = sum(counter.total() for counter in self._outcomes.values())
         return self._opened.total() - ended
 
-    def dump_state(self) -> dict:
-        """Returns the results as plain values; times are monotonic s."""
+    def dump_counts(self) -> dict:
+        """Returns the counts by load, which are cheap to ask for often."""
         return {
             "opened": dict(self._opened),
             "open": self.open_flows,
@@ -99,6 +99,12 @@
                 load: _dump_counter(counter)
                 for load, counter in self._outcomes.items()
             },
+        }
+
+    def dump_state(self) -> dict:
+        """Returns the results as plain values; times are monotonic s."""
+        return {
+            **self.dump_counts(),
             "timeline": {
                 str(second): _dump_counter(counter)
                 for second, counter in self._timeline.items()
