Test the experiments, and judge a domain out by its own flows

The balancers never set chivedoor_broken_flows_total, so the resets that a domain out may cause are counted at the targets instead.

--- a/bench/experiments/__main__.py
+++ b/bench/experiments/__main__.py
@@ -110,9 +110,12 @@
             run = runs.Run(
                 deployment=deployment, document=document, kind=self.kind
             )
-            return await run.async_carry_out(
+            seen = await run.async_carry_out(
                 case.build_loads(), case.load_s, case.script
             )
+            path = folder / "dumps.json"
+            path.write_text(json.dumps(run.dumps, default=bytes.hex))
+            return seen
         finally:
             # A stop as planned of all balancers would take half a minute.
             for name in deployment.vms:
--- a/bench/experiments/cases.py
+++ b/bench/experiments/cases.py
@@ -152,9 +152,15 @@
 async def async_move_domain(run: runs.Run) -> None:
     """Takes a failure domain out for 8 s through one balancer."""
     await run.async_wait_until(6.0)
+    before = await _async_count_flows(run, "b")
     out_s = run.elapsed_s
     await _async_set_domain(run, is_out=True)
     await run.async_wait_until(out_s + 8.0)
+    after = await _async_count_flows(run, "b")
+    # Flows that were open, and those that came until the command was in force.
+    run.measures[goals.PLANNED_RESETS] = (
+        before["open"] + after["admitted"] - before["admitted"]
+    )
     run.measures[goals.LAST_PACKET] = (
         await _async_find_last_packet(run, "b") - out_s
     )
@@ -166,6 +172,21 @@
     )
 
 
+async def _async_count_flows(run: runs.Run, domain: str) -> dict[str, int]:
+    """Returns the open and the admitted flows of a domain's targets."""
+    state = await run.deployment.async_ask_targets("statistics")
+    names = [
+        name
+        for name, target in state["targets"].items()
+        if target["domain"] == domain
+    ]
+    admitted = runs.count_admitted(state["events"])
+    return {
+        "open": sum(state["targets"][name]["connections"] for name in names),
+        "admitted": sum(admitted.get(name, 0) for name in names),
+    }
+
+
 async def _async_set_domain(run: runs.Run, *, is_out: bool) -> None:
     state = "out" if is_out else "in"
     run.note(f"failure domain b {state}")
--- a/bench/experiments/goals.py
+++ b/bench/experiments/goals.py
@@ -12,7 +12,7 @@
 
     NONE = "none"
     TWO_DEATHS = "two-deaths"
-    # The planned resets of a failure domain that was taken out.
+    # The flows on the targets of a failure domain that was taken out.
     DOMAIN_OUT = "domain-out"
     # The goals state no bound, as targets or networks fail in the case.
     NOT_STATED = "not-stated"
@@ -89,7 +89,7 @@
         ]
     planned = 0.0
     if harm is Harm.DOMAIN_OUT:
-        planned = report.broken_reasons.get("domain-out", 0.0)
+        planned = report.measures.get(PLANNED_RESETS, 0.0)
     return [Verdict(goal="broken flows", measured=report.broken, limit=planned)]
 
 
@@ -106,6 +106,7 @@
     ]
 
 
+PLANNED_RESETS = "flows that the domain out may reset"
 LAST_PACKET = "last packet to the domain after the command (s)"
 FULL_USE = "full use of the returned domain after (s)"
 GOODPUT = "goodput of capacity in the overload"
--- a/bench/experiments/operators.py
+++ b/bench/experiments/operators.py
@@ -54,6 +54,27 @@
     raise exceptions.UnsettledError(f"targets owned: {before}")
 
 
+async def async_dump(
+    deployment: deployments.Deployment,
+) -> dict[str, dict[str, Any]]:
+    """Returns the state of every balancer that answers, by its name."""
+
+    async def async_dump_one(name: str) -> dict[str, Any] | None:
+        try:
+            reply = await async_send(deployment, name, commands.DumpCommand())
+        except (product_errors.ChivedoorError, OSError):
+            return None
+        return reply.state
+
+    names = [*deployment.vms]
+    states = await asyncio.gather(*map(async_dump_one, names))
+    return {
+        name: state
+        for name, state in zip(names, states, strict=True)
+        if state is not None
+    }
+
+
 async def async_wait_until_active(
     deployment: deployments.Deployment, name: str, limit_s: float = 20.0
 ) -> None:
--- a/bench/experiments/report.py
+++ b/bench/experiments/report.py
@@ -10,6 +10,7 @@
 from standins import results
 
 _BROKEN = tuple(outcome.value for outcome in results.BROKEN)
+_LISTED_FAILURES = 100
 _WRONG = tuple(outcome.value for outcome in results.WRONG)
 
 
@@ -69,6 +70,7 @@
     measures: dict[str, float]
     events: list[tuple[float, str]]
     timeline: list[dict[str, Any]]
+    failures: list[dict[str, Any]]
 
     @property
     def opened(self) -> int:
@@ -127,6 +129,10 @@
         measures=seen.measures,
         events=seen.events,
         timeline=list(build_timeline(seen.samples)),
+        failures=[
+            {**failure, "at": round(failure["at"] - seen.began, 3)}
+            for failure in seen.callers["failures"][:_LISTED_FAILURES]
+        ],
     )
 
 
--- a/bench/experiments/run.py
+++ b/bench/experiments/run.py
@@ -48,6 +48,7 @@
         watched_s: Time over which the nodes were watched.
         measures: Figures that only this case has.
         events: Times and texts of the faults.
+        began: Monotonic time at which the load began, in seconds.
     """
 
     document: dict
@@ -62,6 +63,7 @@
     watched_s: float
     measures: dict[str, float]
     events: list[tuple[float, str]]
+    began: float
 
 
 Script = Callable[["Run"], Awaitable[None]]
@@ -83,6 +85,7 @@
         self.events: list[tuple[float, str]] = []
         self.measures: dict[str, float] = {}
         self.samples: list[Sample] = []
+        self.dumps: dict[str, dict] = {}
         self._figures = nodes.NodeFigures(deployment=deployment)
         self._began = 0.0
 
@@ -125,6 +128,8 @@
             await deployment.async_ask_callers("start", loads=loads)
             await script(self)
             await self.async_wait_until(load_s)
+            if not self.is_naive:
+                self.dumps = await operators.async_dump(deployment)
             await deployment.async_ask_callers("stop")
             load_s = self.elapsed_s
             await self._async_wait_for_flows()
@@ -196,6 +201,7 @@
             watched_s=watched_s,
             measures=self.measures,
             events=self.events,
+            began=self._began,
         )
 
 
