--- a/bench/experiments/__main__.py
+++ b/bench/experiments/__main__.py
@@ -104,6 +104,7 @@
             folder=folder,
             kind=self.kind,
             seed=self.seed,
+            relayed=case.relayed,
         )
         print(f"{case.name}, seed {self.seed}, {self.kind.value}", flush=True)
         try:
--- a/bench/experiments/cases.py
+++ b/bench/experiments/cases.py
@@ -30,6 +30,7 @@
         script: Injects the faults.
         harm: How many broken flows the goals allow.
         judges_balance: Whether the targets and weights stay the same.
+        relayed: Whether traffic between balancers passes a relay.
     """
 
     name: str
@@ -39,6 +40,7 @@
     build_loads: Callable[[], list[dict]] = loads.build_mixed_loads
     harm: goals.Harm = goals.Harm.NONE
     judges_balance: bool = False
+    relayed: bool = False
 
 
 async def async_do_nothing(run: runs.Run) -> None:
@@ -267,6 +269,27 @@
     )
 
 
+async def async_partition(run: runs.Run) -> None:
+    """Cuts failure domain a off from everything for 8 s."""
+    inside = [vm.name for vm in run.deployment.vms.values() if vm.domain == "a"]
+    others = ["b", "c", "clients"]
+    cuts = [pair for other in others for pair in (["a", other], [other, "a"])]
+    await run.async_wait_until(6.0)
+    await run.deployment.async_ask_fabric("faults", cuts=cuts)
+    await run.deployment.async_ask_relay("faults", cuts=cuts)
+    run.note("failure domain a is cut off")
+    await asyncio.sleep(const.FABRIC_LAG_S)
+    for name in inside:
+        await run.deployment.async_detach(name)
+    await run.async_wait_until(14.0)
+    await run.deployment.async_ask_fabric("faults")
+    await run.deployment.async_ask_relay("faults")
+    run.note("the cut is healed")
+    await asyncio.sleep(const.FABRIC_LAG_S)
+    for name in inside:
+        await run.deployment.async_attach(name)
+
+
 _SLOW_WORK_S = 1.0
 _OVERLOAD = 10.0
 
@@ -399,6 +422,14 @@
         load_s=32.0,
         script=async_pause,
     ),
+    Case(
+        name="partition",
+        summary="a failure domain is cut off for 8 s",
+        load_s=30.0,
+        script=async_partition,
+        harm=goals.Harm.NOT_STATED,
+        relayed=True,
+    ),
     Case(
         name="health",
         summary="health endpoints lie and lag while targets die",
