Chain only through balancers that follow, and doubt resets of unknown flows

A joining balancer without a document was the replica and dropped first packets; their silence made targets look bad; a reset of a flow that an owner with an older generation did not know reached the caller. Ruled out: the slots (0 targets over their limit), the budget (2.4 KB/s). Change: a joining balancer counts as replica from its first pull on, and the active one gets copies; an unknown flow's reset passes when repeated after 2.5 s; timeouts that span a change of view do not count; a balancer that is not the owner passes answers on.

--- a/src/chivedoor/balancer/balancer.py
+++ b/src/chivedoor/balancer/balancer.py
@@ -197,11 +197,12 @@
             return [actions.Drop(actions.RoutingDrop.NOT_ALIVE)]
         if header.kind is _ForwardKind.COPY:
             return self._resolver.record_target_copy(packet, source, now)
-        return self._resolver.answer(packet, source, now)
+        return self._resolver.answer(packet, source, now, hops=header.hops)
 
     def tick(self, now: float) -> None:
         """Expires records; called several times a second."""
         self._resolver.forget_flows(self.targets.tick(now))
+        self._resolver.tick(now)
 
     # Changes of what the balancer knows.
 
@@ -269,10 +270,7 @@
         return [
             Mode(
                 number=number,
-                identity=owners.OwnerIdentity(
-                    member=self.context.local_id,
-                    incarnation=self.context.members.local.incarnation,
-                ),
+                identity=self.targets.identify_local(),
                 generation=generation,
             )
             for number, generation in self.targets.list_settled(now)
--- a/src/chivedoor/balancer/context.py
+++ b/src/chivedoor/balancer/context.py
@@ -89,12 +89,46 @@
         return ranked[0] if ranked else None
 
     def find_replica(self, endpoint: documents.Endpoint) -> ids.VmId | None:
-        """Returns the best other balancer for a target, joining or not."""
-        ranking = self.replica_rankings.get(endpoint.domain)
+        """Returns the best other balancer that keeps a target's records.
+
+        A joining balancer counts from its first pull on, so that it has all
+        records when it becomes the owner.
+        """
+        joining = self._rank_others(self.replica_rankings, endpoint)
+        ready = (m for m in joining if self._is_ready(m, endpoint))
+        return next(ready, self.find_active_replica(endpoint))
+
+    def find_active_replica(
+        self, endpoint: documents.Endpoint
+    ) -> ids.VmId | None:
+        """Returns the balancer that owns a target when this one dies."""
+        return next(
+            iter(self._rank_others(self.owner_rankings, endpoint)), None
+        )
+
+    def _rank_others(
+        self,
+        rankings: dict[ids.DomainId, ownership.OwnerRanking],
+        endpoint: documents.Endpoint,
+    ) -> list[ids.VmId]:
+        ranking = rankings.get(endpoint.domain)
         if ranking is None:
-            return None
+            return []
         ranked = ranking.find_owners(endpoint.number)
-        return next((m for m in ranked if m != self.local_id), None)
+        return [member for member in ranked if member != self.local_id]
+
+    def _is_ready(
+        self, member_id: ids.VmId, endpoint: documents.Endpoint
+    ) -> bool:
+        member = self.members.get(member_id)
+        if member.role is memberships.MemberState.ACTIVE:
+            return True
+        target = self.targets.get(endpoint.number)
+        return target is not None and target.is_followed_by(
+            owners.OwnerIdentity(
+                member=member_id, incarnation=member.incarnation
+            )
+        )
 
     def is_owner(self, endpoint: documents.Endpoint) -> bool:
         """Returns whether this balancer owns a target."""
--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -16,9 +16,9 @@
 from chivedoor.dataplane import packet as packets
 from chivedoor.dataplane import refusal
 from chivedoor.dataplane import rewrite
-from chivedoor.flows import const as flows_const
 from chivedoor.flows import owner as owners
 from chivedoor.flows import records
+from chivedoor.flows import resets
 from chivedoor.routing import const as routing_const
 from chivedoor.routing import directory as directories
 from chivedoor.routing import hashing
@@ -38,6 +38,11 @@
     ) -> None:
         self._context = context
         self._requests = request_filter
+        self._resets = resets.ResetFilter()
+
+    def tick(self, now: float) -> None:
+        """Expires what is kept of resets."""
+        self._resets.expire(now)
 
     def forget_flows(self, keys: Iterable[ids.FlowKey]) -> None:
         """Drops what is kept of flows whose records were dropped."""
@@ -461,12 +466,24 @@
         entry: directories.ServiceEntry,
         endpoint: documents.Endpoint,
     ) -> list[actions.Action]:
-        """Sends a first packet to the target by way of the replica."""
+        """Sends a first packet to the target by way of the replica.
+
+        While the replica is still joining, the balancer that would take
+        over from this one gets a copy.
+        """
         replica = self._context.find_replica(endpoint)
         if replica is None:
             return deliver(packet, entry, endpoint)
         header = self._context.make_header(_ForwardKind.CHAIN, endpoint)
-        return [actions.Forward(replica, header, packet.buffer)]
+        chained = actions.Forward(replica, header, packet.buffer)
+        successor = self._context.find_active_replica(endpoint)
+        if successor in (None, replica):
+            return [chained]
+        copy = self._context.make_header(_ForwardKind.COPY, endpoint)
+        return [
+            chained,
+            actions.Forward(successor, copy, bytes(packet.buffer)),
+        ]
 
     def _copy(
         self,
@@ -476,7 +493,10 @@
         routes: directories.ServiceRoutes,
     ) -> list[actions.Action]:
         """Tells the replica, and the owner of an override, of an end."""
-        receivers = {self._context.find_replica(endpoint)}
+        receivers = {
+            self._context.find_replica(endpoint),
+            self._context.find_active_replica(endpoint),
+        }
         base = routes.table.find_base(key)
         if base is not None and base.number != endpoint.number:
             receivers.add(self._context.find_owner(base))
@@ -576,18 +596,22 @@
         packet: packets.Packet,
         source: directories.EndpointEntry,
         now: float,
+        *,
+        hops: int = 0,
     ) -> list[actions.Action]:
         """Handles a control segment of a target as its owner."""
+        owner = self._context.find_owner(source.endpoint)
+        if owner not in (None, self._context.local_id):
+            return self._pass_answer(packet, source, owner, hops)
         key = key_of_answer(packet, source)
         target = self._context.targets.get(source.endpoint.number)
         if target is None or key not in target.flows:
-            return self._answer_unknown(packet, source, target)
+            return self._answer_unknown(packet, source, key, target, now)
         if packet.protocol != _TCP:
             return self._answer_datagram(packet, source, key, target, now)
         if packet.is_reset:
-            if self._is_doubtful(key, target, now):
-                target.remove(key, now)
-                return [actions.Drop(actions.RoutingDrop.STALE_RESET)]
+            if target.flows.is_adopted(key):
+                return self._answer_adopted(packet, source, key, target, now)
             target.admission.note_reset(
                 target.flows.get_state(key) is records.FlowState.OPEN, now
             )
@@ -599,19 +623,34 @@
         )
         return copies + deliver_answer(packet, source)
 
-    def _is_doubtful(
-        self, key: ids.FlowKey, target: owners.TargetOwner, now: float
-    ) -> bool:
-        """Returns whether an adopted flow may live on another target.
-
-        After a change of view, overrides of the other side of a healed
-        partition may not be known yet.
-        """
-        settled_s = now - self._context.view_changed_at_s
-        return (
-            target.flows.is_adopted(key, now)
-            and settled_s < flows_const.ADOPTION_GRACE_S
+    def _pass_answer(
+        self,
+        packet: packets.Packet,
+        source: directories.EndpointEntry,
+        owner: ids.VmId,
+        hops: int,
+    ) -> list[actions.Action]:
+        if hops >= const.MAX_HOPS:
+            return [actions.Drop(actions.RoutingDrop.TOO_MANY_HOPS)]
+        header = self._context.make_header(
+            _ForwardKind.ANSWER, source.endpoint, hops=hops + 1
         )
+        return [actions.Forward(owner, header, packet.buffer)]
+
+    def _answer_adopted(
+        self,
+        packet: packets.Packet,
+        source: directories.EndpointEntry,
+        key: ids.FlowKey,
+        target: owners.TargetOwner,
+        now: float,
+    ) -> list[actions.Action]:
+        """Handles a reset of a flow that was assumed to be on a target."""
+        target.remove(key, now)
+        if not self._resets.confirm(key, now):
+            return [actions.Drop(actions.RoutingDrop.STALE_RESET)]
+        copies = self._copy(packet, source.endpoint, key, source.routes)
+        return copies + deliver_answer(packet, source)
 
     def record_target_copy(
         self,
@@ -635,14 +674,15 @@
         self,
         packet: packets.Packet,
         source: directories.EndpointEntry,
+        key: ids.FlowKey,
         target: owners.TargetOwner | None,
+        now: float,
     ) -> list[actions.Action]:
-        if target is None or not target.has_records:
-            return deliver_answer(packet, source)
         if packet.protocol != _TCP:
+            if target is None or not target.has_records:
+                return deliver_answer(packet, source)
             return [actions.Drop(actions.RoutingDrop.STALE_ANSWER)]
-        if packet.is_reset:
-            # The target does not have the flow because another one has it.
+        if packet.is_reset and not self._resets.confirm(key, now):
             return [actions.Drop(actions.RoutingDrop.STALE_RESET)]
         return deliver_answer(packet, source)
 
--- a/src/chivedoor/balancer/targets.py
+++ b/src/chivedoor/balancer/targets.py
@@ -153,6 +153,7 @@
         base: ids.EndpointNumber | None,
         generation: ids.Generation,
         after: int,
+        reader: owners.OwnerIdentity,
     ) -> FlowBatch | None:
         """Returns flows for another balancer's pull.
 
@@ -171,6 +172,8 @@
             return None
         if base is None and not target.has_records:
             return None
+        if base is None:
+            target.add_follower(reader)
         if base is not None and routes.table.generation != generation:
             return None
         keys = (
@@ -188,6 +191,13 @@
             cursor=None if is_last else chosen[-1],
         )
 
+    def identify_local(self) -> owners.OwnerIdentity:
+        """Returns this balancer's present life."""
+        local = self._context.members.local
+        return owners.OwnerIdentity(
+            member=local.id, incarnation=local.incarnation
+        )
+
     def accept_flows(self, pull: Pull, batch: FlowBatch, now: float) -> None:
         """Takes one batch of a pull's flows."""
         number = pull.number if pull.base is None else pull.base
@@ -240,7 +250,9 @@
         return [
             key
             for target in self._context.targets.values()
-            for key in target.tick(now)
+            for key in target.tick(
+                now, view_changed_at_s=self._context.view_changed_at_s
+            )
         ]
 
 
--- a/src/chivedoor/control/messages.py
+++ b/src/chivedoor/control/messages.py
@@ -48,12 +48,16 @@
             for all records of `endpoint`.
         cursor: The position after the last page, or None for the first.
         generation: The generation of the asking balancer.
+        member: The id of the asking balancer.
+        incarnation: Its incarnation.
     """
 
     endpoint: int
     base: int | None
     cursor: int | None
     generation: int
+    member: str
+    incarnation: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/chivedoor/daemon/transfers.py
+++ b/src/chivedoor/daemon/transfers.py
@@ -11,6 +11,7 @@
 from chivedoor.control import messages
 from chivedoor.daemon import const
 from chivedoor.daemon import traffic
+from chivedoor.flows import owner as owners
 
 _KINDS = tuple(documents.PortKind)
 
@@ -72,12 +73,16 @@
                 base=pull.base,
                 generation=pull.generation,
                 after=cursor,
+                reader=self._balancer.targets.identify_local(),
             )
+        reader = self._balancer.targets.identify_local()
         request = messages.FlowsRequest(
             endpoint=pull.number,
             base=pull.base,
             cursor=cursor,
             generation=pull.generation,
+            member=reader.member,
+            incarnation=reader.incarnation,
         )
         try:
             reply = await self._channel.async_request(
@@ -102,6 +107,10 @@
             base=None if base is None else ids.EndpointNumber(base),
             generation=ids.Generation(request.generation),
             after=request.cursor or 0,
+            reader=owners.OwnerIdentity(
+                member=ids.VmId(request.member),
+                incarnation=ids.Incarnation(request.incarnation),
+            ),
         )
         keys = () if batch is None else batch.keys
         kinds = () if batch is None else batch.kinds
--- a/src/chivedoor/flows/const.py
+++ b/src/chivedoor/flows/const.py
@@ -11,8 +11,9 @@
 OPENING_TIMEOUT_S: Final = 20.0
 
 # A first packet that the target has not answered for this long counts
-# against the target's health.
-HANDSHAKE_TIMEOUT_S: Final = 2.0
+# against the target's health. A balancer that dies on the packet's way is
+# known to be dead before that.
+HANDSHAKE_TIMEOUT_S: Final = 4.0
 
 # Late packets of a closed flow find its record for this long. It exceeds the
 # time over which a caller repeats a datagram or a FIN.
@@ -30,9 +31,12 @@
 REFRESH_SLOTS: Final = 1 << 17
 REFRESH_WINDOW_FRACTION: Final = 0.25
 
-# A reset of a flow that was adopted this recently may come from a target
-# that never had the flow.
-ADOPTION_GRACE_S: Final = 3.0
+# A reset of a flow without a record is believed when it is repeated after
+# this time, in which all balancers learn of a document or a member. It lies
+# below the fourth retransmission of a caller (3.0 s with a timeout of 0.2 s).
+RESET_CONFIRM_S: Final = 2.5
+RESET_KEPT_S: Final = 60.0
+RESETS_KEPT: Final = 20_000
 
 # A health endpoint may lag by 10 s, so idle slots count as evidence only
 # after they were reported for longer than that.
--- a/src/chivedoor/flows/owner.py
+++ b/src/chivedoor/flows/owner.py
@@ -62,6 +62,7 @@
         )
         self.overrides: dict[ids.FlowKey, Override] = {}
         self.pending: dict[ids.FlowKey, float] = {}
+        self._followers: set[OwnerIdentity] = set()
         self.verdicts: collections.Counter[admissions.Verdict] = (
             collections.Counter()
         )
@@ -182,8 +183,15 @@
     def set_override(
         self, key: ids.FlowKey, number: ids.EndpointNumber, now: float
     ) -> None:
-        """Records that a flow lives on another endpoint."""
+        """Records that a flow lives on another endpoint.
+
+        A flow that was admitted here stays here.
+        """
         self.pending.pop(key, None)
+        if key in self.flows:
+            if not self.flows.is_adopted(key):
+                return
+            self.remove(key, now)
         self.overrides[key] = Override(
             number=number, expires_at_s=now + self._policy.idle_timeout_s
         )
@@ -271,6 +279,18 @@
 
     # Transfers to other balancers.
 
+    def add_follower(self, identity: OwnerIdentity) -> None:
+        """Notes that a balancer pulls this target's records."""
+        self._followers.add(identity)
+
+    def is_followed_by(self, identity: OwnerIdentity) -> bool:
+        """Returns whether a balancer has begun to pull the records.
+
+        A joining balancer that has not may not even have the document, and
+        would drop the first packets of flows.
+        """
+        return identity in self._followers
+
     def list_flows(
         self,
         *,
@@ -291,8 +311,15 @@
 
     # Time.
 
-    def tick(self, now: float) -> list[ids.FlowKey]:
-        """Expires records; returns the keys of dropped ones."""
+    def tick(
+        self, now: float, *, view_changed_at_s: float
+    ) -> list[ids.FlowKey]:
+        """Expires records; returns the keys of dropped ones.
+
+        Args:
+          now: Monotonic seconds.
+          view_changed_at_s: When the members in view last changed.
+        """
         if self._recovered_at_s is not None and now >= self._recovered_at_s:
             self._recovered_at_s = None
             self.has_records = True
@@ -310,10 +337,10 @@
         )
         for key in stale:
             del self.overrides[key]
-        self._note_timeouts(now)
+        self._note_timeouts(now, view_changed_at_s)
         return dropped
 
-    def _note_timeouts(self, now: float) -> None:
+    def _note_timeouts(self, now: float, view_changed_at_s: float) -> None:
         late = _list_expired(
             (
                 (key, opened_at_s + const.HANDSHAKE_TIMEOUT_S)
@@ -322,7 +349,11 @@
             now,
         )
         for key in late:
-            del self._opened_at_s[key]
+            opened_at_s = self._opened_at_s.pop(key)
+            # A replica that died takes first packets with it until it is
+            # known as dead, which says nothing about the target.
+            if opened_at_s <= view_changed_at_s:
+                continue
             if self.flows.get_state(key) is records.FlowState.OPENING:
                 self.admission.note_timeout(now)
 
--- a/src/chivedoor/flows/records.py
+++ b/src/chivedoor/flows/records.py
@@ -62,11 +62,9 @@
         """Returns the port kind of a recorded flow."""
         return _KINDS[(self._records[key] >> _KIND_SHIFT) & _KIND_MASK]
 
-    def is_adopted(self, key: ids.FlowKey, now: float) -> bool:
-        """Returns whether a flow was adopted from a packet just now."""
-        record = self._records[key]
-        age_s = now - self._last_seen(record)
-        return bool(record & _ADOPTED) and age_s < const.ADOPTION_GRACE_S
+    def is_adopted(self, key: ids.FlowKey) -> bool:
+        """Returns whether a flow was assumed to be here from its packets."""
+        return bool(self._records[key] & _ADOPTED)
 
     def open(
         self, key: ids.FlowKey, kind: documents.PortKind, now: float
--- /dev/null
+++ b/src/chivedoor/flows/resets.py
@@ -0,0 +1,39 @@
+"""Resets from targets that may not have the flow."""
+
+from chivedoor import ids
+from chivedoor.flows import const
+
+
+class ResetFilter:
+    """Passes a reset of an unrecorded flow only when it is repeated.
+
+    A balancer with an older document or view can send a packet to a target
+    that does not have its flow, and that target answers with a reset. The
+    caller sends the packet again, and by then all balancers agree on the
+    right target. A flow that no target has is reset each time.
+    """
+
+    def __init__(self, *, capacity: int = const.RESETS_KEPT) -> None:
+        self._capacity = capacity
+        self._first_s: dict[ids.FlowKey, float] = {}
+
+    def confirm(self, key: ids.FlowKey, now: float) -> bool:
+        """Notes a reset; returns whether it is to be believed."""
+        first_s = self._first_s.get(key)
+        if first_s is None:
+            if len(self._first_s) < self._capacity:
+                self._first_s[key] = now
+            return False
+        if now - first_s < const.RESET_CONFIRM_S:
+            return False
+        del self._first_s[key]
+        return True
+
+    def expire(self, now: float) -> None:
+        """Forgets resets that were not repeated."""
+        # Entries are in the order of their times.
+        while self._first_s:
+            key = next(iter(self._first_s))
+            if now - self._first_s[key] < const.RESET_KEPT_S:
+                return
+            del self._first_s[key]
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -269,6 +269,59 @@
     assert fleet.drops[actions.RoutingDrop.STALE_RESET] == 1
 
 
+def test_repeated_reset_of_an_unknown_flow_reaches_the_caller(fleet):
+    # Guards against a caller that waits forever for a flow that no target
+    # has.
+    delivered = _open_flow(fleet, "a0", 5014)
+    number = delivered.packet.destination[3]
+    fleet.get_target(number).remove(
+        next(iter(fleet.get_target(number).flows)), fleet.now
+    )
+    reset = fleets.make_answer(delivered, fleets.RST)
+    assert fleet.send("b0", reset) == []
+    fleet.now += 1.0
+    assert fleet.send("c0", reset) == []
+    fleet.now += 2.0
+    (answer,) = fleet.send("a0", reset)
+    assert answer.packet.flags & fleets.RST
+
+
+def test_joining_balancer_without_records_drops_no_new_flow(fleet, document):
+    # Guards against first packets that go through a replica which does not
+    # have the document yet.
+    fleet.kill("a0")
+    fleet.settle()
+    fleet.restart("a0", "a", None)
+    for port in range(6000, 6060):
+        _open_flow(fleet, "b0", port)
+
+
+def test_balancer_that_joined_knows_all_flows(fleet, document):
+    # Guards against flows opened while a balancer pulls, which it would not
+    # know as the owner.
+    fleet.kill("a0")
+    fleet.settle()
+    opened = {
+        port: _open_flow(fleet, "b0", port).packet.destination
+        for port in range(6000, 6050)
+    }
+    fleet.restart("a0", "a", document)
+    fleet.pull()
+    opened |= {
+        port: _open_flow(fleet, "b0", port).packet.destination
+        for port in range(6050, 6100)
+    }
+    counts = {n: fleet.get_target(n).admission.connections for n in range(1, 8)}
+    fleet.activate("a0")
+    for number, count in counts.items():
+        assert fleet.get_target(number).admission.connections == count
+    fleet.kill("a1")
+    fleet.settle()
+    for port, target in opened.items():
+        (delivered,) = fleet.send("c0", fleets.make_segment(port, fleets.ACK))
+        assert delivered.packet.destination == target
+
+
 def test_reset_from_the_target_with_the_flow_reaches_the_caller(fleet):
     # Guards against callers that never learn that their flow has ended.
     delivered = _open_flow(fleet, "a0", 5005)
