standins: isolate failure domains and share the life of processes

A partition concerns packets as well as peer traffic, so one call now cuts both. Four processes repeated how they start and stop; they share administration.async_serve.

--- a/standins/administration.py
+++ b/standins/administration.py
@@ -6,6 +6,7 @@
 import inspect
 import signal
 from typing import Any
+from typing import Protocol
 
 from aiohttp import web
 
@@ -62,6 +63,25 @@
         return web.json_response(result)
 
 
+class Lifetime(Protocol):
+    """A process whose setup has a matching unload."""
+
+    async def async_open(self) -> None:
+        """Sets the process up."""
+
+    async def async_close(self) -> None:
+        """Unloads what was set up, also after a failed setup."""
+
+
+async def async_serve(process: Lifetime) -> None:
+    """Runs a process until it gets SIGTERM or SIGINT."""
+    try:
+        await process.async_open()
+        await async_wait_for_signal()
+    finally:
+        await process.async_close()
+
+
 async def async_wait_for_signal() -> None:
     """Returns when the process gets SIGTERM or SIGINT."""
     stopped = asyncio.Event()
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -17,6 +17,7 @@
 from standins import processes
 from standins import requests
 
+CALLER_DOMAIN = "clients"
 _ENDPOINT_ADDRESS = 1
 _BLOCK_WIDTH = 10
 _BLOCKS = 25
@@ -198,6 +199,26 @@
         """Lets the fabric send no more packets to an entry VM."""
         await self.async_ask_fabric("remove_balancer", name=name)
 
+    async def async_isolate(self, domain: str) -> None:
+        """Cuts a failure domain off from all others and from the callers.
+
+        The deployment must be relayed. Other faults of the fabric and of the
+        relay end.
+        """
+        others = {vm.domain for vm in self.vms.values()} - {domain}
+        cuts = [
+            pair
+            for other in sorted(others | {CALLER_DOMAIN})
+            for pair in ([domain, other], [other, domain])
+        ]
+        await self.async_ask_fabric("faults", cuts=cuts)
+        await self.async_ask_relay("faults", cuts=cuts)
+
+    async def async_heal(self) -> None:
+        """Ends all faults of the fabric and of the relay."""
+        await self.async_ask_fabric("faults")
+        await self.async_ask_relay("faults")
+
     async def async_retire(self, name: str, lag_s: float = 0.5) -> int:
         """Stops a balancer as planned; returns its exit status.
 
@@ -310,6 +331,7 @@
         arguments += self._build_fabric_arguments()
         arguments += ["--address", self.callers_admin[0]]
         arguments += ["--admin", format_address(self.callers_admin)]
+        arguments += ["--domain", CALLER_DOMAIN]
         arguments += ["--inner", shift_address("127.2.0.1", self.block)]
         await self.processes.async_start(
             "callers",
--- a/standins/direct.py
+++ b/standins/direct.py
@@ -282,18 +282,10 @@
     settings: pathlib.Path
 
     def __call__(self) -> None:
-        """Runs the process."""
-        asyncio.run(self.async_run())
-
-    async def async_run(self) -> None:
         """Runs the balancer until a signal arrives."""
         settings = settings_module.load_settings(self.settings)
         process = DirectProcess(settings=settings)
-        try:
-            await process.async_open()
-            await administration.async_wait_for_signal()
-        finally:
-            await process.async_close()
+        asyncio.run(administration.async_serve(process))
 
 
 def main() -> None:
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -425,21 +425,13 @@
     spray: Annotated[Spray, cappa.Arg(long=True)] = Spray.PACKET
 
     def __call__(self) -> None:
-        """Runs the process."""
-        asyncio.run(self.async_run())
-
-    async def async_run(self) -> None:
         """Runs the fabric until a signal arrives."""
         process = FabricProcess(
             fabric=Fabric(seed=self.seed, spray=self.spray),
             address=administration.parse_address(self.address),
             admin_address=administration.parse_address(self.admin),
         )
-        await process.async_open()
-        try:
-            await administration.async_wait_for_signal()
-        finally:
-            await process.async_close()
+        asyncio.run(administration.async_serve(process))
 
 
 def main() -> None:
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -297,20 +297,12 @@
     seed: Annotated[int, cappa.Arg(long=True)] = 1
 
     def __call__(self) -> None:
-        """Runs the process."""
-        asyncio.run(self.async_run())
-
-    async def async_run(self) -> None:
         """Runs the relay until a signal arrives."""
         process = RelayProcess(
             admin_address=administration.parse_address(self.admin),
             seed=self.seed,
         )
-        await process.async_open()
-        try:
-            await administration.async_wait_for_signal()
-        finally:
-            await process.async_close()
+        asyncio.run(administration.async_serve(process))
 
 
 def main() -> None:
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -59,13 +59,15 @@
     def __init__(
         self,
         *,
+        document: documents.Document,
         fabric: link.Address,
         fabric_admin: link.Address,
         address: str,
         admin_address: link.Address,
         seed: int,
     ):
-        """Creates the process without targets."""
+        """Creates the process without starting the targets."""
+        self._document = document
         self._fabric = fabric
         self._fabric_admin = fabric_admin
         self._address = address
@@ -92,8 +94,9 @@
         )
 
     async def async_open(self) -> None:
-        """Opens the administration interface and the timers."""
+        """Starts the targets, and then the administration interface."""
         await self._ticker.async_open()
+        await self.async_follow(self._document)
         await self._administration.async_open()
 
     async def async_close(self) -> None:
@@ -256,25 +259,16 @@
     seed: Annotated[int, cappa.Arg(long=True)] = 1
 
     def __call__(self) -> None:
-        """Runs the process."""
-        asyncio.run(self.async_run())
-
-    async def async_run(self) -> None:
         """Runs the targets until a signal arrives."""
         process = TargetsProcess(
+            document=documents.parse_document(self.document.read_bytes()),
             fabric=administration.parse_address(self.fabric),
             fabric_admin=administration.parse_address(self.fabric_admin),
             address=self.address,
             admin_address=administration.parse_address(self.admin),
             seed=self.seed,
         )
-        document = documents.parse_document(self.document.read_bytes())
-        try:
-            await process.async_follow(document)
-            await process.async_open()
-            await administration.async_wait_for_signal()
-        finally:
-            await process.async_close()
+        asyncio.run(administration.async_serve(process))
 
 
 def main() -> None:
--- a/tests/standins/test_deployment.py
+++ b/tests/standins/test_deployment.py
@@ -47,9 +47,14 @@
         assert state["outcomes"] == {
             load["name"]: {"finished": 10} for load in loads
         }
+        await deployment.async_isolate("a")
+        await deployment.async_ask_callers("start", loads=loads[:1])
+        await asyncio.wait_for(wait_for_cut(deployment), 60)
+        await deployment.async_heal()
+        await asyncio.wait_for(wait_until_ended(deployment, 40), 60)
         await deployment.async_start_balancer("vm-b1")
-        assert balancer is not deployment.processes["vm-b1"]
         fabric = await deployment.async_ask_fabric("statistics")
+        assert balancer is not deployment.processes["vm-b1"]
         assert fabric["balancers"] == ["vm-a1", "vm-b1"]
         with pytest.raises(exceptions.PlanError):
             await deployment.async_ask_fabric("faults", los=1)
@@ -60,6 +65,14 @@
     assert set(statuses.values()) == {0}
 
 
+async def wait_for_cut(deployment):
+    while True:
+        state = await deployment.async_ask_fabric("statistics")
+        if state["drops"].get("cut", 0):
+            return
+        await asyncio.sleep(0.1)
+
+
 async def follow_a_reused_address(deployment):
     document = json.loads(conftest.EXAMPLE.read_text())
     document["version"] += 1
