--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -586,7 +586,7 @@
             return self._answer_datagram(packet, source, key, target, now)
         if packet.is_reset:
             if self._is_doubtful(key, target, now):
-                target.release(target.flows.remove(key), now)
+                target.remove(key, now)
                 return [actions.Drop(actions.RoutingDrop.STALE_RESET)]
             target.admission.note_reset(
                 target.flows.get_state(key) is records.FlowState.OPEN, now
@@ -675,7 +675,9 @@
         elif packet.is_fin:
             target.close_target(key, now)
         elif target.flows.confirm(key, now):
-            target.note_handshake(key, now, is_timed=True)
+            # A late loop would make every target look slow.
+            is_timed = not self._context.loop_is_late
+            target.note_handshake(key, now, is_timed=is_timed)
 
 
 def find_peers(
