--- a/bench/membership.py
+++ b/bench/membership.py
@@ -206,6 +206,11 @@
         fleet, arguments.rounds, arguments.seed, rng
     )
     result["false_deaths"] = _count_false_deaths(fleet, arguments.rounds)
+    # Late ticks extend the timeouts; many of them mean that the machine was
+    # too busy for the times to hold.
+    result["late_ticks"] = max(
+        instance.gossip.dump_state()["detector"]["late"] for instance in fleet
+    )
     for instance in fleet:
         await instance.gossip.async_close()
     return result
