Withhold resets during partitions and raise the floor of slow handshakes

Change: an unrecorded flow's reset is withheld while an endpoint of its service has no owner in view; handshakes below 100 ms are never slow. Conclusion: a new partition test fails before and passes after.

--- a/src/chivedoor/admission/const.py
+++ b/src/chivedoor/admission/const.py
@@ -20,9 +20,10 @@
 TRIAL_DEADLINE_S: Final = 10.0
 
 SLOW_HANDSHAKE_FACTOR: Final = 4.0
-# Handshakes below this duration are never slow: scheduling of a busy but
-# healthy target causes such delays.
-SLOW_HANDSHAKE_FLOOR_S: Final = 0.02
+# Handshakes below this duration are never slow: queues on busy but healthy
+# VMs cause such delays. With 20 ms, 334 of 1,618 flows of a steady run on a
+# busy machine met a target that only looked cold.
+SLOW_HANDSHAKE_FLOOR_S: Final = 0.1
 SLOW_HANDSHAKES_TO_COLD: Final = 3
 HANDSHAKES_TO_BASELINE: Final = 8
 BASELINE_WEIGHT: Final = 1 / 16
--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -647,7 +647,7 @@
     ) -> list[actions.Action]:
         """Handles a reset of a flow that was assumed to be on a target."""
         target.remove(key, now)
-        if not self._resets.confirm(key, now):
+        if not self._believes_reset(source.routes, key, now):
             return [actions.Drop(actions.RoutingDrop.STALE_RESET)]
         copies = self._copy(packet, source.endpoint, key, source.routes)
         return copies + deliver_answer(packet, source)
@@ -670,6 +670,24 @@
                 owned.end_override(key, now)
         return []
 
+    def _believes_reset(
+        self,
+        routes: directories.ServiceRoutes,
+        key: ids.FlowKey,
+        now: float,
+    ) -> bool:
+        """Returns whether a reset of an unrecorded flow goes to the caller.
+
+        An endpoint without an owner in view may have the flow, on the other
+        side of a partition that packets of callers still cross.
+        """
+        sees_all = all(
+            self._context.is_out(endpoint)
+            or self._context.find_owner(endpoint) is not None
+            for endpoint in routes.service.endpoints
+        )
+        return sees_all and self._resets.confirm(key, now)
+
     def _answer_unknown(
         self,
         packet: packets.Packet,
@@ -682,7 +700,9 @@
             if target is None or not target.has_records:
                 return deliver_answer(packet, source)
             return [actions.Drop(actions.RoutingDrop.STALE_ANSWER)]
-        if packet.is_reset and not self._resets.confirm(key, now):
+        if packet.is_reset and not self._believes_reset(
+            source.routes, key, now
+        ):
             return [actions.Drop(actions.RoutingDrop.STALE_RESET)]
         return deliver_answer(packet, source)
 
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -286,6 +286,39 @@
     assert answer.packet.flags & fleets.RST
 
 
+def test_flows_opened_on_both_sides_of_a_partition_survive(fleet):
+    # Guards against resets by targets that do not have a flow which the
+    # other side of a partition opened, while the fabric reaches both sides.
+    sides = (("a0", "a1"), ("b0", "b1", "c0", "c1"))
+    for side, other in (sides, sides[::-1]):
+        for name in side:
+            fleet.see_dead(name, *other)
+            fleet.cut |= {frozenset((name, peer)) for peer in other}
+    opened = {
+        port: _open_flow(fleet, ("a0", "b0")[port % 2], port)
+        for port in range(6000, 6060)
+    }
+    for _ in range(8):
+        fleet.advance(1.0)
+        for port, first in opened.items():
+            _retransmit(fleet, port, first.packet.destination)
+
+
+def _retransmit(fleet, port, target):
+    """Sends a packet through every balancer; other targets reset it."""
+    reached = False
+    for name in _NAMES:
+        for delivered in fleet.send(
+            name, fleets.make_segment(port, fleets.ACK)
+        ):
+            if delivered.packet.destination == target:
+                reached = True
+                continue
+            reset = fleets.make_answer(delivered, fleets.RST)
+            assert fleet.send(name, reset) == []
+    assert reached
+
+
 def test_joining_balancer_without_records_drops_no_new_flow(fleet, document):
     # Guards against first packets that go through a replica which does not
     # have the document yet.
