flows: spread the expiry of records over 5 s

Change: a call looks at a fiftieth of the records, at least 64 and at most 2,048, so that a pass takes 5 s; a record's time has a resolution of 4 s. A record may expire up to 5 s later than before. Conclusion: the cost follows the records, not the ticks.

--- a/src/chivedoor/flows/const.py
+++ b/src/chivedoor/flows/const.py
@@ -22,8 +22,14 @@
 # ranking until one of them reports that it has the flow.
 PENDING_TIMEOUT_S: Final = 20.0
 
-# Records looked at in one call of `expire`, to bound its time on the loop.
-EXPIRE_BATCH: Final = 2048
+# Calls of `expire` that look at all records once: 5 s at 10 calls a second,
+# about the resolution of a record's time. With 2,048 records in each call,
+# 11 targets of 3,478 flows took about a third of a core.
+EXPIRE_PASS_CALLS: Final = 50
+# Bounds of the records in one call: small tables are done sooner, and large
+# ones do not hold up the loop.
+EXPIRE_MIN_BATCH: Final = 64
+EXPIRE_MAX_BATCH: Final = 2048
 
 # Each receiver sends one packet of an active flow through the owner in a
 # window, so that the owner's record does not expire.
--- a/src/chivedoor/flows/records.py
+++ b/src/chivedoor/flows/records.py
@@ -163,10 +163,12 @@
         return closed, dropped
 
     def _next_batch(self) -> Iterable[ids.FlowKey]:
-        batch = _take(self._scan, const.EXPIRE_BATCH)
+        wanted = -(-len(self._records) // const.EXPIRE_PASS_CALLS)
+        size = min(max(wanted, const.EXPIRE_MIN_BATCH), const.EXPIRE_MAX_BATCH)
+        batch = _take(self._scan, size)
         if not batch:
             self._scan = iter(tuple(self._records))
-            batch = _take(self._scan, const.EXPIRE_BATCH)
+            batch = _take(self._scan, size)
         return batch
 
     def _find_timeout(
