bench: add a load tool that opens and holds flows

Cause: no tool holds as many flows as a balancer has at today's size. Change: python -m bench.load opens flows at a rate and holds them against one balancer object or one process on 127.0.0.0/8, answers SYNs like targets, records latency in HDR histograms, compares results and plots them.

--- /dev/null
+++ b/tests/bench/test_load.py
@@ -0,0 +1,99 @@
+"""Tests of the load tool."""
+
+import asyncio
+import json
+
+import pytest
+
+from bench import load
+
+
+def _make_run(link, **options):
+    values = {
+        "link": link,
+        "services": load.DEFAULT_SERVICES,
+        "rate_per_s": 1_000.0,
+        "flows": 200,
+        "hold_s": 0.05,
+        "packets_per_s": 1_000.0,
+        "seed": 1,
+        "report": lambda line: None,
+    }
+    return load.Run(**(values | options))
+
+
+class _Echo(asyncio.DatagramProtocol):
+    """Returns each datagram, as a balancer does with its packets."""
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, addr):
+        self.transport.sendto(data, addr)
+
+
+async def test_balancer_holds_every_opened_flow():
+    # Guards against load that the balancer refuses while it counts as held.
+    link = load.ObjectLink()
+    result = await _make_run(link).async_run()
+    assert result["flows"] == link.count_records() == 200
+    assert result["answered"] == result["sent"]
+    assert not link.reasons
+
+
+async def test_flows_follow_the_shares_of_the_services():
+    # Guards against a mix of services that all go to the first one.
+    link = load.ObjectLink()
+    services = (
+        load.Service(address="203.0.0.1", port=8000, share=1),
+        load.Service(address="203.0.0.99", port=8000, share=1),
+    )
+    result = await _make_run(link, services=services).async_run()
+    refused = link.reasons["no_service"]
+    assert 0 < refused < result["sent"]
+    assert refused + result["answered"] == result["sent"]
+
+
+async def test_packets_pass_over_sockets():
+    # Guards against answers that are not matched with their packets.
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        _Echo, local_addr=("127.0.0.1", 0)
+    )
+    link = load.SocketLink(
+        target=transport.get_extra_info("sockname"), listen=("127.0.0.1", 0)
+    )
+    result = await _make_run(link, packets_per_s=0.0).async_run()
+    transport.close()
+    assert result["answered"] == result["sent"] == 200
+    assert result["latency_us"]["new"]["count"] == 200
+
+
+def test_load_stays_on_loopback():
+    # Guards against load on another machine.
+    with pytest.raises(load.LoadError, match="192"):
+        load.SocketLink(target=("192.0.2.1", 1), listen=("127.0.0.1", 0))
+
+
+def test_file_without_services_is_refused(tmp_path):
+    path = tmp_path / "mix.json"
+    path.write_text("[]")
+    with pytest.raises(load.LoadError, match="no services"):
+        load.load_services(path)
+
+
+def test_results_are_compared_as_ratios():
+    first = {"flows": 10, "latency_us": {"new": {"p50": 4.0}}, "lost": 0}
+    second = {"flows": 20, "latency_us": {"new": {"p50": 2.0}}, "lost": 1}
+    assert load.compare_results(first, second) == {
+        "flows": 2.0,
+        "latency_us.new.p50": 0.5,
+    }
+
+
+async def test_plots_have_both_formats(tmp_path):
+    result = await _make_run(load.ObjectLink()).async_run()
+    stored = json.loads(json.dumps(result))
+    load.plot_results(stored, tmp_path / "load")
+    for suffix in (".png", ".svg"):
+        assert (tmp_path / f"load{suffix}").stat().st_size
