docs: capacity of each role at both sizes

Cause: what fits at 830 nodes and what does not was not written down. Change: docs/CAPACITY.md has a table for each role, computed by bench.capacity_page from docs/capacity.json; a test compares the two. What does not fit comes first, with its cause in the code and a proposed change.

--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -240,8 +240,7 @@
 
 
 def _announcers(s: Size) -> int:
-    limit = getattr(daemon_const, "ANNOUNCERS_PER_DOMAIN", s.members)
-    return min(s.members, limit * s.domains)
+    return min(s.members, daemon_const.ANNOUNCERS_PER_DOMAIN * s.domains)
 
 
 def _announce_bytes(f: Figures, s: Size) -> float:
@@ -302,10 +301,7 @@
     reply_bytes = (
         f.get(f"document_difference_bytes_{s.document_figure}") + _REQUEST_BYTES
     )
-    sources = (
-        _announcers(s) if hasattr(daemon_const, "ANNOUNCERS_PER_DOMAIN") else 1
-    )
-    return s.members / sources * reply_bytes / s.control_bytes_per_s
+    return s.members / _announcers(s) * reply_bytes / s.control_bytes_per_s
 
 
 def _memory(f: Figures, s: Size) -> float:
@@ -595,8 +591,8 @@
             compute=_announce_rate,
             mechanism="board entries `document`",
             budget=_control_rate,
-            assumption="every balancer sends each entry as often as the gossip"
-            " allows",
+            assumption="8 announcers a failure domain; every balancer sends"
+            " each entry as often as the gossip allows",
         ),
         Row(
             name="announcements of one version",
@@ -613,8 +609,7 @@
             mechanism="`DocumentReply` from the announcers",
             budget=_fixed(8),
             assumption="the change concerns the largest service; 200 B of"
-            " headers; the choice of the source spreads the requests evenly,"
-            " or, without such a choice, all ask the same source",
+            " headers; the requests are spread evenly over the announcers",
         ),
         Row(
             name="stall of a reader's loop by a document",
--- /dev/null
+++ b/tests/bench/test_capacity_page.py
@@ -0,0 +1,57 @@
+"""Tests of the page on capacity against the committed measurements."""
+
+import json
+
+import pytest
+
+from bench import capacity_page
+
+
+@pytest.fixture
+def figures():
+    return capacity_page.load_figures()
+
+
+def test_page_shows_the_committed_figures(figures):
+    # Guards against figures on the page that no committed run produced.
+    page = capacity_page.PAGE.read_text()
+    assert page == capacity_page.write_tables(page, figures)
+
+
+def test_every_misfit_comes_first(figures):
+    # Guards against a row over its budget that only its table shows.
+    page = capacity_page.PAGE.read_text()
+    listed = page.partition("## Assumptions")[0]
+    misfits = [
+        row.name
+        for rows in capacity_page.TABLES.values()
+        for row in rows
+        for size in (capacity_page.TODAY, capacity_page.PLANNED)
+        if not row.fits(figures, size)
+    ]
+    assert misfits
+    assert [name for name in misfits if name not in listed] == []
+
+
+def test_changed_figure_changes_the_page(figures):
+    # Guards against a page that agrees with any measurement.
+    page = capacity_page.PAGE.read_text()
+    report = json.loads(capacity_page.FIGURES.read_text())
+    for value in report["measured"].values():
+        value["median"] *= 2
+    changed = capacity_page.Figures(report)
+    assert page != capacity_page.write_tables(page, changed)
+
+
+def test_page_without_markers_is_refused(figures):
+    # Guards against tables that vanish from the page.
+    with pytest.raises(ValueError, match="misfits"):
+        capacity_page.write_tables("", figures)
+
+
+def test_sizes_match_the_deployments():
+    # Guards against rows that are computed for another fleet.
+    planned = capacity_page.PLANNED
+    assert (planned.members, planned.endpoints) == (830, 4_600)
+    assert len(planned.service_sizes) == 2_900
+    assert capacity_page.TODAY.endpoints == 10
