--- /dev/null
+++ b/tests/routing/test_directory.py
@@ -0,0 +1,107 @@
+"""Tests of the lookup of services and endpoints."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+from chivedoor import ids
+from chivedoor.routing import directory as directories
+from tests.balancer import fleet as fleets
+
+
+@pytest.fixture
+def directory():
+    return directories.ServiceDirectory()
+
+
+def _make_service(name, address, numbers):
+    return fleets.make_service(
+        [fleets.make_endpoint(n, "abc"[n % 3]) for n in numbers],
+        id=ids.ServiceId(name),
+        addresses=(address,),
+    )
+
+
+def _update(directory, *services, out=()):
+    return directory.update(
+        document=fleets.make_document(1, *services),
+        out_domains=frozenset(out),
+        region=fleets.REGION,
+    )
+
+
+@settings(max_examples=100)
+@given(
+    history=strategies.lists(
+        strategies.lists(strategies.sampled_from("xyz"), max_size=12),
+        min_size=1,
+        max_size=4,
+    )
+)
+def test_no_address_and_port_leads_to_two_services(history):
+    # Guards against packets of one service at an endpoint of another, also
+    # when endpoints go from one service to another between documents.
+    directory = directories.ServiceDirectory()
+    for turn, owners in enumerate(history):
+        services = [
+            _make_service(
+                name,
+                bytes((203, 0, 113, ord(name))),
+                [
+                    20 * turn + index + 1
+                    for index, owner in enumerate(owners)
+                    if owner == name
+                ],
+            )
+            for name in "xyz"
+        ]
+        _update(directory, *services)
+        for (_, address, port), entry in directory.services.items():
+            assert address in entry.routes.service.addresses
+            assert entry.port.port == port
+        for (_, address, port), source in directory.endpoints.items():
+            assert source.endpoint in source.routes.service.endpoints
+            assert source.endpoint.address == address
+            assert source.service_address in source.routes.service.addresses
+            assert source.port.target_port == port
+        listed = {e.number for s in services for e in s.endpoints}
+        assert directory.by_number.keys() == listed
+
+
+def test_update_keeps_tables_of_services_that_did_not_change(directory):
+    # Guards against a document that rebuilds every table, and against modes
+    # that stay `DIRECT` across a change of the table.
+    first = _make_service("x", fleets.SERVICE, (1, 2))
+    second = _make_service("y", fleets.OTHER_SERVICE, (3, 4))
+    _update(directory, first, second)
+    routes = directory.routes["y"]
+    table = routes.table
+    for known in directory.routes.values():
+        known.direct = frozenset((1, 3))
+    grown = _make_service("x", fleets.SERVICE, (1, 2, 5))
+    changed = _update(directory, grown, second)
+    assert [r.service.id for r in changed] == ["x"]
+    assert directory.routes["y"] is routes
+    assert routes.table is table
+    assert routes.direct == {1, 3}
+    assert directory.routes["x"].direct == frozenset()
+    assert directory.routes["x"].previous is not None
+
+
+def test_domain_that_is_out_leaves_the_tables(directory):
+    # Guards against new flows to a failure domain that was taken out.
+    service = _make_service("x", fleets.SERVICE, (1, 2, 3))
+    _update(directory, service)
+    assert _update(directory, service, out=("a",))
+    bases = {e.number for e in directory.routes["x"].table.rank_endpoints(0)}
+    assert bases == {1, 2}
+
+
+def test_endpoint_has_no_service_address_of_another_family(directory):
+    # Guards against answers whose source cannot be rewritten.
+    service = fleets.make_service(
+        [fleets.make_endpoint(1, "a")], addresses=(bytes(16),)
+    )
+    _update(directory, service)
+    assert directory.endpoints == {}
