Stop first packets at a replica whose failure domain is out

Cause: an owner that had not yet taken the command sent a SYN by CHAIN, and the replica delivered it without the check that every other way to a target makes. Ruled out: the tables and overrides, which do check (the owner's own packets were dropped). Change: the replica drops the packet and records nothing. Before: the new test got Deliver. Conclusion: all ways to a target check the command now.

--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -524,6 +524,9 @@
         found = self._context.directory.by_number.get(number)
         if found is None:
             return [actions.Drop(actions.RoutingDrop.NO_ENDPOINT)]
+        if self._context.is_out(found[1]):
+            # The owner sent the packet before it took the command.
+            return abort_flow(packet)
         target = self._context.targets.get(number)
         if target is not None:
             target.replicate(key, entry.port.kind, now)
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -395,6 +395,20 @@
                     assert bool(delivered.packet.flags & fleets.RST) == gone
 
 
+def test_first_packet_at_the_replica_stops_when_its_domain_is_out(
+    fleet, document
+):
+    # Guards against a SYN that was on its way to the replica when the
+    # replica took the command.
+    context = fleet.balancers["a0"].context
+    endpoint = _endpoints()[0]
+    header = context.make_header(_KIND.CHAIN, endpoint)
+    data = segments.build_packet(fleets.make_segment(5022, fleets.SYN))
+    fleet.apply(document, out=frozenset({ids.DomainId("a")}))
+    result = fleet.balancers["a1"].handle_forwarded(header, data, fleet.now)
+    assert result == [actions.Drop(actions.RoutingDrop.DOMAIN_OUT)]
+
+
 def test_flows_above_the_rate_of_a_service_are_refused(document):
     # Guards against a flood that takes all time from established flows.
     service = fleets.make_service(
