Stop passed-on packets at an owner whose failure domain is out

Cause: an owner checked the command before it passed a packet on, but not when one arrived, so a LOOKUP or NEXT sent before the command reached the sender still led to the target. Ruled out: CHAIN, which is checked already. Change: the owner that is asked checks the command first. Before: NEXT got Deliver, and LOOKUP more actions than the one Abort. Conclusion: first packets and passed-on packets are checked on arrival.

--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -112,6 +112,10 @@
         if found is None:
             return [actions.Drop(actions.RoutingDrop.NO_ENDPOINT)]
         endpoint = found[1]
+        if self._context.is_out(endpoint):
+            # The other balancer passed the packet on before it took the
+            # command.
+            return abort_flow(packet)
         if not self._context.is_owner(endpoint):
             return self._ask_endpoint(packet, entry, key, endpoint, header, now)
         target = self._context.targets[number]
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -409,6 +409,23 @@
     assert result == [actions.Drop(actions.RoutingDrop.DOMAIN_OUT)]
 
 
+@pytest.mark.parametrize("kind", [_KIND.LOOKUP, _KIND.NEXT])
+def test_passed_on_packet_stops_when_the_domain_is_out(fleet, document, kind):
+    # Guards against a packet that another owner passed on just before the
+    # owner of its target took the command.
+    opened = {}
+    for port in range(6000, 6020):
+        opened[_open_flow(fleet, "a0", port).packet.destination[3]] = port
+    context = fleet.balancers["b0"].context
+    header = context.make_header(kind, _endpoints()[0])
+    packet = fleets.make_segment(opened[1], fleets.ACK)
+    fleet.apply(document, out=frozenset({ids.DomainId("a")}))
+    (result,) = fleet.balancers[fleet.find_owner(1)].handle_forwarded(
+        header, segments.build_packet(packet), fleet.now
+    )
+    assert isinstance(result, actions.Abort)
+
+
 def test_flows_above_the_rate_of_a_service_are_refused(document):
     # Guards against a flood that takes all time from established flows.
     service = fleets.make_service(
