Drop a late SYN of a closed flow instead of refusing it

Cause: a SYN that finds a closed record was refused with a RST when the target has no room. Ruled out: the datagram path, where the filter proves that this request did not run. Change: such a SYN is dropped; the caller of a new flow sends it again. Before: the new test got a RST. Conclusion: a refusal comes only from owners without a record of the flow.

--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -424,7 +424,9 @@
             share = self._context.find_share(endpoint.domain)
             verdict = target.admit(key, entry.port.kind, share, now)
             if verdict is not admissions.Verdict.ADMIT:
-                return refuse_new_flow(packet, actions.Refusal.TARGETS_FULL)
+                # It may be a late copy of the SYN that the target had, which
+                # a refusal would call not run.
+                return [actions.Drop(actions.RoutingDrop.UNCERTAIN)]
         return self._chain(packet, entry, endpoint)
 
     def _continue_datagrams(
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -426,6 +426,16 @@
     assert isinstance(result, actions.Abort)
 
 
+def test_late_syn_of_a_closed_flow_is_not_refused(fleet):
+    # Guards against a refusal that says "not run" of a request which ran.
+    first = _open_flow(fleet, "a0", 6000, port=fleets.REQUEST_PORT)
+    number = first.packet.destination[3]
+    fleet.send("b0", fleets.make_answer(first, fleets.RST))
+    fleet.get_target(number).admission.set_draining(True)
+    late = fleets.make_segment(6000, fleets.SYN, port=fleets.REQUEST_PORT)
+    assert fleet.send("c0", late) == []
+
+
 def test_flows_above_the_rate_of_a_service_are_refused(document):
     # Guards against a flood that takes all time from established flows.
     service = fleets.make_service(
