Announce mode DIRECT only with all records of the target

Cause: a new or recovering owner announced DIRECT before it had records. Ruled out: the RST filter of an owner with records. Change: settled targets are only those with records. Before: the new test saw DIRECT 4 s after the endpoint joined, without records. Conclusion: the mode is VIA_OWNER while the owner's knowledge is partial.

--- a/src/chivedoor/balancer/targets.py
+++ b/src/chivedoor/balancer/targets.py
@@ -215,7 +215,9 @@
             return []
         settled = []
         for number, target in context.targets.items():
-            if target.role is not owners.Role.OWNER:
+            # Without records, the owner cannot drop the RST of a target that
+            # a packet in an outdated mode reached.
+            if target.role is not owners.Role.OWNER or not target.has_records:
                 continue
             routes, endpoint = context.directory.by_number[number]
             generation = routes.table.generation
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -436,6 +436,20 @@
     assert fleet.send("c0", late) == []
 
 
+def test_mode_is_not_direct_before_the_owner_has_all_records(fleet):
+    # Guards against a misrouted packet whose RST reaches the caller, because
+    # the owner cannot tell yet which flows its target has.
+    grown = fleets.make_service([*_endpoints(), fleets.make_endpoint(8, "b")])
+    fleet.apply(fleets.make_document(2, grown))
+    for seconds in (4.0, 2.0):
+        fleet.pull()
+        fleet.advance(seconds)
+        fleet.announce()
+        (routes,) = fleet.balancers["a0"].context.directory.routes.values()
+        assert (8 in routes.direct) == fleet.get_target(8).has_records
+    assert 8 in routes.direct
+
+
 def test_flows_above_the_rate_of_a_service_are_refused(document):
     # Guards against a flood that takes all time from established flows.
     service = fleets.make_service(
