Test how documents reach a balancer and pass on

Cause: the document keeper had no tests. Change: newer, older and faulty versions, a platform that is down, and peers that fail, over fakes of platform and channel.

--- /dev/null
+++ b/tests/daemon/test_documents.py
@@ -0,0 +1,173 @@
+"""Tests of how documents reach a balancer and pass on from it."""
+
+import asyncio
+import itertools
+import types
+
+import pytest
+
+from chivedoor import exceptions
+from chivedoor import ids
+from chivedoor.configuration import encoding
+from chivedoor.control import board as boards
+from chivedoor.daemon import documents as documents_module
+from chivedoor.membership import members as memberships
+from chivedoor.platform import client as clients
+from tests.balancer import fleet as fleets
+
+_State = clients.ReadingState
+
+
+class FakePlatform:
+    """Answers watches from a list, then waits."""
+
+    def __init__(self) -> None:
+        self.readings = []
+        self.asked = []
+
+    async def async_watch_document(self, version):
+        self.asked.append(version)
+        if not self.readings:
+            await asyncio.Event().wait()
+        reading = self.readings.pop(0)
+        if isinstance(reading, Exception):
+            raise reading
+        return reading
+
+
+class FakeChannel:
+    """Hands requests to the keepers of other balancers."""
+
+    def __init__(self, peers) -> None:
+        self.peers = peers
+        self.failing = set()
+
+    def register(self, request_type, handler) -> None:
+        self.handler = handler
+
+    async def async_request(self, member_id, request, timeout_s):
+        if member_id in self.failing:
+            raise exceptions.ChivedoorError("no connection")
+        return await self.peers[member_id].handler(request)
+
+
+def _make_body(version):
+    document = fleets.make_document(version)
+    return encoding.format_document(document)
+
+
+def _newer(version, body=None):
+    return clients.DocumentReading(
+        state=_State.NEWER,
+        version=ids.Version(version),
+        data=body or _make_body(version),
+        age_s=0.0,
+    )
+
+
+@pytest.fixture
+async def nodes():
+    """Three keepers; only those of a0 and b0 have the role of a reader."""
+    channels = {}
+    result = {}
+    for name in ("a0", "b0", "a1"):
+        members = memberships.Members(local=fleets.make_member(name, name[0]))
+        channels[name] = FakeChannel(channels)
+        node = types.SimpleNamespace(
+            platform=FakePlatform(),
+            channel=channels[name],
+            board=boards.Board(
+                local_id=ids.VmId(name), incarnation=ids.Incarnation(1)
+            ),
+            events=[],
+            changes=[],
+        )
+        node.keeper = documents_module.DocumentKeeper(
+            members=members,
+            board=node.board,
+            channel=node.channel,
+            platform=node.platform,
+            clock=lambda: 100.0,
+            logs=types.SimpleNamespace(write_event=node.events.append),
+            handle_change=lambda node=node: node.changes.append(
+                node.keeper.store.version
+            ),
+        )
+        result[name] = node
+    yield result
+    for node in result.values():
+        await node.keeper.async_close()
+
+
+def _spread(nodes):
+    for first, second in itertools.permutations(nodes.values(), 2):
+        second.board.merge(first.board.list_entries("document"), 100.0)
+
+
+async def _async_read(node, *readings):
+    node.platform.readings += readings
+    node.keeper.update_role()
+
+
+async def test_document_goes_from_the_platform_to_peers(
+    nodes, async_wait_until
+):
+    # Guards against balancers that stay on an old version.
+    first, second = nodes["a0"], nodes["b0"]
+    for version in (1, 2):
+        await _async_read(first, _newer(version))
+        await async_wait_until(
+            lambda v=version: first.keeper.store.version == v
+        )
+        first.keeper._watch.cancel()
+        await asyncio.gather(first.keeper._watch, return_exceptions=True)
+        _spread(nodes)
+        await async_wait_until(
+            lambda v=version: second.keeper.store.version == v
+        )
+    assert second.changes == [1, 2]
+
+
+async def test_older_and_faulty_documents_change_nothing(
+    nodes, async_wait_until
+):
+    # Guards against a version that goes back, and a watch that ends on a
+    # fault or while the platform is down.
+    node = nodes["a0"]
+    older = clients.DocumentReading(
+        state=_State.OLDER, version=ids.Version(3), data=None, age_s=0.0
+    )
+    await _async_read(
+        node,
+        exceptions.ChivedoorError("down"),
+        _newer(5),
+        older,
+        _newer(4),
+        _newer(6, b"{"),
+        _newer(7),
+    )
+    await async_wait_until(lambda: not node.platform.readings)
+    await async_wait_until(lambda: node.keeper.store.version == 7)
+    assert node.changes == [5, 7]
+    kinds = [type(event).__name__ for event in node.events]
+    assert kinds == [
+        "DocumentAccepted",
+        "DocumentOlder",
+        "DocumentRejected",
+        "DocumentRejected",
+        "DocumentAccepted",
+    ]
+
+
+async def test_peer_that_fails_is_left_for_another(nodes, async_wait_until):
+    # Guards against a newcomer that depends on one peer.
+    first, second, third = nodes.values()
+    for node in (first, second):
+        await _async_read(node, _newer(3))
+    await async_wait_until(
+        lambda: first.keeper.store.version == second.keeper.store.version == 3
+    )
+    third.channel.failing.add("a0")
+    _spread(nodes)
+    await async_wait_until(lambda: third.keeper.store.version == 3)
+    assert third.changes == [3]
