Compare random histories of a fleet with a central model

Cause: no test combined changes, deaths, losses and reordering. Change: a state machine over six real balancers, and a model of targets and callers that checks every packet that leaves them.

--- /dev/null
+++ b/tests/balancer/world.py
@@ -0,0 +1,508 @@
+"""A fleet with packets in flight, and a central model of all of its flows."""
+
+import collections
+import dataclasses
+import itertools
+
+from chivedoor import ids
+from chivedoor.balancer import actions
+from chivedoor.balancer import balancer as balancers
+from chivedoor.dataplane import encapsulation
+from chivedoor.membership import members as memberships
+from standins import segments
+from tests.balancer import fleet as fleets
+
+_CALLER = bytes((198, 51, 100, 7))
+_PORTS = {
+    "stream": fleets.STREAM_PORT,
+    "request": fleets.REQUEST_PORT,
+    "datagram": fleets.DATAGRAM_PORT,
+}
+CONNECTIONS, SLOTS = 4, 2
+POLICY = fleets.make_policy(
+    connections=CONNECTIONS, slots=SLOTS, idle_timeout_s=120.0
+)
+_OPENING_S = 20.0
+# No copy of a first packet is older: section 2.7 keeps closed records for
+# 30 s, and `flows.const` gives up a handshake after 20 s.
+REPEAT_S = 20.0
+# A sequence number names the target that sent a packet, so that the caller
+# can tell targets apart behind the service's address.
+_SEQUENCE_UNIT = 1000
+
+
+@dataclasses.dataclass
+class Item:
+    """A packet in flight; the sender is None when the fabric hands it over."""
+
+    sender: ids.VmId | None
+    receiver: ids.VmId
+    header: encapsulation.Header | None
+    data: bytes
+    born_s: float
+
+
+@dataclasses.dataclass
+class Flow:
+    """What the model knows of one flow.
+
+    Attributes:
+      port: The caller's port.
+      kind: The kind of the service's port.
+      service: The service's address.
+      opened_s: When the first packet was sent.
+      home: The target whose handshake the caller accepted.
+      reached: The targets that any packet of the flow reached.
+      is_lost: Whether a change ended the flow's target.
+      is_done: Whether either side has begun to end the flow.
+      payloads: Requests of a UDP flow, and how often each reached a target.
+      answered: Whether the last request was answered.
+      is_refused: Whether a balancer refused the flow.
+      is_reset: Whether a target's RST reached the caller.
+    """
+
+    port: int
+    kind: str
+    service: bytes
+    opened_s: float
+    home: int | None = None
+    reached: set[int] = dataclasses.field(default_factory=set)
+    is_lost: bool = False
+    is_done: bool = False
+    is_refused: bool = False
+    is_reset: bool = False
+    payloads: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    answered: bool = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether packets of the flow have to reach its home."""
+        return self.home is not None and not (self.is_lost or self.is_done)
+
+
+@dataclasses.dataclass
+class Connection:
+    """A flow as its target sees it."""
+
+    flow: Flow
+    opened_s: float
+    used_s: float
+    is_half_open: bool = True
+    has_slot: bool = False
+    caller_fin: bool = False
+    target_fin: bool = False
+
+
+class Target:
+    """The open flows of one target; TCP without data."""
+
+    def __init__(self, number: int, service: bytes) -> None:
+        self.number = number
+        self.service = service
+        self.open: dict[int, Connection] = {}
+        self.ended: set[int] = set()
+
+    @property
+    def slots(self) -> int:
+        """Flows that use a slot."""
+        return sum(c.has_slot for c in self.open.values())
+
+    def accept(self, flow: Flow, now: float) -> None:
+        """Opens a flow."""
+        self.open[flow.port] = Connection(
+            flow=flow,
+            opened_s=now,
+            used_s=now,
+            has_slot=flow.kind != "stream",
+        )
+
+    def end(self, port: int) -> None:
+        """Ends a flow."""
+        self.open.pop(port)
+        self.ended.add(port)
+
+    def list_given_up(self, now: float) -> list[Connection]:
+        """Returns the flows that the target ends by itself.
+
+        Section 5 closes slots for the request deadline after a takeover
+        because a target gives a request up by then; the other two timeouts
+        are those at which the owner ends its record.
+        """
+        return [
+            c
+            for c in self.open.values()
+            if (c.has_slot and now - c.opened_s >= POLICY.request_deadline_s)
+            or (c.is_half_open and now - c.opened_s >= _OPENING_S)
+            or now - c.used_s >= POLICY.idle_timeout_s
+        ]
+
+
+class World(fleets.Fleet):
+    """Balancers, packets in flight, targets, callers and the checks."""
+
+    def __init__(self, *, document, rng, services) -> None:
+        self.rng = rng
+        self.flight: list[Item] = []
+        self.flows: dict[int, Flow] = {}
+        self.targets: dict[int, Target] = {}
+        self.services = services
+        self.crashed: set[ids.VmId] = set()
+        self.out: dict[ids.VmId, frozenset] = {}
+        self.document = document
+        self.members: dict[ids.VmId, memberships.Member] = {}
+        self.calm = True
+        self.arriving: Item | None = None
+        super().__init__(per_domain=2, document=document)
+        self.note_document(document)
+        self.members = {
+            name: balancer.context.members.local
+            for name, balancer in self.balancers.items()
+        }
+        self.advance(30.0)
+        self.settle()
+
+    # The network.
+
+    def _forward(self, name, action):
+        self.forwards[action.header.kind] += 1
+        self.flight.append(
+            Item(
+                name,
+                action.member,
+                action.header,
+                bytes(action.data),
+                self.now,
+            )
+        )
+        return []
+
+    def hand_over(self, content) -> None:
+        """Puts a packet in flight to a balancer that the fabric chooses."""
+        receiver = self.rng.choice(sorted(self.balancers))
+        data = segments.build_packet(content)
+        self.flight.append(Item(None, receiver, None, data, self.now))
+
+    def step(self, index: int) -> None:
+        """Lets one packet in flight arrive."""
+        item = self.arriving = self.flight.pop(index)
+        receiver = self.balancers.get(item.receiver)
+        if receiver is None:
+            return
+        if item.header is None:
+            results = receiver.handle_packet(item.data, self.now)
+        else:
+            results = receiver.handle_forwarded(
+                item.header, item.data, self.now
+            )
+        for result in results:
+            if isinstance(result, actions.Refuse):
+                self._check_refusal(bytes(result.data))
+            elif isinstance(result, actions.Abort):
+                self._check_abort(bytes(result.data))
+        for left in self._perform(item.receiver, results):
+            self._arrive(left)
+
+    def flush(self) -> None:
+        """Lets all packets in flight arrive, and what they cause."""
+        while self.flight:
+            self.step(0)
+
+    def pass_time(self, seconds: float) -> None:
+        """Lets time pass at targets and balancers."""
+        for target in self.targets.values():
+            late = target.list_given_up(self.now + seconds)
+            for connection in late:
+                target.end(connection.flow.port)
+                connection.flow.is_done = True
+        self.advance(seconds)
+        self.pull_and_join()
+        self.announce()
+
+    # Targets and callers.
+
+    def _arrive(self, left: fleets.Delivered) -> None:
+        packet = left.packet
+        if isinstance(packet, segments.Unreachable):
+            return
+        if packet.destination == _CALLER:
+            self._arrive_at_caller(packet)
+            return
+        self._arrive_at_target(packet, left.member)
+
+    def _arrive_at_target(self, packet, member: ids.VmId) -> None:
+        flow = self.flows[packet.source_port]
+        target = self.targets[packet.destination[3]]
+        assert target.service == flow.service, "another service's endpoint"
+        endpoint = self._find_endpoint(member, target.number)
+        assert endpoint.domain not in self.out.get(member, ()), (
+            "a packet to a failure domain that is out"
+        )
+        flow.reached.add(target.number)
+        if isinstance(packet, segments.Datagram):
+            self._take_datagram(flow, target, packet)
+        elif packet.flags & fleets.SYN:
+            self._take_syn(flow, target)
+        else:
+            self._take_segment(flow, target, packet)
+        self._check_limits(target)
+
+    def _find_endpoint(self, member, number):
+        context = self.balancers[member].context
+        return context.directory.by_number[ids.EndpointNumber(number)][1]
+
+    def _take_datagram(self, flow, target, packet) -> None:
+        flow.payloads[packet.payload] += 1
+        assert flow.payloads[packet.payload] == 1, "a request ran twice"
+        target.ended.discard(flow.port)
+        target.accept(flow, self.now)
+
+    def _take_syn(self, flow, target) -> None:
+        if flow.port in target.ended and target.number == flow.home:
+            # A late copy of the SYN of a connection in TIME-WAIT.
+            return
+        if flow.port not in target.open:
+            target.accept(flow, self.now)
+        self.answer(flow, target.number, fleets.SYN | fleets.ACK)
+
+    def _take_segment(self, flow, target, packet) -> None:
+        if not flow.is_lost and target.number != flow.home:
+            assert self._is_mode_outdated(target), "not where the flow lives"
+        connection = target.open.get(flow.port)
+        if connection is None:
+            if not packet.flags & fleets.RST:
+                self.answer(flow, target.number, fleets.RST)
+            return
+        connection.is_half_open = False
+        connection.used_s = self.now
+        if packet.flags & fleets.RST:
+            target.end(flow.port)
+            return
+        connection.caller_fin |= bool(packet.flags & fleets.FIN)
+        if connection.caller_fin and connection.target_fin:
+            target.end(flow.port)
+
+    def _is_mode_outdated(self, target) -> bool:
+        """Whether a receiver used a mode that its owner does not hold now.
+
+        Sections 2.4 and 2.6: the mode `DIRECT` spreads by gossip, so that a
+        receiver may use it shortly after the owner took an override; such a
+        packet costs a retransmission. Once modes have spread, none may.
+        """
+        is_held = any(
+            mode.number == target.number
+            for balancer in self.balancers.values()
+            for mode in balancer.list_own_modes(self.now)
+        )
+        context = self.balancers[self.arriving.receiver].context
+        routes, _ = context.directory.by_number[target.number]
+        is_direct = target.number in routes.direct
+        return self.arriving.header is None and is_direct and not is_held
+
+    def answer(self, flow, number: int, flags: int, payload=b"") -> None:
+        """Sends a packet from a target."""
+        common = {
+            "source": bytes((127, 1, 0, number)),
+            "source_port": _PORTS[flow.kind] + fleets.TARGET_OFFSET,
+            "destination": _CALLER,
+            "destination_port": flow.port,
+            "payload": payload,
+        }
+        if flow.kind == "datagram":
+            self.hand_over(segments.Datagram(**common))
+            return
+        self.hand_over(
+            segments.Segment(
+                sequence=number * _SEQUENCE_UNIT,
+                acknowledgement=101,
+                flags=flags,
+                **common,
+            )
+        )
+
+    def _arrive_at_caller(self, packet) -> None:
+        flow = self.flows[packet.destination_port]
+        assert packet.source == flow.service, "not the service's address"
+        assert packet.source_port == _PORTS[flow.kind], "not its port"
+        if isinstance(packet, segments.Datagram):
+            flow.answered = True
+            return
+        number = packet.sequence // _SEQUENCE_UNIT
+        if flow.is_refused or not number:
+            return
+        if packet.flags & fleets.RST:
+            # Section 7: a flow whose failure domain or endpoint is gone is
+            # reset on its next packet, also by the base target that has it.
+            assert flow.is_lost or number == flow.home, (
+                f"a reset from another target: {number}, {flow}"
+            )
+            flow.is_reset = flow.is_done = True
+        elif packet.flags & fleets.SYN and flow.home is None:
+            flow.home = number
+            self.send_from_caller(flow, fleets.ACK)
+
+    def send_from_caller(self, flow, flags: int, payload=b"") -> None:
+        """Sends a packet from a caller."""
+        if flow.kind == "datagram":
+            packet = fleets.make_datagram(flow.port, payload)
+        else:
+            packet = fleets.make_segment(
+                flow.port, flags, port=_PORTS[flow.kind], payload=payload
+            )
+        packet.destination = flow.service
+        self.hand_over(packet)
+
+    # Checks.
+
+    def _check_refusal(self, data: bytes) -> None:
+        packet = segments.read_packet(data)
+        if isinstance(packet, segments.Unreachable):
+            # A datagram is a request of its own: the refusal says that this
+            # one did not run, and it is the only one that is unanswered.
+            flow = self.flows[packet.source_port]
+            assert not flow.payloads[self.last_payload(flow)], "false refusal"
+            return
+        flow = self.flows[packet.destination_port]
+        assert not flow.reached, "false refusal"
+        flow.is_refused = True
+
+    def _check_abort(self, data: bytes) -> None:
+        flow = self.flows[segments.read_packet(data).destination_port]
+        assert flow.is_lost, "an abort of a flow whose target is in service"
+
+    def last_payload(self, flow) -> bytes:
+        """Returns the only request of a UDP flow that may be unanswered."""
+        return max(flow.payloads, default=b"")
+
+    def _check_limits(self, target: Target) -> None:
+        assert len(target.open) <= CONNECTIONS, "over the connection limit"
+        assert target.slots <= SLOTS, "over the slot limit"
+
+    def check_delivery(self) -> None:
+        """Checks that settled views deliver a packet of every open flow."""
+        for flow in tuple(self.flows.values()):
+            if flow.kind == "datagram" or not flow.is_open:
+                continue
+            connection = self.targets[flow.home].open.get(flow.port)
+            if connection is None:
+                continue
+            connection.used_s = -1.0
+            self.send_from_caller(flow, fleets.ACK)
+            self.flush()
+            assert connection.used_s == self.now, "an open flow is unreachable"
+
+    # Changes.
+
+    def note_document(self, document) -> None:
+        """Adds the targets of a new document to the model."""
+        listed = {
+            endpoint.number: service.addresses[0]
+            for service in document.services.values()
+            for endpoint in service.endpoints
+        }
+        for number, service in listed.items():
+            self.targets.setdefault(number, Target(number, service))
+        for flow in self.flows.values():
+            # An endpoint that is not in the document has no flows.
+            gone = flow.reached - listed.keys()
+            flow.is_lost |= bool(gone)
+        for number in self.targets.keys() - listed.keys():
+            self.targets[number].open.clear()
+        self.document = document
+
+    def lose_domain(self, domain) -> None:
+        """Notes that flows to a failure domain end (section 7)."""
+        for number, target in self.targets.items():
+            if domain_of(number) != domain:
+                continue
+            for connection in target.open.values():
+                connection.flow.is_lost = True
+
+    def apply_some(self, document, out, names) -> None:
+        """Puts a document and domain commands in force on some balancers."""
+        for name in names:
+            if name in self.balancers:
+                self.out[name] = out
+                self.balancers[name].apply_document(
+                    document=document, out_domains=out, now=self.now
+                )
+
+    def crash(self, name) -> None:
+        """Ends a balancer; no other one knows it yet."""
+        del self.balancers[name]
+        self.crashed.add(name)
+
+    def detect(self) -> None:
+        """Makes all balancers see the crashed ones dead."""
+        for balancer in self.balancers.values():
+            for name in self.crashed:
+                balancer.context.members.confirm_dead(name, self.now)
+            balancer.update_members(self.now)
+
+    def restart(self, name, out) -> None:
+        """Starts a crashed balancer again, with empty memory."""
+        self.crashed.discard(name)
+        old = self.members[name]
+        local = dataclasses.replace(
+            old,
+            incarnation=ids.Incarnation(old.incarnation + 1),
+            sequence=0,
+            state=memberships.MemberState.JOINING,
+        )
+        members = memberships.Members(local=local)
+        for other in self.balancers.values():
+            members.merge(other.context.members.local, self.now)
+        balancer = balancers.Balancer(
+            members=members,
+            region=fleets.REGION,
+            admission_factory=fleets.create_admission,
+            salt=len(self.members) + local.incarnation,
+            now=self.now,
+        )
+        self.balancers[name] = balancer
+        # The platform's list shows the whole domain to a newcomer.
+        self.apply_some(self.document, out, (name,))
+        self._spread(name)
+
+    def _spread(self, name) -> None:
+        local = self.balancers[name].context.members.local
+        self.members[name] = local
+        for balancer in self.balancers.values():
+            balancer.context.members.merge(local, self.now)
+            balancer.update_members(self.now)
+
+    def pull_and_join(self) -> None:
+        """Runs pulls; newcomers with all records become active."""
+        self.pull()
+        for name, balancer in tuple(self.balancers.items()):
+            members = balancer.context.members
+            is_joining = members.local.state is memberships.MemberState.JOINING
+            if is_joining and not balancer.targets.list_pulls():
+                members.activate(self.now)
+                balancer.update_members(self.now)
+                self._spread(name)
+        self.pull()
+
+    def heal(self) -> None:
+        """Lets members refute what others believe of them."""
+        pairs = itertools.permutations(sorted(self.balancers), 2)
+        for seer, name in pairs:
+            known = self.balancers[seer].context.members.get(name)
+            if known is not None and not known.is_alive:
+                members = self.balancers[name].context.members
+                members.merge(known, self.now)
+        for name in sorted(self.balancers):
+            self._spread(name)
+
+    def settle(self) -> None:
+        """Lets views, documents, pulls and modes reach a steady state."""
+        for _ in range(3):
+            self.pull_and_join()
+            self.pass_time(0.5)
+        self.pass_time(3.0)
+
+
+def domain_of(number: int) -> ids.DomainId:
+    """Returns the failure domain of an endpoint in this world."""
+    return fleets.DOMAINS[number % len(fleets.DOMAINS)]
