--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -117,6 +117,10 @@
         if found is None:
             return [actions.Drop(actions.RoutingDrop.NO_ENDPOINT)]
         endpoint = found[1]
+        if self._context.is_out(endpoint):
+            # The other balancer passed the packet on before it took the
+            # command.
+            return abort_flow(packet)
         if not self._context.is_owner(endpoint):
             return self._ask_endpoint(packet, entry, key, endpoint, header, now)
         target = self._context.targets[number]
@@ -425,7 +429,9 @@
             share = self._context.find_share(endpoint.domain)
             verdict = target.admit(key, entry.port.kind, share, now)
             if verdict is not admissions.Verdict.ADMIT:
-                return refuse_new_flow(packet, actions.Refusal.TARGETS_FULL)
+                # It may be a late copy of the SYN that the target had, which
+                # a refusal would call not run.
+                return [actions.Drop(actions.RoutingDrop.UNCERTAIN)]
         return self._chain(packet, entry, endpoint)
 
     def _continue_datagrams(
@@ -544,6 +550,9 @@
         found = self._context.directory.by_number.get(number)
         if found is None:
             return [actions.Drop(actions.RoutingDrop.NO_ENDPOINT)]
+        if self._context.is_out(found[1]):
+            # The owner sent the packet before it took the command.
+            return abort_flow(packet)
         target = self._context.targets.get(number)
         if target is not None:
             target.replicate(key, entry.port.kind, now)
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -481,6 +481,61 @@
                     assert bool(delivered.packet.flags & fleets.RST) == gone
 
 
+def test_first_packet_at_the_replica_stops_when_its_domain_is_out(
+    fleet, document
+):
+    # Guards against a SYN that was on its way to the replica when the
+    # replica took the command.
+    context = fleet.balancers["a0"].context
+    endpoint = _endpoints()[0]
+    header = context.make_header(_KIND.CHAIN, endpoint)
+    data = segments.build_packet(fleets.make_segment(5022, fleets.SYN))
+    fleet.apply(document, out=frozenset({ids.DomainId("a")}))
+    result = fleet.balancers["a1"].handle_forwarded(header, data, fleet.now)
+    assert result == [actions.Drop(actions.RoutingDrop.DOMAIN_OUT)]
+
+
+@pytest.mark.parametrize("kind", [_KIND.LOOKUP, _KIND.NEXT])
+def test_passed_on_packet_stops_when_the_domain_is_out(fleet, document, kind):
+    # Guards against a packet that another owner passed on just before the
+    # owner of its target took the command.
+    opened = {}
+    for port in range(6000, 6020):
+        opened[_open_flow(fleet, "a0", port).packet.destination[3]] = port
+    context = fleet.balancers["b0"].context
+    header = context.make_header(kind, _endpoints()[0])
+    packet = fleets.make_segment(opened[1], fleets.ACK)
+    fleet.apply(document, out=frozenset({ids.DomainId("a")}))
+    (result,) = fleet.balancers[fleet.find_owner(1)].handle_forwarded(
+        header, segments.build_packet(packet), fleet.now
+    )
+    assert isinstance(result, actions.Abort)
+
+
+def test_late_syn_of_a_closed_flow_is_not_refused(fleet):
+    # Guards against a refusal that says "not run" of a request which ran.
+    first = _open_flow(fleet, "a0", 6000, port=fleets.REQUEST_PORT)
+    number = first.packet.destination[3]
+    fleet.send("b0", fleets.make_answer(first, fleets.RST))
+    fleet.get_target(number).admission.set_draining(True)
+    late = fleets.make_segment(6000, fleets.SYN, port=fleets.REQUEST_PORT)
+    assert fleet.send("c0", late) == []
+
+
+def test_mode_is_not_direct_before_the_owner_has_all_records(fleet):
+    # Guards against a misrouted packet whose RST reaches the caller, because
+    # the owner cannot tell yet which flows its target has.
+    grown = fleets.make_service([*_endpoints(), fleets.make_endpoint(8, "b")])
+    fleet.apply(fleets.make_document(2, grown))
+    for seconds in (4.0, 2.0):
+        fleet.pull()
+        fleet.advance(seconds)
+        fleet.announce()
+        (routes,) = fleet.balancers["a0"].context.directory.routes.values()
+        assert (8 in routes.direct) == fleet.get_target(8).has_records
+    assert 8 in routes.direct
+
+
 def test_flows_above_the_rate_of_a_service_are_refused(document):
     # Guards against a flood that takes all time from established flows.
     service = fleets.make_service(
