Let a joining balancer that sees no owner guess no target

Cause: a restarted balancer has its document before it has heard from its peers. It took every failure domain for cut off, refused new flows and sent established packets to their base target; a flow that is an override got a RST from there, which passed on to the caller. Change: such a balancer drops these packets; senders repeat them. Conclusion: tests of balancer pass.

--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -19,12 +19,14 @@
 from chivedoor.flows import const as flows_const
 from chivedoor.flows import owner as owners
 from chivedoor.flows import records
+from chivedoor.membership import members as memberships
 from chivedoor.routing import const as routing_const
 from chivedoor.routing import directory as directories
 from chivedoor.routing import hashing
 
 _TCP = int(documents.Protocol.TCP)
 _ForwardKind = encapsulation.ForwardKind
+_MemberState = memberships.MemberState
 
 
 class Resolver:
@@ -86,6 +88,10 @@
         New flows go to the first endpoint with an owner; established ones
         are looked for there and otherwise sent to the base target, which
         may still be reachable.
+
+        A joining balancer that sees no owner has not heard from the others
+        yet. It knows neither overrides nor whether a target is free, and
+        TCP and callers send again.
         """
         header = self._context.make_header(_ForwardKind.LOOKUP, base, hops=0)
         ranking = entry.routes.table.rank_endpoints(key)
@@ -93,6 +99,8 @@
             e for e in ranking if self._context.find_owner(e) is not None
         ]
         if not reachable:
+            if self._context.members.local.state is _MemberState.JOINING:
+                return [actions.Drop(actions.RoutingDrop.UNCERTAIN)]
             if segments.starts_flow(packet):
                 return refuse_new_flow(packet, actions.Refusal.NO_TARGET)
             return deliver(packet, entry, base)
--- a/tests/balancer/fleet.py
+++ b/tests/balancer/fleet.py
@@ -155,6 +155,7 @@
 
     def apply(self, document, *, out=frozenset(), only=None) -> None:
         """Puts a document in force, on all balancers or only on some."""
+        self.document = document
         for name, balancer in self.balancers.items():
             if only is None or name in only:
                 balancer.apply_document(
@@ -187,6 +188,24 @@
             balancer.context.members.confirm_dead(name, self.now)
         balancer.update_members(self.now)
 
+    def see_only_itself_as_joining(self, name) -> None:
+        """Makes a balancer one that started a moment ago."""
+        old = self.balancers[name].context
+        local = dataclasses.replace(
+            old.members.local, state=memberships.MemberState.JOINING
+        )
+        balancer = balancers.Balancer(
+            members=memberships.Members(local=local),
+            region=REGION,
+            admission_factory=create_admission,
+            salt=len(self.balancers),
+            now=self.now,
+        )
+        balancer.apply_document(
+            document=self.document, out_domains=frozenset(), now=self.now
+        )
+        self.balancers[name] = balancer
+
     def pull(self) -> None:
         """Runs all pulls that are possible."""
         for balancer in self.balancers.values():
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -102,6 +102,20 @@
             assert delivered.packet.destination == target
 
 
+def test_newcomer_that_sees_no_owner_guesses_no_target(fleet):
+    # Guards against flows that a restarted balancer, which has a document
+    # but not heard from its peers, sends to the base target although they
+    # are overrides: that target resets them.
+    moved = _open_flow(fleet, "a0", 6500)
+    fleet.see_only_itself_as_joining("a1")
+    segment = fleets.make_segment(6500, fleets.ACK)
+    assert fleet.send("a1", segment) == []
+    assert fleet.send("a1", fleets.make_segment(6501, fleets.SYN)) == []
+    assert fleet.drops[actions.RoutingDrop.UNCERTAIN] == 2
+    (delivered,) = fleet.send("a0", segment)
+    assert delivered.packet.destination == moved.packet.destination
+
+
 def test_flows_of_a_draining_endpoint_finish(fleet):
     # Guards against a drain that cuts requests or admits new ones.
     opened = {
