Search all candidates of a flow whose base owner is gone

Cause: while the owners of a base target are out of view, an owner that did not have a flow sent its packets to the base target without asking the next candidate, although new flows try two. Such packets are lost in a partition, and reset by the base target as soon as it heals. Change: the base target is the last resort, after all candidates. The new test fails before (target 7 instead of 3) and passes after. Conclusion: tests of balancer pass.

--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -217,13 +217,15 @@
         now: float,
     ) -> list[actions.Action]:
         base = entry.routes.table.find_base(key)
-        if base is not None and self._context.find_owner(base) is None:
-            return deliver(packet, entry, base)
         searched = self._list_searched(packet, entry, key, base)
         following = _follow(searched, endpoint)
-        if following is None:
-            return [actions.Drop(actions.RoutingDrop.UNRESOLVED)]
-        return self._ask_endpoint(packet, entry, key, following, header, now)
+        if following is not None:
+            return self._ask_endpoint(
+                packet, entry, key, following, header, now
+            )
+        if base is not None and self._context.find_owner(base) is None:
+            return deliver(packet, entry, base)
+        return [actions.Drop(actions.RoutingDrop.UNRESOLVED)]
 
     def _admit_elsewhere(
         self,
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -191,6 +191,27 @@
         )
 
 
+def test_flows_opened_without_the_base_owner_stay_on_any_candidate(fleet):
+    # Guards against a flow whose first candidate was full: its packets went
+    # to the base target, which resets them when the partition heals.
+    fleet.kill("a0", "a1")
+    fleet.settle()
+    fleet.open_slots()
+    opened = {}
+    for port in range(6000, 6100):
+        syn = fleets.make_segment(port, fleets.SYN, port=fleets.REQUEST_PORT)
+        (sent,) = fleet.send("b0", syn)
+        if sent.packet.flags == fleets.SYN:
+            opened[port] = sent.packet.destination
+    assert len(opened) == 16
+    fleet.announce()
+    for port, target in opened.items():
+        ack = fleets.make_segment(port, fleets.ACK, port=fleets.REQUEST_PORT)
+        for name in ("b1", "c0"):
+            (delivered,) = fleet.send(name, ack)
+            assert delivered.packet.destination == target
+
+
 def test_retransmitted_syn_goes_to_the_same_target_after_a_death(fleet):
     # Guards against a request that runs on two targets.
     for port in range(6000, 6050):
