--- a/bench/experiments/const.py
+++ b/bench/experiments/const.py
@@ -26,7 +26,8 @@
 FULL_USE_S: Final = 30.0
 
 # With fewer flows per target, random choice alone exceeds the bound on the
-# imbalance: one standard deviation of 500 flows is 4.5%.
+# imbalance: one standard deviation of 500 flows is 4.5%. Opened flows count,
+# so that refused ones do not switch the judgement off.
 JUDGED_FLOWS_PER_TARGET: Final = 500
 # A returned failure domain is in full use when its targets receive as much
 # less than their share as an even balance allows, over 3 s.
--- a/bench/experiments/goals.py
+++ b/bench/experiments/goals.py
@@ -102,7 +102,7 @@
             excludes_limit=True,
         )
         for service, balance in report.balance.items()
-        if balance.flows_per_target >= const.JUDGED_FLOWS_PER_TARGET
+        if balance.offered_per_target >= const.JUDGED_FLOWS_PER_TARGET
     ]
 
 
--- a/bench/experiments/report.py
+++ b/bench/experiments/report.py
@@ -37,8 +37,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Balance:
-    """How the flows of a service lie on its targets."""
+    """How the flows of a service lie on its targets.
 
+    Attributes:
+        offered_per_target: Flows that callers opened, over the targets.
+        flows_per_target: Flows that reached the targets, over the targets.
+        max_over_mean: Highest number of flows of a target over the mean.
+        variation: Standard deviation over the mean.
+    """
+
+    offered_per_target: float
     flows_per_target: float
     max_over_mean: float
     variation: float
@@ -111,7 +119,9 @@
         wrong_service=sum(_pick(events, "wrong_service").values()),
         over_limit=_pick(events, "over_limit"),
         over_ramp=_pick(events, "over_ramp"),
-        balance=_measure_balance(seen.document, events),
+        balance=_measure_balance(
+            seen.document, events, seen.callers["opened"], seen.services
+        ),
         without_service_s=count_gaps(seen.samples, seen.load_s),
         control_bytes_per_s=_divide(control, seen.watched_s),
         cpu_cores=_divide(figures.cpu_s, seen.watched_s),
@@ -182,7 +192,12 @@
     return rows
 
 
-def _measure_balance(document: dict, events: dict) -> dict[str, Balance]:
+def _measure_balance(
+    document: dict,
+    events: dict,
+    opened: dict[str, int],
+    services: dict[str, str],
+) -> dict[str, Balance]:
     admitted = runs.count_admitted(events)
     found = {}
     for service in document["services"]:
@@ -192,8 +207,14 @@
             if endpoint[4] == "active"
         ]
         mean = statistics.fmean(counts)
+        offered = sum(
+            count
+            for load, count in opened.items()
+            if services.get(load) == service["id"]
+        )
         if mean:
             found[service["id"]] = Balance(
+                offered_per_target=offered / len(counts),
                 flows_per_target=mean,
                 max_over_mean=max(counts) / mean,
                 variation=statistics.pstdev(counts) / mean,
--- a/bench/experiments/run.py
+++ b/bench/experiments/run.py
@@ -49,6 +49,7 @@
         measures: Figures that only this case has.
         events: Times and texts of the faults.
         began: Monotonic time at which the load began, in seconds.
+        services: Service of each load that ran all the time.
     """
 
     document: dict
@@ -64,6 +65,7 @@
     measures: dict[str, float]
     events: list[tuple[float, str]]
     began: float
+    services: dict[str, str]
 
 
 Script = Callable[["Run"], Awaitable[None]]
@@ -137,7 +139,10 @@
             sampler.cancel()
             await asyncio.gather(sampler, return_exceptions=True)
         await self._figures.async_sample()
-        return await self._async_observe(baseline, load_s, self.elapsed_s)
+        services = {load["name"]: load["service"] for load in loads}
+        return await self._async_observe(
+            baseline, load_s, self.elapsed_s, services
+        )
 
     async def _async_settle(self) -> None:
         if self.is_naive:
@@ -177,7 +182,11 @@
         )
 
     async def _async_observe(
-        self, baseline: dict, load_s: float, watched_s: float
+        self,
+        baseline: dict,
+        load_s: float,
+        watched_s: float,
+        services: dict[str, str],
     ) -> Observations:
         deployment = self.deployment
         callers = await deployment.async_ask_callers("statistics")
@@ -202,6 +211,7 @@
             measures=self.measures,
             events=self.events,
             began=self._began,
+            services=services,
         )
 
 
--- a/tests/bench/experiments/test_goals.py
+++ b/tests/bench/experiments/test_goals.py
@@ -66,7 +66,11 @@
         (const.JUDGED_FLOWS_PER_TARGET - 1, []),
     ):
         balance = reports.Balance(
-            flows_per_target=flows, max_over_mean=1.15, variation=0.1
+            offered_per_target=flows,
+            # Refused flows must not switch the judgement off.
+            flows_per_target=1.0,
+            max_over_mean=1.15,
+            variation=0.1,
         )
         report = dataclasses.replace(clean_report, balance={"s": balance})
         assert list_missed(report, judges_balance=True) == missed
