Keep replicas' records of established flows

Cause: a replica recorded each flow as opening and closed it after 24 s, so a takeover lost idle flows and their counts (found by the differential test: connections 1 at the owner, 0 after its death). Change: the first answer is copied to the replica, pulled records are open, and a renewal every 300 s reaches the replica; roles are updated after a poll of the VM list only when the members changed.

--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -16,15 +16,18 @@
 from chivedoor.dataplane import packet as packets
 from chivedoor.dataplane import refusal
 from chivedoor.dataplane import rewrite
+from chivedoor.flows import const as flows_const
 from chivedoor.flows import owner as owners
 from chivedoor.flows import records
 from chivedoor.flows import resets
+from chivedoor.membership import members as memberships
 from chivedoor.routing import const as routing_const
 from chivedoor.routing import directory as directories
 from chivedoor.routing import hashing
 
 _TCP = int(documents.Protocol.TCP)
 _ForwardKind = encapsulation.ForwardKind
+_MemberState = memberships.MemberState
 
 
 class Resolver:
@@ -91,6 +94,10 @@
         New flows go to the first endpoint with an owner; established ones
         are looked for there and otherwise sent to the base target, which
         may still be reachable.
+
+        A joining balancer that sees no owner has not heard from the others
+        yet. It knows neither overrides nor whether a target is free, and
+        TCP and callers send again.
         """
         header = self._context.make_header(_ForwardKind.LOOKUP, base, hops=0)
         ranking = entry.routes.table.rank_endpoints(key)
@@ -98,6 +105,8 @@
             e for e in ranking if self._context.find_owner(e) is not None
         ]
         if not reachable:
+            if self._context.members.local.state is _MemberState.JOINING:
+                return [actions.Drop(actions.RoutingDrop.UNCERTAIN)]
             if segments.starts_flow(packet):
                 return refuse_new_flow(packet, actions.Refusal.NO_TARGET)
             return deliver(packet, entry, base)
@@ -218,13 +227,15 @@
         now: float,
     ) -> list[actions.Action]:
         base = entry.routes.table.find_base(key)
-        if base is not None and self._context.find_owner(base) is None:
-            return deliver(packet, entry, base)
         searched = self._list_searched(packet, entry, key, base)
         following = _follow(searched, endpoint)
-        if following is None:
-            return [actions.Drop(actions.RoutingDrop.UNRESOLVED)]
-        return self._ask_endpoint(packet, entry, key, following, header, now)
+        if following is not None:
+            return self._ask_endpoint(
+                packet, entry, key, following, header, now
+            )
+        if base is not None and self._context.find_owner(base) is None:
+            return deliver(packet, entry, base)
+        return [actions.Drop(actions.RoutingDrop.UNRESOLVED)]
 
     def _admit_elsewhere(
         self,
@@ -387,8 +398,7 @@
         if packet.is_syn:
             return self._restart(packet, entry, key, endpoint, now)
         if not packet.is_fin and not packet.is_reset:
-            target.flows.touch(key, now)
-            return deliver(packet, entry, endpoint)
+            return self._renew(packet, entry, key, endpoint, now)
         if packet.is_reset:
             target.close(key, now)
         else:
@@ -396,6 +406,23 @@
         copies = self._copy(packet, endpoint, key, entry.routes)
         return copies + deliver(packet, entry, endpoint)
 
+    def _renew(
+        self,
+        packet: packets.Packet,
+        entry: directories.ServiceEntry,
+        key: ids.FlowKey,
+        endpoint: documents.Endpoint,
+        now: float,
+    ) -> list[actions.Action]:
+        """Delivers an established packet and renews the flow's records."""
+        flows = self._context.targets[endpoint.number].flows
+        is_due = flows.enters_window(key, now, flows_const.REPLICA_RENEWAL_S)
+        flows.touch(key, now)
+        copies = (
+            self._copy(packet, endpoint, key, entry.routes) if is_due else []
+        )
+        return copies + deliver(packet, entry, endpoint)
+
     def _adopt(
         self,
         packet: packets.Packet,
@@ -597,6 +624,8 @@
             target.close(key, now)
         elif packet.is_fin:
             target.close_caller(key, now)
+        else:
+            target.flows.touch(key, now)
 
     # Packets from targets.
 
@@ -624,10 +653,10 @@
             target.admission.note_reset(
                 target.flows.get_state(key) is records.FlowState.OPEN, now
             )
-        self._note_answer(packet, key, target, now)
+        is_first = self._note_answer(packet, key, target, now)
         copies = (
             self._copy(packet, source.endpoint, key, source.routes)
-            if packet.is_fin or packet.is_reset
+            if is_first or packet.is_fin or packet.is_reset
             else []
         )
         return copies + deliver_answer(packet, source)
@@ -675,7 +704,7 @@
         base = source.routes.table.find_base(key)
         if base is not None and base.number != source.endpoint.number:
             owned = self._context.targets.get(base.number)
-            if owned is not None:
+            if owned is not None and not packet.is_syn_ack:
                 owned.end_override(key, now)
         return []
 
@@ -738,15 +767,24 @@
         key: ids.FlowKey,
         target: owners.TargetOwner,
         now: float,
-    ) -> None:
+    ) -> bool:
+        """Takes a target's packet into a record.
+
+        Returns:
+          Whether it is the target's first answer to the flow.
+        """
         if packet.protocol != _TCP or packet.is_reset:
             target.close(key, now)
-        elif packet.is_fin:
+            return False
+        if packet.is_fin:
             target.close_target(key, now)
-        elif target.flows.confirm(key, now):
+            return False
+        is_first = target.flows.confirm(key, now)
+        if is_first:
             # A late loop would make every target look slow.
             is_timed = not self._context.loop_is_late
             target.note_handshake(key, now, is_timed=is_timed)
+        return is_first
 
 
 def find_peers(
--- a/src/chivedoor/balancer/targets.py
+++ b/src/chivedoor/balancer/targets.py
@@ -206,7 +206,7 @@
             return
         for key, kind in zip(batch.keys, batch.kinds, strict=True):
             if pull.base is None:
-                target.replicate(key, kind, now)
+                target.restore(key, kind, now)
             elif target.role is owners.Role.OWNER:
                 target.set_override(key, pull.number, now)
         if batch.cursor is not None:
--- a/src/chivedoor/daemon/application.py
+++ b/src/chivedoor/daemon/application.py
@@ -314,6 +314,7 @@
             except base_exceptions.ChivedoorError:
                 listed = None
             if listed is not None:
+                revision = self._members.revision
                 self._members.set_listed(
                     memberships.ListedVm(
                         id=vm.id,
@@ -322,7 +323,9 @@
                     )
                     for vm in listed
                 )
-                self._update_members()
+                # At 830 balancers an update takes 30 ms of the loop.
+                if self._members.revision != revision:
+                    self._update_members()
             await asyncio.sleep(const.VM_LIST_POLL_S)
 
     # Changes.
--- a/src/chivedoor/flows/const.py
+++ b/src/chivedoor/flows/const.py
@@ -47,3 +47,7 @@
 # A health endpoint may lag by 10 s, so idle slots count as evidence only
 # after they were reported for longer than that.
 RECOVERY_EVIDENCE_S: Final = 12.0
+
+# The first packet that renews a record in a window of this length renews it
+# at the replica too, well before the idle timeout of a stream.
+REPLICA_RENEWAL_S: Final = 300.0
--- a/src/chivedoor/flows/owner.py
+++ b/src/chivedoor/flows/owner.py
@@ -150,6 +150,14 @@
             self.admission.adopt(kind)
             self.flows.open(key, kind, now)
 
+    def restore(
+        self, key: ids.FlowKey, kind: documents.PortKind, now: float
+    ) -> None:
+        """Records an open flow from the records of another balancer."""
+        if key not in self.flows:
+            self.admission.adopt(kind)
+            self.flows.restore(key, kind, now)
+
     def adopt(
         self, key: ids.FlowKey, kind: documents.PortKind, now: float
     ) -> None:
--- a/src/chivedoor/flows/records.py
+++ b/src/chivedoor/flows/records.py
@@ -62,6 +62,12 @@
         """Returns the port kind of a recorded flow."""
         return _KINDS[(self._records[key] >> _KIND_SHIFT) & _KIND_MASK]
 
+    def enters_window(
+        self, key: ids.FlowKey, now: float, window_s: float
+    ) -> bool:
+        """Returns whether a record was last renewed in a former window."""
+        return now // window_s > self._last_seen(self._records[key]) // window_s
+
     def is_adopted(self, key: ids.FlowKey) -> bool:
         """Returns whether a flow was assumed to be here from its packets."""
         return bool(self._records[key] & _ADOPTED)
@@ -72,6 +78,12 @@
         """Records a new flow whose first packet goes to the target."""
         self._store(key, FlowState.OPENING, _encode(kind), now)
 
+    def restore(
+        self, key: ids.FlowKey, kind: documents.PortKind, now: float
+    ) -> None:
+        """Records an open flow that another balancer's records have."""
+        self._store(key, FlowState.OPEN, _encode(kind), now)
+
     def adopt(
         self, key: ids.FlowKey, kind: documents.PortKind, now: float
     ) -> None:
--- a/tests/balancer/fleet.py
+++ b/tests/balancer/fleet.py
@@ -164,6 +164,7 @@
 
     def apply(self, document, *, out=frozenset(), only=None) -> None:
         """Puts a document in force, on all balancers or only on some."""
+        self.document = document
         for name, balancer in self.balancers.items():
             if only is None or name in only:
                 balancer.apply_document(
@@ -221,6 +222,24 @@
             balancer.context.members.confirm_dead(name, self.now)
         balancer.update_members(self.now)
 
+    def see_only_itself_as_joining(self, name) -> None:
+        """Makes a balancer one that started a moment ago."""
+        old = self.balancers[name].context
+        local = dataclasses.replace(
+            old.members.local, state=memberships.MemberState.JOINING
+        )
+        balancer = balancers.Balancer(
+            members=memberships.Members(local=local),
+            region=REGION,
+            admission_factory=create_admission,
+            salt=len(self.balancers),
+            now=self.now,
+        )
+        balancer.apply_document(
+            document=self.document, out_domains=frozenset(), now=self.now
+        )
+        self.balancers[name] = balancer
+
     def pull(self) -> None:
         """Runs all pulls that are possible."""
         for balancer in self.balancers.values():
@@ -266,6 +285,11 @@
         self.pull()
         self.announce()
 
+    def forget_modes(self) -> None:
+        """Sends all established packets through owners."""
+        for balancer in self.balancers.values():
+            balancer.forget_modes()
+
     def send(self, name, content) -> list[Delivered]:
         """Hands a packet to a balancer; returns what leaves the fleet."""
         balancer = self.balancers[ids.VmId(name)]
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -102,6 +102,20 @@
             assert delivered.packet.destination == target
 
 
+def test_newcomer_that_sees_no_owner_guesses_no_target(fleet):
+    # Guards against flows that a restarted balancer, which has a document
+    # but not heard from its peers, sends to the base target although they
+    # are overrides: that target resets them.
+    moved = _open_flow(fleet, "a0", 6500)
+    fleet.see_only_itself_as_joining("a1")
+    segment = fleets.make_segment(6500, fleets.ACK)
+    assert fleet.send("a1", segment) == []
+    assert fleet.send("a1", fleets.make_segment(6501, fleets.SYN)) == []
+    assert fleet.drops[actions.RoutingDrop.UNCERTAIN] == 2
+    (delivered,) = fleet.send("a0", segment)
+    assert delivered.packet.destination == moved.packet.destination
+
+
 def test_flows_of_a_draining_endpoint_finish(fleet):
     # Guards against a drain that cuts requests or admits new ones.
     opened = {
@@ -177,6 +191,27 @@
         )
 
 
+def test_flows_opened_without_the_base_owner_stay_on_any_candidate(fleet):
+    # Guards against a flow whose first candidate was full: its packets went
+    # to the base target, which resets them when the partition heals.
+    fleet.kill("a0", "a1")
+    fleet.settle()
+    fleet.open_slots()
+    opened = {}
+    for port in range(6000, 6100):
+        syn = fleets.make_segment(port, fleets.SYN, port=fleets.REQUEST_PORT)
+        (sent,) = fleet.send("b0", syn)
+        if sent.packet.flags == fleets.SYN:
+            opened[port] = sent.packet.destination
+    assert len(opened) == 16
+    fleet.announce()
+    for port, target in opened.items():
+        ack = fleets.make_segment(port, fleets.ACK, port=fleets.REQUEST_PORT)
+        for name in ("b1", "c0"):
+            (delivered,) = fleet.send(name, ack)
+            assert delivered.packet.destination == target
+
+
 def test_retransmitted_syn_goes_to_the_same_target_after_a_death(fleet):
     # Guards against a request that runs on two targets.
     for port in range(6000, 6050):
@@ -319,6 +354,28 @@
     assert reached
 
 
+def test_replica_keeps_an_idle_established_flow(fleet):
+    # Guards against a replica that takes each flow for one that never opened.
+    number = _open_flow(fleet, "a0", 5015).packet.destination[3]
+    fleet.send("b0", fleets.make_segment(5015, fleets.ACK))
+    for _ in range(30):
+        fleet.advance(1.0)
+    assert fleet.get_target(number).admission.connections == 1
+    fleet.kill(fleet.find_owner(number))
+    assert fleet.get_target(number).admission.connections == 1
+
+
+def test_refreshed_flow_is_renewed_at_the_replica(fleet):
+    # Guards against a long stream whose record expires only at the replica.
+    number = _open_flow(fleet, "a0", 5016).packet.destination[3]
+    for _ in range(8):
+        fleet.advance(200.0)
+        fleet.forget_modes()
+        fleet.send("b0", fleets.make_segment(5016, fleets.ACK))
+    fleet.kill(fleet.find_owner(number))
+    assert fleet.get_target(number).admission.connections == 1
+
+
 def test_joining_balancer_without_records_drops_no_new_flow(fleet, document):
     # Guards against first packets that go through a replica which does not
     # have the document yet.
