bench: tell the packets of one flow apart in the load tool

Cause: an answer was matched by its flow, so the packet before was counted as lost when two of one flow were on their way. Change: the TCP sequence number carries the number of the packet. Conclusion: what a run counts as unanswered did not come back.

--- a/bench/load.py
+++ b/bench/load.py
@@ -1,4 +1,4 @@
-"""Opens and holds many flows against one balancer, and measures latency.
+r"""Opens and holds many flows against one balancer, and measures latency.
 
 Examples:
   Hold 300,000 flows at 2,000 new ones a second on one balancer object:
@@ -39,6 +39,7 @@
 from chivedoor.configuration import document as documents
 
 _SYN, _ACK = 0x02, 0x10
+_SEQUENCE = slice(24, 28)
 _FLAGS_OFFSET = 33
 _PAYLOAD_BYTES = 64
 _PORTS = 50_000
@@ -90,7 +91,7 @@
         """Closes the link."""
 
     def send(self, kind: str, number: int, data: bytes) -> None:
-        """Sends the packet of a flow."""
+        """Sends the packet with this number, counted from 1."""
 
 
 def _create_histograms() -> dict[str, histogram.HdrHistogram]:
@@ -167,7 +168,7 @@
         self.latency = _create_histograms()
         self._target = target
         self._listen = listen
-        self._sent: dict[tuple[bytes, bytes], tuple[str, int]] = {}
+        self._sent: dict[int, tuple[str, int]] = {}
         self._transport: asyncio.DatagramTransport | None = None
 
     async def async_open(self) -> None:
@@ -187,8 +188,7 @@
 
     def send(self, kind: str, number: int, data: bytes) -> None:
         """Sends one packet and notes the time."""
-        del number
-        self._sent[_read_caller(data)] = (kind, time.perf_counter_ns())
+        self._sent[number] = (kind, time.perf_counter_ns())
         self._transport.sendto(data, self._target)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
@@ -196,7 +196,7 @@
         del addr
         if data[_FLAGS_OFFSET] == _SYN:
             self._transport.sendto(build_answer(data), self._target)
-        found = self._sent.pop(_read_caller(data), None)
+        found = self._sent.pop(_read_number(data), None)
         if found is None:
             return
         kind, sent_ns = found
@@ -211,20 +211,21 @@
     return type(action).__name__.lower()
 
 
-def _read_caller(data: bytes) -> tuple[bytes, bytes]:
-    """Returns caller address and port, which the balancer leaves as is."""
-    return (bytes(data[12:16]), bytes(data[20:22]))
+def _read_number(data: bytes) -> int:
+    """Returns the number of a packet, which the balancer leaves as is."""
+    return int.from_bytes(data[_SEQUENCE], "big")
 
 
-def build_packet(number: int, service: Service, flags: int) -> bytes:
-    """Builds a TCP segment of the flow with this number."""
+def build_packet(flow: int, service: Service, flags: int, number: int) -> bytes:
+    """Builds a TCP segment whose sequence number is the packet's number."""
     length = 40 + _PAYLOAD_BYTES
-    caller = (0x7F0A0000 + number // _PORTS).to_bytes(4, "big")
+    caller = (0x7F0A0000 + flow // _PORTS).to_bytes(4, "big")
     destination = ipaddress.ip_address(service.address).packed
     ip = b"\x45\x00" + length.to_bytes(2, "big") + bytes(4)
     ip += bytes((64, _PROTOCOL_TCP)) + bytes(2) + caller + destination
-    tcp = (_FIRST_PORT + number % _PORTS).to_bytes(2, "big")
-    tcp += service.port.to_bytes(2, "big") + bytes(8)
+    tcp = (_FIRST_PORT + flow % _PORTS).to_bytes(2, "big")
+    tcp += service.port.to_bytes(2, "big")
+    tcp += number.to_bytes(4, "big") + bytes(4)
     return ip + tcp + bytes((0x50, flags)) + bytes(6 + _PAYLOAD_BYTES)
 
 
@@ -236,6 +237,7 @@
     answer = bytearray(data)
     answer[12:16], answer[16:20] = data[16:20], data[12:16]
     answer[20:22], answer[22:24] = data[22:24], data[20:22]
+    answer[_SEQUENCE] = bytes(4)
     answer[_FLAGS_OFFSET] = _SYN | _ACK
     return bytes(answer)
 
@@ -339,10 +341,12 @@
             number = self._rng.randrange(len(self._chosen))
             self._send("established", number, _ACK)
 
-    def _send(self, kind: str, number: int, flags: int) -> None:
-        service = self._services[self._chosen[number]]
+    def _send(self, kind: str, flow: int, flags: int) -> None:
+        service = self._services[self._chosen[flow]]
         self._sent[kind] += 1
-        self._link.send(kind, number, build_packet(number, service, flags))
+        number = sum(self._sent.values())
+        data = build_packet(flow, service, flags, number)
+        self._link.send(kind, number, data)
 
     def _watch(self, elapsed_s: float) -> None:
         if elapsed_s - self._reported_s < _PROGRESS_S:
--- a/tests/bench/test_load.py
+++ b/tests/bench/test_load.py
@@ -69,6 +69,21 @@
     assert result["latency_us"]["new"]["count"] == 200
 
 
+async def test_packets_of_one_flow_are_told_apart():
+    # Guards against an answer that is lost because the next packet of the
+    # flow left before it came.
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        _Echo, local_addr=("127.0.0.1", 0)
+    )
+    link = load.SocketLink(
+        target=transport.get_extra_info("sockname"), listen=("127.0.0.1", 0)
+    )
+    result = await _make_run(link, flows=1).async_run()
+    transport.close()
+    assert result["answered"] == result["sent"] > 1
+
+
 def test_load_stays_on_loopback():
     # Guards against load on another machine.
     with pytest.raises(load.LoadError, match="192"):
