bench: give the load tool's socket a large receive buffer

Cause: answers overflowed the default buffer while packets were sent. Change: the socket asks for as much as the balancer's packet ports do.

--- a/bench/load.py
+++ b/bench/load.py
@@ -37,6 +37,7 @@
 from chivedoor.balancer import actions
 from chivedoor.balancer import balancer as balancers
 from chivedoor.configuration import document as documents
+from chivedoor.dataplane import const
 
 _SYN, _ACK = 0x02, 0x10
 _SEQUENCE = slice(24, 28)
@@ -177,6 +178,11 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=self._listen, family=socket.AF_INET
         )
+        # Answers that come while packets are sent wait in the kernel.
+        endpoint = self._transport.get_extra_info("socket")
+        endpoint.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, const.RECEIVE_BUFFER_BYTES
+        )
 
     async def async_close(self) -> None:
         """Waits for late packets and closes the socket."""
