--- a/src/chivedoor/daemon/application.py
+++ b/src/chivedoor/daemon/application.py
@@ -323,7 +323,7 @@
                     )
                     for vm in listed
                 )
-                # At 830 balancers an update takes 30 ms of the loop.
+                # An update looks at every endpoint of the document.
                 if self._members.revision != revision:
                     self._update_members()
             await asyncio.sleep(const.VM_LIST_POLL_S)
