--- a/tests/flows/test_records.py
+++ b/tests/flows/test_records.py
@@ -112,6 +112,7 @@
     assert table.remove(_KEY)
     assert _KEY not in table
     table.open(_KEY, _Kind.UPLOAD, 0.0)
+    assert not table.is_adopted(_KEY)
     table.close(_KEY, 0.0)
     assert not table.remove(_KEY)
 
