Detect flows that are silent in one direction

A flow whose packets from the target are lost between the ends stayed open until its idle timeout, while its caller repeated data.

Receivers note the last sequence number of a flow's data. The owner makes the balancers of its region observe the flow, and ends it at both ends when the caller repeats the data once more and none of them saw a packet of the target.

--- a/src/chivedoor/balancer/actions.py
+++ b/src/chivedoor/balancer/actions.py
@@ -65,10 +65,18 @@
     data: bytes | bytearray
 
 
+class AbortReason(enum.Enum):
+    """Why an established flow was reset."""
+
+    DOMAIN_OUT = "domain_out"
+    SILENT = "silent"
+
+
 @dataclasses.dataclass(slots=True)
 class Abort:
-    """Resets an established flow whose target gets no packets any more."""
+    """Resets an established flow that cannot go on, at its caller."""
 
+    reason: AbortReason
     data: bytes | bytearray
 
 
--- a/src/chivedoor/balancer/balancer.py
+++ b/src/chivedoor/balancer/balancer.py
@@ -13,6 +13,7 @@
 from chivedoor.balancer import context as contexts
 from chivedoor.balancer import receiver as receivers
 from chivedoor.balancer import resolver as resolvers
+from chivedoor.balancer import silence
 from chivedoor.balancer import targets as owned_targets
 from chivedoor.configuration import document as documents
 from chivedoor.dataplane import encapsulation
@@ -26,6 +27,7 @@
 
 _ForwardKind = encapsulation.ForwardKind
 _RECORDING_KINDS = frozenset({_ForwardKind.CHAIN, _ForwardKind.COPY})
+_PLACED_BY_FLOW = frozenset({_ForwardKind.RESOLVE, _ForwardKind.SUSPECT})
 _REFRESH_WINDOW_S = 600.0
 
 
@@ -68,6 +70,7 @@
         self._rates = rate.FlowRates(
             capacity_per_s=const.NEW_FLOWS_PER_S, now=now
         )
+        self.watch = silence.SilenceWatch()
         self._receiver = receivers.Receiver(
             context=self.context,
             resolver=self._resolver,
@@ -75,6 +78,7 @@
                 salt=salt, window_s=_REFRESH_WINDOW_S
             ),
             rates=self._rates,
+            watch=self.watch,
         )
         self.targets = owned_targets.TargetSet(
             context=self.context, admission_factory=admission_factory
@@ -144,6 +148,7 @@
         )
         handlers = {
             _ForwardKind.RESOLVE: self._resolver.resolve,
+            _ForwardKind.SUSPECT: self._resolver.suspect,
             _ForwardKind.NEXT: self._resolver.look_up,
             _ForwardKind.LOOKUP: self._resolver.look_up,
             _ForwardKind.CHAIN: self._resolver.record_and_deliver,
@@ -179,7 +184,7 @@
         The other balancer may have another document, in which the number or
         the address belonged to a different service.
         """
-        if header.kind is _ForwardKind.RESOLVE:
+        if header.kind in _PLACED_BY_FLOW:
             return True
         found = self.context.directory.by_number.get(
             ids.EndpointNumber(header.endpoint_number)
@@ -199,8 +204,19 @@
             return self._resolver.record_target_copy(packet, source, now)
         return self._resolver.answer(packet, source, now)
 
+    @property
+    def suspicions(self) -> silence.Suspicions:
+        """Returns the flows that may be silent in one direction."""
+        return self._resolver.suspicions
+
+    def end_silent(self, key: ids.FlowKey, now: float) -> list[actions.Action]:
+        """Ends a suspected flow; returns what to send to both ends."""
+        return self._resolver.end_silent(key, now)
+
     def tick(self, now: float) -> None:
         """Expires records; called several times a second."""
+        self.watch.expire(now)
+        self.suspicions.expire(now)
         self._resolver.forget_flows(self.targets.tick(now))
 
     # Changes of what the balancer knows.
--- a/src/chivedoor/balancer/receiver.py
+++ b/src/chivedoor/balancer/receiver.py
@@ -6,6 +6,7 @@
 from chivedoor.balancer import context as contexts
 from chivedoor.balancer import resolver as resolvers
 from chivedoor.balancer import segments
+from chivedoor.balancer import silence
 from chivedoor.configuration import document as documents
 from chivedoor.dataplane import encapsulation
 from chivedoor.dataplane import packet as packets
@@ -24,11 +25,13 @@
         resolver: resolvers.Resolver,
         refresh_filter: refresh.RefreshFilter,
         rates: rate.FlowRates,
+        watch: silence.SilenceWatch,
     ) -> None:
         self._context = context
         self._resolver = resolver
         self._refresh = refresh_filter
         self._rates = rates
+        self._watch = watch
 
     def receive(
         self, packet: packets.Packet, now: float
@@ -71,13 +74,17 @@
         base = routes.table.find_base(key)
         if base is None:
             return resolvers.refuse_new_flow(packet, actions.Refusal.NO_TARGET)
-        if (
-            base.number in routes.direct
-            and segments.is_established(packet)
-            and not self._refresh.is_due(key, now)
-        ):
-            return resolvers.deliver(packet, entry, base)
-        return self._send_to_owner(packet, entry, key, base, now)
+        kind = encapsulation.ForwardKind.RESOLVE
+        if segments.is_established(packet):
+            if silence.carries_data(packet) and self._watch.note_data(
+                key, packet, now
+            ):
+                kind = encapsulation.ForwardKind.SUSPECT
+            elif base.number in routes.direct and not self._refresh.is_due(
+                key, now
+            ):
+                return resolvers.deliver(packet, entry, base)
+        return self._send_to_owner(packet, entry, key, base, kind, now)
 
     def _send_to_owner(
         self,
@@ -85,6 +92,7 @@
         entry: directories.ServiceEntry,
         key: ids.FlowKey,
         base: documents.Endpoint,
+        kind: encapsulation.ForwardKind,
         now: float,
     ) -> list[actions.Action]:
         if segments.starts_flow(packet) and not self._rates.admit(
@@ -96,10 +104,10 @@
             return self._resolver.resolve_without_owner(
                 packet, entry, key, base, now
             )
-        header = self._context.make_header(
-            encapsulation.ForwardKind.RESOLVE, base
-        )
+        header = self._context.make_header(kind, base)
         if owner == self._context.local_id:
+            if kind is encapsulation.ForwardKind.SUSPECT:
+                return self._resolver.suspect(packet, entry, key, header, now)
             return self._resolver.resolve(packet, entry, key, header, now)
         return [actions.Forward(owner, header, packet.buffer)]
 
@@ -109,6 +117,8 @@
         source: directories.EndpointEntry,
         now: float,
     ) -> list[actions.Action]:
+        if self._watch.observed:
+            self._watch.note_answer(resolvers.key_of_answer(packet, source))
         if segments.is_established(packet):
             return resolvers.deliver_answer(packet, source)
         owner = self._context.find_owner(source.endpoint)
--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -11,6 +11,7 @@
 from chivedoor.balancer import const
 from chivedoor.balancer import context as contexts
 from chivedoor.balancer import segments
+from chivedoor.balancer import silence
 from chivedoor.configuration import document as documents
 from chivedoor.dataplane import encapsulation
 from chivedoor.dataplane import packet as packets
@@ -38,6 +39,7 @@
     ) -> None:
         self._context = context
         self._requests = request_filter
+        self.suspicions = silence.Suspicions()
 
     def forget_flows(self, keys: Iterable[ids.FlowKey]) -> None:
         """Drops what is kept of flows whose records were dropped."""
@@ -72,6 +74,45 @@
             return self._place(packet, entry, key, base, header, now)
         return self._find_established(packet, entry, key, base, header, now)
 
+    def suspect(
+        self,
+        packet: packets.Packet,
+        entry: directories.ServiceEntry,
+        key: ids.FlowKey,
+        header: encapsulation.Header,
+        now: float,
+    ) -> list[actions.Action]:
+        """Handles a packet of a flow that may be silent in one direction."""
+        base = entry.routes.table.find_base(key)
+        if (
+            base is not None
+            and self._context.is_owner(base)
+            and segments.is_established(packet)
+            and silence.carries_data(packet)
+        ):
+            self.suspicions.note(key, packet, base.number, now)
+        return self.resolve(packet, entry, key, header, now)
+
+    def end_silent(self, key: ids.FlowKey, now: float) -> list[actions.Action]:
+        """Ends a suspected flow with a RST to its caller and its target."""
+        suspicion = self.suspicions.remove(key)
+        if suspicion is None:
+            return []
+        packet = packets.parse_packet(suspicion.data)
+        entry = self._context.directory.services.get(
+            (packet.protocol, packet.destination, packet.destination_port)
+        )
+        base = entry and entry.routes.table.find_base(key)
+        if base is None or not self._context.is_owner(base):
+            return []
+        reason = actions.AbortReason.SILENT
+        abort = actions.Abort(reason, refusal.build_abort(packet))
+        # The caller's end of the flow is closed like by its own RST, which
+        # also finds the target of an override.
+        reset = packets.parse_packet(refusal.build_caller_reset(packet))
+        header = self._context.make_header(_ForwardKind.RESOLVE, base)
+        return [abort, *self.resolve(reset, entry, key, header, now)]
+
     def resolve_without_owner(
         self,
         packet: packets.Packet,
@@ -724,7 +765,8 @@
     """Ends a flow whose target gets no packets any more."""
     if segments.starts_flow(packet) or packet.is_reset:
         return [actions.Drop(actions.RoutingDrop.DOMAIN_OUT)]
-    return [actions.Abort(refusal.build_abort(packet))]
+    reason = actions.AbortReason.DOMAIN_OUT
+    return [actions.Abort(reason, refusal.build_abort(packet))]
 
 
 def key_of_answer(
--- /dev/null
+++ b/src/chivedoor/balancer/silence.py
@@ -0,0 +1,313 @@
+"""Flows that are silent in one direction: signs of them, and their end."""
+
+import collections
+from collections.abc import Iterator
+import dataclasses
+import enum
+import struct
+
+from chivedoor import ids
+from chivedoor.balancer import const
+from chivedoor.dataplane import packet as packets
+
+# Sequence and acknowledgement number.
+_TCP_NUMBERS = struct.Struct("!4xII")
+_SEQUENCE = struct.Struct("!4xI")
+_SEQUENCE_MASK = 0xFFFF_FFFF
+_HALF_SEQUENCE_SPACE = 1 << 31
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _ObservedFlow:
+    since_s: float
+    expires_at_s: float
+    answered: bool = False
+
+
+class SilenceWatch:
+    """What one balancer sees of flows in both directions.
+
+    A caller that gets no acknowledgement repeats the same data, while the
+    data of a flow that works moves on. So data that arrives here twice, some
+    time apart, is the sign of a silent flow, and packets of targets need to
+    be looked at only for the few flows that an owner asks about.
+    """
+
+    def __init__(
+        self,
+        *,
+        capacity: int = const.DATA_POSITIONS,
+        observed_capacity: int = const.OBSERVED_FLOWS,
+    ) -> None:
+        self._capacity = capacity
+        self._observed_capacity = observed_capacity
+        self._positions: dict[ids.FlowKey, tuple[int, float]] = {}
+        self.observed: dict[ids.FlowKey, _ObservedFlow] = {}
+
+    def __len__(self) -> int:
+        return len(self._positions)
+
+    def note_data(
+        self, key: ids.FlowKey, packet: packets.Packet, now: float
+    ) -> bool:
+        """Notes data of a caller; returns whether its flow may be silent.
+
+        Args:
+          key: The flow.
+          packet: An established segment of the caller that carries data.
+          now: Monotonic seconds.
+        """
+        (sequence,) = _SEQUENCE.unpack_from(
+            packet.buffer, packet.transport_offset
+        )
+        position = self._positions.get(key)
+        if position is None:
+            if len(self._positions) >= self._capacity:
+                del self._positions[next(iter(self._positions))]
+            self._positions[key] = (sequence, now)
+        elif (
+            _is_after(sequence, position[0])
+            # A new flow may have the ports of an old one.
+            or now - position[1] >= const.OBSERVATION_S
+        ):
+            self._positions[key] = (sequence, now)
+        elif now - position[1] >= const.REPEAT_S:
+            return True
+        # Every balancer that was asked about a flow passes the rest of its
+        # data to the owner, which would otherwise see little of it.
+        return key in self.observed
+
+    def observe(self, key: ids.FlowKey, now: float) -> None:
+        """Begins anew to look for packets of a flow's target."""
+        self.observed.pop(key, None)
+        if len(self.observed) >= self._observed_capacity:
+            del self.observed[next(iter(self.observed))]
+        self.observed[key] = _ObservedFlow(
+            since_s=now, expires_at_s=now + const.OBSERVATION_S
+        )
+
+    def renew(self, key: ids.FlowKey, now: float) -> None:
+        """Goes on to look for packets of a flow's target."""
+        flow = self.observed.get(key)
+        if flow is not None:
+            flow.expires_at_s = now + const.OBSERVATION_S
+
+    def note_answer(self, key: ids.FlowKey) -> None:
+        """Notes a packet of the target of a flow."""
+        flow = self.observed.get(key)
+        if flow is not None:
+            flow.answered = True
+
+    def was_answered(self, key: ids.FlowKey, since_s: float) -> bool:
+        """Returns whether a packet of a flow's target may have passed.
+
+        Args:
+          key: The flow.
+          since_s: Monotonic seconds from which on the answer is about.
+
+        Returns:
+          False only when the flow was observed for the whole time and no
+          packet of its target was seen.
+        """
+        flow = self.observed.get(key)
+        if flow is None or flow.answered:
+            return True
+        return flow.since_s > since_s + const.CLOCK_DRIFT_S
+
+    def expire(self, now: float) -> None:
+        """Ends observations that no owner has renewed."""
+        expired = [
+            key
+            for key, flow in self.observed.items()
+            if now >= flow.expires_at_s
+        ]
+        for key in expired:
+            del self.observed[key]
+
+
+class Phase(enum.Enum):
+    """How far the check of a suspicion is."""
+
+    RAISED = "raised"
+    OBSERVED = "observed"
+    REPEATED = "repeated"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Suspicion:
+    """A flow that may be silent, at the owner of its base target.
+
+    Attributes:
+      data: The latest packet of the caller, with its original addresses.
+      sequence: Sequence number of the data that the caller repeats.
+      acknowledgement: What the caller has received when it was suspected.
+      number: The base target.
+      raised_at_s: When the owner first saw the repeated data.
+      seen_at_s: When the owner last saw it.
+      phase: How far the check is.
+      observed_at_s: When all balancers asked had begun to observe the flow.
+      observers: The balancers that observe the flow.
+    """
+
+    data: bytes
+    sequence: int
+    acknowledgement: int
+    number: ids.EndpointNumber
+    raised_at_s: float
+    seen_at_s: float
+    phase: Phase = Phase.RAISED
+    observed_at_s: float = 0.0
+    observers: tuple[ids.VmId, ...] = ()
+
+
+class Suspicions:
+    """The suspicions that one balancer checks, as the owner of targets."""
+
+    def __init__(
+        self,
+        *,
+        capacity: int = const.SUSPICIONS,
+        dismissed_capacity: int = const.DISMISSALS,
+    ) -> None:
+        self._capacity = capacity
+        self._dismissed_capacity = dismissed_capacity
+        self._suspicions: dict[ids.FlowKey, Suspicion] = {}
+        self._dismissed: dict[ids.FlowKey, float] = {}
+        self.counters: collections.Counter[str] = collections.Counter()
+
+    def __len__(self) -> int:
+        return len(self._suspicions)
+
+    def __iter__(self) -> Iterator[ids.FlowKey]:
+        return iter(tuple(self._suspicions))
+
+    def get(self, key: ids.FlowKey) -> Suspicion | None:
+        """Returns the suspicion of a flow, or None."""
+        return self._suspicions.get(key)
+
+    def note(
+        self,
+        key: ids.FlowKey,
+        packet: packets.Packet,
+        number: ids.EndpointNumber,
+        now: float,
+    ) -> None:
+        """Notes data that a receiver has seen before."""
+        sequence, acknowledgement = _TCP_NUMBERS.unpack_from(
+            packet.buffer, packet.transport_offset
+        )
+        if key in self._dismissed:
+            return
+        known = self._suspicions.get(key)
+        if known is None:
+            self._raise(key, packet, sequence, acknowledgement, number, now)
+            return
+        if (
+            _is_after(sequence, known.sequence)
+            or acknowledgement != known.acknowledgement
+        ):
+            # The caller has received something of the target.
+            self.dismiss(key, now)
+            return
+        known.data = bytes(packet.buffer)
+        known.seen_at_s = now
+        if known.phase is Phase.OBSERVED:
+            known.phase = Phase.REPEATED
+
+    def _raise(
+        self,
+        key: ids.FlowKey,
+        packet: packets.Packet,
+        sequence: int,
+        acknowledgement: int,
+        number: ids.EndpointNumber,
+        now: float,
+    ) -> None:
+        if len(self._suspicions) >= self._capacity:
+            # Those that are being checked are not pushed out, so a flood of
+            # suspicions cannot protect a silent flow from its end.
+            self.counters["not_taken"] += 1
+            return
+        self.counters["raised"] += 1
+        self._suspicions[key] = Suspicion(
+            data=bytes(packet.buffer),
+            sequence=sequence,
+            acknowledgement=acknowledgement,
+            number=number,
+            raised_at_s=now,
+            seen_at_s=now,
+        )
+
+    def list_due(self, now: float) -> list[ids.FlowKey]:
+        """Returns the flows to ask the other balancers about, oldest first.
+
+        A reply takes `REPLY_WAIT_S`, so a flow is not ended before it was
+        silent for `SILENT_S`.
+        """
+        old_s = now - (const.SILENT_S - const.REPLY_WAIT_S)
+        return [
+            key
+            for key, suspicion in self._suspicions.items()
+            if suspicion.phase is Phase.RAISED
+            or (
+                suspicion.phase is Phase.REPEATED
+                and suspicion.raised_at_s <= old_s
+            )
+        ]
+
+    def set_observed(
+        self,
+        key: ids.FlowKey,
+        observers: tuple[ids.VmId, ...],
+        now: float,
+    ) -> None:
+        """Notes that other balancers look for packets of the target."""
+        suspicion = self._suspicions.get(key)
+        if suspicion is None:
+            return
+        suspicion.observers = observers
+        suspicion.observed_at_s = now
+        suspicion.phase = Phase.OBSERVED
+
+    def dismiss(self, key: ids.FlowKey, now: float) -> None:
+        """Drops a suspicion and takes no new one for a while."""
+        if self._suspicions.pop(key, None) is None:
+            return
+        self.counters["dismissed"] += 1
+        if len(self._dismissed) >= self._dismissed_capacity:
+            del self._dismissed[next(iter(self._dismissed))]
+        self._dismissed[key] = now + const.DISMISSAL_S
+
+    def remove(self, key: ids.FlowKey) -> Suspicion | None:
+        """Removes and returns the suspicion of a flow."""
+        return self._suspicions.pop(key, None)
+
+    def expire(self, now: float) -> None:
+        """Forgets suspicions without new data, and old dismissals."""
+        expired = [
+            key
+            for key, suspicion in self._suspicions.items()
+            if now - suspicion.seen_at_s >= const.OBSERVATION_S
+        ]
+        for key in expired:
+            del self._suspicions[key]
+        # All dismissals last equally long, so the first one ends first.
+        while self._dismissed:
+            key, until_s = next(iter(self._dismissed.items()))
+            if now < until_s:
+                return
+            del self._dismissed[key]
+
+
+def carries_data(packet: packets.Packet) -> bool:
+    """Returns whether an established segment carries data.
+
+    One byte is the payload of keep-alive and zero-window probes, which
+    repeat a sequence number in a flow that works.
+    """
+    return len(packet.buffer) - packet.payload_offset > const.PROBE_BYTES
+
+
+def _is_after(sequence: int, other: int) -> bool:
+    distance = (sequence - other) & _SEQUENCE_MASK
+    return 0 < distance < _HALF_SEQUENCE_SPACE
--- a/src/chivedoor/daemon/application.py
+++ b/src/chivedoor/daemon/application.py
@@ -27,6 +27,7 @@
 from chivedoor.daemon import figures
 from chivedoor.daemon import health
 from chivedoor.daemon import modes
+from chivedoor.daemon import silence as silence_module
 from chivedoor.daemon import traffic as traffic_module
 from chivedoor.daemon import transfers as transfers_module
 from chivedoor.dataplane import encapsulation
@@ -132,6 +133,14 @@
         self._transfers = transfers_module.Transfers(
             balancer=self._balancer, channel=self._channel, clock=self._clock
         )
+        self._silence = silence_module.SilenceChecks(
+            balancer=self._balancer,
+            channel=self._channel,
+            clock=self._clock,
+            rng=random.Random(),
+            perform=self._traffic.perform,
+            logs=self._logs,
+        )
         self._health = health.HealthPoller(
             balancer=self._balancer, clock=self._clock
         )
@@ -224,6 +233,7 @@
             raise
         self._unloads.append(self._documents.async_close)
         self._unloads.append(self._transfers.async_close)
+        self._unloads.append(self._silence.async_close)
         self._start(self._async_tick)
         self._start(self._async_list_vms)
         self._publish_port()
@@ -285,6 +295,7 @@
             )
             self._modes.announce(now)
             self._documents.update_role()
+            self._silence.start_checks()
             missing = self._transfers.start_pulls()
             self._activate_when_ready(missing, now)
             await asyncio.sleep(const.TICK_S)
@@ -405,5 +416,6 @@
             "document": self._documents.store.dump_state(),
             "registers": self._domains.registers.dump_state(),
             "balancer": dict(self._balancer.dump_state()),
+            "silence": self._silence.dump_state(),
             "traffic": dict(self._traffic.counters),
         }
--- a/src/chivedoor/daemon/const.py
+++ b/src/chivedoor/daemon/const.py
@@ -33,6 +33,13 @@
 DRAIN_QUIET_S: Final = 2.0
 DRAIN_LIMIT_S: Final = 30.0
 
+# Checks of silent flows, to keep their control traffic near 1 KB/s: one check
+# takes some 5 s and 22 requests of about 100 bytes with their replies.
+SILENCE_CHECKS_AT_ONCE: Final = 4
+# A region of at most this many balancers is asked as a whole.
+SILENCE_PEERS: Final = 16
+SILENCE_TIMEOUT_S: Final = 2.0
+
 # How often a reader tells peers that the version is confirmed.
 CONFIRMATION_INTERVAL_S: Final = 30.0
 # CBOR has no use for an infinite age in an entry of a few bytes.
--- /dev/null
+++ b/src/chivedoor/daemon/silence.py
@@ -0,0 +1,187 @@
+"""Checks of flows that may be silent in one direction."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+import random
+from typing import Any
+
+from chivedoor import exceptions as base_exceptions
+from chivedoor import ids
+from chivedoor.balancer import actions
+from chivedoor.balancer import balancer as balancers
+from chivedoor.balancer import const as balancer_const
+from chivedoor.balancer import silence
+from chivedoor.control import channel as channels
+from chivedoor.control import messages
+from chivedoor.daemon import const
+from chivedoor.daemon import traffic
+from chivedoor.telemetry import events
+from chivedoor.telemetry import logs as logs_module
+
+
+class SilenceChecks:
+    """Asks other balancers about suspected flows, and ends silent ones.
+
+    A check has two rounds. The first one makes balancers look for packets
+    of the target; it ends when they do. When the caller then repeats its
+    data once more, the second one asks what they have seen.
+    """
+
+    def __init__(
+        self,
+        *,
+        balancer: balancers.Balancer,
+        channel: channels.Channel,
+        clock: traffic.Clock,
+        rng: random.Random,
+        perform: Callable[[actions.Action], None],
+        logs: logs_module.Logs,
+        reply_wait_s: float = balancer_const.REPLY_WAIT_S,
+    ) -> None:
+        self._balancer = balancer
+        self._channel = channel
+        self._clock = clock
+        self._rng = rng
+        self._perform = perform
+        self._logs = logs
+        self._reply_wait_s = reply_wait_s
+        self._running: dict[ids.FlowKey, asyncio.Task[None]] = {}
+        channel.register(messages.SilenceRequest, self._async_reply)
+
+    async def async_close(self) -> None:
+        """Cancels the checks that run."""
+        tasks = tuple(self._running.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def start_checks(self) -> None:
+        """Starts the checks that are due, a few at a time."""
+        room = const.SILENCE_CHECKS_AT_ONCE - len(self._running)
+        due = self._balancer.suspicions.list_due(self._clock())
+        waiting = [key for key in due if key not in self._running]
+        for key in waiting[: max(room, 0)]:
+            task = asyncio.create_task(self._async_check(key))
+            self._running[key] = task
+            task.add_done_callback(
+                lambda _, key=key: self._running.pop(key, None)
+            )
+
+    def dump_state(self) -> dict[str, Any]:
+        """Returns plain values for the operators' dump."""
+        return {
+            "suspicions": len(self._balancer.suspicions),
+            "running": len(self._running),
+            "observed": len(self._balancer.watch.observed),
+            "counters": dict(self._balancer.suspicions.counters),
+        }
+
+    async def _async_check(self, key: ids.FlowKey) -> None:
+        suspicion = self._balancer.suspicions.get(key)
+        if suspicion is None:
+            return
+        if suspicion.phase is silence.Phase.RAISED:
+            await self._async_begin(key)
+        else:
+            await self._async_decide(key, suspicion)
+
+    async def _async_begin(self, key: ids.FlowKey) -> None:
+        """Makes this balancer and others observe a flow."""
+        peers = self._choose_peers()
+        self._balancer.watch.observe(key, self._clock())
+        replies = await self._async_ask(key, peers, 0.0)
+        observers = tuple(
+            peer
+            for peer, reply in zip(peers, replies, strict=True)
+            if reply is not None
+        )
+        now = self._clock()
+        if 2 * len(observers) < len(peers):
+            # Most of the answers could pass unseen.
+            self._balancer.suspicions.dismiss(key, now)
+            return
+        self._balancer.suspicions.set_observed(key, observers, now)
+
+    async def _async_decide(
+        self, key: ids.FlowKey, suspicion: silence.Suspicion
+    ) -> None:
+        """Ends a flow when no observer has seen a packet of its target."""
+        now = self._clock()
+        since_s = suspicion.observed_at_s
+        self._balancer.watch.renew(key, now)
+        replies, _ = await asyncio.gather(
+            self._async_ask(key, suspicion.observers, now - since_s),
+            asyncio.sleep(self._reply_wait_s),
+        )
+        now = self._clock()
+        suspicions = self._balancer.suspicions
+        if suspicions.get(key) is not suspicion:
+            # The caller went on in the meantime.
+            return
+        answered = sum(reply is not None for reply in replies)
+        is_seen = self._balancer.watch.was_answered(key, since_s)
+        if is_seen or any(replies) or 2 * answered < len(replies):
+            suspicions.dismiss(key, now)
+            return
+        self._end(key, suspicion, now)
+
+    def _end(
+        self, key: ids.FlowKey, suspicion: silence.Suspicion, now: float
+    ) -> None:
+        results = self._balancer.end_silent(key, now)
+        for action in results:
+            self._perform(action)
+        if results:
+            self._logs.write_event(
+                events.FlowSilent(
+                    endpoint=suspicion.number,
+                    silent_s=now - suspicion.raised_at_s,
+                )
+            )
+
+    def _choose_peers(self) -> list[ids.VmId]:
+        members = self._balancer.context.members
+        local = members.local
+        peers = sorted(
+            member.id
+            for member in members.live_members()
+            if member.id != local.id and member.region == local.region
+        )
+        if len(peers) < const.SILENCE_PEERS:
+            return peers
+        return self._rng.sample(peers, const.SILENCE_PEERS)
+
+    async def _async_ask(
+        self, key: ids.FlowKey, peers: Sequence[ids.VmId], since_s: float
+    ) -> list[bool | None]:
+        request = messages.SilenceRequest(flow=key, since_s=since_s)
+        return await asyncio.gather(
+            *(self._async_ask_peer(peer, request) for peer in peers)
+        )
+
+    async def _async_ask_peer(
+        self, peer: ids.VmId, request: messages.SilenceRequest
+    ) -> bool | None:
+        wait_s = self._reply_wait_s if request.since_s else 0.0
+        try:
+            reply = await self._channel.async_request(
+                peer, request, wait_s + const.SILENCE_TIMEOUT_S
+            )
+        except base_exceptions.ChivedoorError:
+            return None
+        return reply.answer_seen
+
+    async def _async_reply(
+        self, request: messages.SilenceRequest
+    ) -> messages.SilenceReply:
+        key = ids.FlowKey(request.flow)
+        now = self._clock()
+        watch = self._balancer.watch
+        if not request.since_s:
+            watch.observe(key, now)
+            return messages.SilenceReply(answer_seen=False)
+        watch.renew(key, now)
+        await asyncio.sleep(self._reply_wait_s)
+        seen = watch.was_answered(key, now - request.since_s)
+        return messages.SilenceReply(answer_seen=seen)
--- a/src/chivedoor/daemon/traffic.py
+++ b/src/chivedoor/daemon/traffic.py
@@ -150,7 +150,7 @@
         self._fabric_port.send(action.data, self._fabric)
 
     def _abort(self, action: actions.Abort) -> None:
-        self.counters["aborted_domain_out"] += 1
+        self._count("aborted", action.reason)
         self._fabric_port.send(action.data, self._fabric)
 
     def _count(self, name: str, reason: enum.Enum) -> None:
--- a/src/chivedoor/dataplane/encapsulation.py
+++ b/src/chivedoor/dataplane/encapsulation.py
@@ -30,6 +30,7 @@
     COPY = 4
     ANSWER = 5
     LOOKUP = 6
+    SUSPECT = 7
 
 
 _KINDS = {int(kind): kind for kind in ForwardKind}
--- a/src/chivedoor/dataplane/refusal.py
+++ b/src/chivedoor/dataplane/refusal.py
@@ -81,6 +81,42 @@
     return _answer_with_reset(packet)
 
 
+def build_caller_reset(packet: packets.Packet) -> bytes:
+    """Builds the RST that ends a connection at the receiver of a packet.
+
+    Args:
+        packet: A segment of the connection with its original addresses.
+
+    Returns:
+        The IP packet, from the sender of `packet`. Its sequence number
+        follows the payload: a receiver that has it takes the RST at once,
+        and one that lacks it asks the sender first (RFC 5961 section 3.2).
+
+    Raises:
+        exceptions.RefusalError: The packet is a RST or not TCP.
+    """
+    if packet.protocol != const.TCP or packet.is_reset:
+        raise exceptions.RefusalError("a reset follows TCP other than RST")
+    sequence, _ = _TCP_NUMBERS.unpack_from(
+        packet.buffer, packet.transport_offset
+    )
+    length = len(packet.buffer) - packet.payload_offset
+    reversed_packet = packets.Packet(
+        packet.buffer,
+        packet.version,
+        packet.protocol,
+        packet.destination,
+        packet.source,
+        packet.destination_port,
+        packet.source_port,
+        packet.flags,
+        packet.transport_offset,
+        packet.payload_offset,
+    )
+    numbers = ((sequence + length) % _SEQUENCE_MODULUS, 0, const.FLAG_RST)
+    return _build_reset_segment(reversed_packet, numbers)
+
+
 def build_unreachable(packet: packets.Packet, code: UnreachableCode) -> bytes:
     """Builds an ICMP destination unreachable message for the sender.
 
@@ -111,7 +147,13 @@
 
 
 def _answer_with_reset(packet: packets.Packet) -> bytes:
-    sequence, acknowledgement, flags = _choose_reset_numbers(packet)
+    return _build_reset_segment(packet, _choose_reset_numbers(packet))
+
+
+def _build_reset_segment(
+    packet: packets.Packet, numbers: tuple[int, int, int]
+) -> bytes:
+    sequence, acknowledgement, flags = numbers
     segment = bytearray(
         _TCP_HEADER.pack(
             packet.destination_port,
