--- a/src/chivedoor/balancer/silence.py
+++ b/src/chivedoor/balancer/silence.py
@@ -41,8 +41,14 @@
     ) -> None:
         self._capacity = capacity
         self._observed_capacity = observed_capacity
-        self._positions: dict[ids.FlowKey, tuple[int, float]] = {}
-        self.observed: dict[ids.FlowKey, _ObservedFlow] = {}
+        # Finding the oldest entry of a plain dict takes longer with every
+        # entry that was deleted before it.
+        self._positions: collections.OrderedDict[
+            ids.FlowKey, tuple[int, float]
+        ] = collections.OrderedDict()
+        self.observed: collections.OrderedDict[ids.FlowKey, _ObservedFlow] = (
+            collections.OrderedDict()
+        )
 
     def __len__(self) -> int:
         return len(self._positions)
@@ -63,7 +69,7 @@
         position = self._positions.get(key)
         if position is None:
             if len(self._positions) >= self._capacity:
-                del self._positions[next(iter(self._positions))]
+                self._positions.popitem(last=False)
             self._positions[key] = (sequence, now)
         elif (
             _is_after(sequence, position[0])
@@ -81,7 +87,7 @@
         """Begins anew to look for packets of a flow's target."""
         self.observed.pop(key, None)
         if len(self.observed) >= self._observed_capacity:
-            del self.observed[next(iter(self.observed))]
+            self.observed.popitem(last=False)
         self.observed[key] = _ObservedFlow(
             since_s=now, expires_at_s=now + const.OBSERVATION_S
         )
@@ -172,7 +178,9 @@
         self._capacity = capacity
         self._dismissed_capacity = dismissed_capacity
         self._suspicions: dict[ids.FlowKey, Suspicion] = {}
-        self._dismissed: dict[ids.FlowKey, float] = {}
+        self._dismissed: collections.OrderedDict[ids.FlowKey, float] = (
+            collections.OrderedDict()
+        )
         self.counters: collections.Counter[str] = collections.Counter()
 
     def __len__(self) -> int:
@@ -202,13 +210,14 @@
         if known is None:
             self._raise(key, packet, sequence, acknowledgement, number, now)
             return
-        if (
-            _is_after(sequence, known.sequence)
-            or acknowledgement != known.acknowledgement
-        ):
+        if acknowledgement != known.acknowledgement:
             # The caller has received something of the target.
             self.dismiss(key, now)
             return
+        if _is_after(sequence, known.sequence):
+            # The caller went on, or repeats several segments.
+            return
+        known.sequence = sequence
         known.data = bytes(packet.buffer)
         known.seen_at_s = now
         if known.phase is Phase.OBSERVED:
@@ -275,7 +284,7 @@
             return
         self.counters["dismissed"] += 1
         if len(self._dismissed) >= self._dismissed_capacity:
-            del self._dismissed[next(iter(self._dismissed))]
+            self._dismissed.popitem(last=False)
         self._dismissed[key] = now + const.DISMISSAL_S
 
     def remove(self, key: ids.FlowKey) -> Suspicion | None:
--- a/tests/dataplane/test_refusal.py
+++ b/tests/dataplane/test_refusal.py
@@ -86,6 +86,24 @@
     assert read_numbers(reset) == (0, 5005, 0x14)
 
 
+@FAMILIES
+@pytest.mark.parametrize("sequence", [5000, 2**32 - 4])
+def test_caller_reset_follows_the_payload(source, destination, sequence):
+    # Guards against a target that keeps a connection its caller has lost.
+    segment = build.tcp_packet(
+        source=source,
+        destination=destination,
+        flags=0x18,
+        sequence=sequence,
+        payload=b"data",
+    )
+    result = refusal.build_caller_reset(packet.parse_packet(segment))
+    reset = parse_answer(result, destination, source)
+    assert (reset.source_port, reset.destination_port) == (40000, 8000)
+    assert read_numbers(reset) == ((sequence + 4) % 2**32, 0, 0x04)
+    assert len(reset.payload) == 0
+
+
 @pytest.mark.parametrize(
     ("build_answer", "data"),
     [
@@ -95,6 +113,8 @@
         (refusal.build_abort, build.tcp_packet(flags=0x04)),
         (refusal.build_abort, build.tcp_packet(flags=0x14)),
         (refusal.build_abort, build.udp_packet()),
+        (refusal.build_caller_reset, build.tcp_packet(flags=0x14)),
+        (refusal.build_caller_reset, build.udp_packet()),
         (
             lambda parsed: refusal.build_unreachable(parsed, Code.PORT),
             build.tcp_packet(flags=0x04),
