--- a/tests/balancer/test_silence.py
+++ b/tests/balancer/test_silence.py
@@ -119,6 +119,14 @@
     return list(_find_suspicions(fleet))
 
 
+def test_periodic_work_ends_observations(fleet):
+    # Guards against answers that cost more for ever after one check.
+    watch = fleet.balancers["a0"].watch
+    watch.observe(1, fleet.now)
+    fleet.advance(const.OBSERVATION_S)
+    assert not watch.observed
+
+
 def test_end_resets_caller_and_target_and_closes_both_records(fleet):
     # Guards against a caller that waits on, and a record that stays open.
     (key,) = _suspect(fleet)
