--- a/src/chivedoor/balancer/balancer.py
+++ b/src/chivedoor/balancer/balancer.py
@@ -202,7 +202,7 @@
             return [actions.Drop(actions.RoutingDrop.NOT_ALIVE)]
         if header.kind is _ForwardKind.COPY:
             return self._resolver.record_target_copy(packet, source, now)
-        return self._resolver.answer(packet, source, now)
+        return self._resolver.answer(packet, source, now, hops=header.hops)
 
     @property
     def suspicions(self) -> silence.Suspicions:
@@ -218,6 +218,7 @@
         self.watch.expire(now)
         self.suspicions.expire(now)
         self._resolver.forget_flows(self.targets.tick(now))
+        self._resolver.tick(now)
 
     # Changes of what the balancer knows.
 
@@ -285,10 +286,7 @@
         return [
             Mode(
                 number=number,
-                identity=owners.OwnerIdentity(
-                    member=self.context.local_id,
-                    incarnation=self.context.members.local.incarnation,
-                ),
+                identity=self.targets.identify_local(),
                 generation=generation,
             )
             for number, generation in self.targets.list_settled(now)
--- a/src/chivedoor/daemon/application.py
+++ b/src/chivedoor/daemon/application.py
@@ -24,6 +24,7 @@
 from chivedoor.daemon import const
 from chivedoor.daemon import documents as document_keeping
 from chivedoor.daemon import domains as domains_module
+from chivedoor.daemon import ejections
 from chivedoor.daemon import figures
 from chivedoor.daemon import health
 from chivedoor.daemon import modes
@@ -130,6 +131,9 @@
         self._modes = modes.ModeAnnouncer(
             balancer=self._balancer, board=self._board
         )
+        self._ejections = ejections.EjectionAnnouncer(
+            balancer=self._balancer, board=self._board
+        )
         self._transfers = transfers_module.Transfers(
             balancer=self._balancer, channel=self._channel, clock=self._clock
         )
@@ -294,6 +298,7 @@
                 now
             )
             self._modes.announce(now)
+            self._ejections.announce(now)
             self._documents.update_role()
             self._silence.start_checks()
             missing = self._transfers.start_pulls()
@@ -361,6 +366,7 @@
         self._traffic.discard_waiting()
         self._started_at_s = self._clock()
         self._modes.forget()
+        self._ejections.forget()
         self._balancer.restart(self._clock())
         self._publish_port()
 
