--- a/src/chivedoor/admission/target.py
+++ b/src/chivedoor/admission/target.py
@@ -72,6 +72,11 @@
         """Health of the target."""
         return self._health.estimate
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether the document drains the target."""
+        return self._draining
+
     def is_cold(self, now: float) -> bool:
         """Returns whether the ramp limits the target."""
         return self._ramp.is_cold(now)
--- a/src/chivedoor/balancer/context.py
+++ b/src/chivedoor/balancer/context.py
@@ -1,5 +1,6 @@
 """What one balancer knows, shared by the parts of its decision path."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import functools
@@ -33,6 +34,7 @@
       max_flows: Most flow records of all targets together.
       out_domains: Failure domains whose targets get no packets.
       live_senders: Fingerprints of the members that are not dead.
+      admitted: New flows that this balancer admitted as owner.
       loop_is_late: Whether packets wait for this balancer's own loop.
       view_changed_at_s: When the members in view last changed.
     """
@@ -49,6 +51,9 @@
     live_senders: frozenset[int] = frozenset()
     view_changed_at_s: float = 0.0
     loop_is_late: bool = False
+    admitted: collections.Counter[documents.PortKind] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     @property
     def local_id(self) -> ids.VmId:
--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -444,6 +444,7 @@
         endpoint: documents.Endpoint,
         now: float,
     ) -> list[actions.Action]:
+        self._context.admitted[entry.port.kind] += 1
         if entry.port.kind is documents.PortKind.REQUEST:
             self._requests.forget(key)
             self._requests.check(key, packet.payload)
--- a/src/chivedoor/daemon/application.py
+++ b/src/chivedoor/daemon/application.py
@@ -27,6 +27,7 @@
 from chivedoor.daemon import ejections
 from chivedoor.daemon import figures
 from chivedoor.daemon import health
+from chivedoor.daemon import journal
 from chivedoor.daemon import modes
 from chivedoor.daemon import silence as silence_module
 from chivedoor.daemon import traffic as traffic_module
@@ -35,6 +36,7 @@
 from chivedoor.membership import members as memberships
 from chivedoor.platform import client as clients
 from chivedoor.telemetry import events
+from chivedoor.telemetry import faults
 from chivedoor.telemetry import logs as logs_module
 from chivedoor.telemetry import metrics as metrics_module
 
@@ -56,6 +58,7 @@
         self._out_domains: frozenset[ids.DomainId] = frozenset()
         self._seen_domains: frozenset[ids.DomainId] = frozenset()
         self._unloads: list[Callable[[], Awaitable[None]]] = []
+        self._detaches: list[Callable[[], None]] = []
         self._create_control()
         self._create_decisions()
         self._create_interfaces()
@@ -171,14 +174,24 @@
 
     def _create_interfaces(self) -> None:
         vm = self._settings.vm
+        self._journal = journal.Journal(
+            balancer=self._balancer,
+            members=self._members,
+            registers=self._domains.registers,
+            logs=self._logs,
+            clock=self._clock,
+        )
         collector = figures.MetricsCollector(
             balancer=self._balancer,
             members=self._members,
             store=self._documents.store,
             traffic=self._traffic,
             budget=self._budget,
+            platform=self._platform,
+            logs=self._logs,
             clock=self._clock,
         )
+        self._collector = collector
         self._metrics = metrics_module.MetricsServer(
             address=vm.address,
             port=vm.metrics_port,
@@ -201,6 +214,14 @@
             commands=handlers,
             local_id=vm.id,
         )
+        for interface, counts in (
+            ("peer", self._channel.counts),
+            ("operator", self._operators.counts),
+        ):
+            self._collector.add_interface(interface, counts)
+            self._detaches.append(
+                faults.attach_counts(counts, self._logs, interface)
+            )
 
     # Lifetime.
 
@@ -258,6 +279,9 @@
                 failures.append(error)
         self._modes.unload()
         self._domains.unload()
+        self._journal.unload()
+        for detach in self._detaches:
+            detach()
         waited_s = self._clock() - self._started_at_s
         self._logs.write_event(events.DaemonStopped(waited_s=waited_s))
         if failures:
@@ -303,6 +327,7 @@
             self._silence.start_checks()
             missing = self._transfers.start_pulls()
             self._activate_when_ready(missing, now)
+            self._journal.observe()
             await asyncio.sleep(const.TICK_S)
 
     def _activate_when_ready(self, missing: int, now: float) -> None:
@@ -357,7 +382,7 @@
     def _update_members(self) -> None:
         self._balancer.update_members(self._clock())
 
-    def _handle_pause(self) -> None:
+    def _handle_pause(self, pause_s: float) -> None:
         """Starts a new life after the loop stood still."""
         now = self._clock()
         self._traffic.counters["pauses"] += 1
@@ -365,13 +390,15 @@
         self._board.set_incarnation(self._members.local.incarnation, keep=False)
         self._rejoin()
 
-    def _rejoin(self) -> None:
-        self._traffic.discard_waiting()
+    def _rejoin(self) -> int:
+        """Forgets what may be old; returns the number of lost packets."""
+        discarded = self._traffic.discard_waiting()
         self._started_at_s = self._clock()
         self._modes.forget()
         self._ejections.forget()
         self._balancer.restart(self._clock())
         self._publish_port()
+        return discarded
 
     def _publish_port(self) -> None:
         self._board.publish(
--- a/src/chivedoor/daemon/figures.py
+++ b/src/chivedoor/daemon/figures.py
@@ -4,16 +4,25 @@
 import dataclasses
 
 from chivedoor import ids
+from chivedoor.admission import health
 from chivedoor.balancer import balancer as balancers
 from chivedoor.configuration import store as stores
 from chivedoor.control import budget as budgets
 from chivedoor.daemon import traffic as traffic_module
 from chivedoor.flows import owner as owners
 from chivedoor.membership import members as memberships
+from chivedoor.platform import client as clients
+from chivedoor.rpc import counts as counting
 from chivedoor.telemetry import catalogue
+from chivedoor.telemetry import logs as logs_module
 from chivedoor.telemetry import metrics as metrics_module
 
 _Metric = catalogue.Metric
+_CONDITIONS = ("cold", "draining", "unhealthy", "ready")
+_INTERFACE_METRICS = {
+    "peer": _Metric.CHANNEL_EVENTS,
+    "operator": _Metric.OPERATOR_EVENTS,
+}
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -70,6 +79,8 @@
         store: stores.DocumentStore,
         traffic: traffic_module.Traffic,
         budget: budgets.ByteBudget,
+        platform: clients.PlatformClient,
+        logs: logs_module.Logs,
         clock: traffic_module.Clock,
     ) -> None:
         self._balancer = balancer
@@ -77,23 +88,26 @@
         self._store = store
         self._traffic = traffic
         self._budget = budget
+        self._platform = platform
+        self._logs = logs
         self._clock = clock
+        self._interfaces: dict[str, counting.Counts] = {}
+
+    def add_interface(self, name: str, counts: counting.Counts) -> None:
+        """Adds the counters of `peer` or `operator` connections."""
+        self._interfaces[name] = counts
 
     def collect(self, metrics: metrics_module.Metrics) -> None:
         """Brings all metrics up to date."""
         self._collect_packets(metrics)
         self._collect_targets(metrics)
+        self._collect_states(metrics)
+        self._collect_interfaces(metrics)
         now = self._clock()
         metrics.set_value(_Metric.DOCUMENT_VERSION, self._store.version)
         metrics.set_value(
             _Metric.DOCUMENT_CONFIRMED_AGE, self._store.confirmed_age(now)
         )
-        metrics.set_values(
-            _Metric.MEMBERS,
-            collections.Counter(
-                member.state.name for member in self._members.list_members()
-            ),
-        )
         metrics.set_values(_Metric.CONTROL_SENT_BYTES, self._budget.sent_bytes)
         metrics.set_values(
             _Metric.CONTROL_DELAYED_BYTES, self._budget.delayed_bytes
@@ -142,7 +156,70 @@
                 sum(len(target.flows) for target in held),
                 role=role.value,
             )
+        context = self._balancer.context
+        metrics.set_value(_Metric.FLOW_CAPACITY, context.max_flows)
+        metrics.set_values(_Metric.ADMITTED_FLOWS, context.admitted)
+        owned = [t for t in targets if t.role is owners.Role.OWNER]
+        direct = len(self._balancer.list_own_modes(self._clock()))
+        metrics.set_values(
+            _Metric.TARGETS_BY_MODE,
+            {"direct": direct, "via-owner": len(owned) - direct},
+        )
+        conditions = collections.Counter(
+            _find_condition(target, self._clock()) for target in owned
+        )
+        metrics.set_values(
+            _Metric.TARGETS_BY_CONDITION,
+            {name: conditions[name] for name in _CONDITIONS},
+        )
         metrics.set_value(
             _Metric.OVERRIDE_FLOWS,
             sum(len(target.overrides) for target in targets),
         )
+
+    def _collect_states(self, metrics: metrics_module.Metrics) -> None:
+        counted = collections.Counter(
+            member.state for member in self._members.list_members()
+        )
+        local = self._members.local.state
+        metrics.set_values(
+            _Metric.MEMBERS,
+            {s.name: counted[s] for s in memberships.MemberState},
+        )
+        metrics.set_values(
+            _Metric.STATE,
+            {s.name: int(s is local) for s in memberships.MemberState},
+        )
+        document = self._store.document
+        out_domains = self._balancer.context.out_domains
+        for domain in () if document is None else document.domains:
+            metrics.set_value(
+                _Metric.DOMAIN_OUT, int(domain in out_domains), domain=domain
+            )
+
+    def _collect_interfaces(self, metrics: metrics_module.Metrics) -> None:
+        metrics.set_values(_Metric.PLATFORM_REQUESTS, self._platform.counters)
+        metrics.set_values(_Metric.DOCUMENTS_REJECTED, self._store.refusals)
+        metrics.set_values(
+            _Metric.LOG_EVENTS,
+            {
+                "written": self._logs.written,
+                "suppressed": self._logs.suppressed,
+                "failed": self._logs.failed,
+            },
+        )
+        for name, metric in _INTERFACE_METRICS.items():
+            if name in self._interfaces:
+                counts = self._interfaces[name].dump_state()
+                metrics.set_values(metric, counts)
+        metrics.set_value(_Metric.LOOP_DELAY, self._traffic.longest_delay_s)
+        self._traffic.longest_delay_s = 0.0
+
+
+def _find_condition(target: owners.TargetOwner, now: float) -> str:
+    admission = target.admission
+    if admission.is_draining:
+        return "draining"
+    if admission.estimate is health.Estimate.BAD:
+        return "unhealthy"
+    return "cold" if admission.is_cold(now) else "ready"
--- /dev/null
+++ b/src/chivedoor/daemon/journal.py
@@ -0,0 +1,142 @@
+"""Log events of what changed in a balancer's state and view."""
+
+from chivedoor import ids
+from chivedoor.admission import health
+from chivedoor.balancer import balancer as balancers
+from chivedoor.daemon import traffic
+from chivedoor.flows import owner as owners
+from chivedoor.membership import members as memberships
+from chivedoor.registers import registers as registers_module
+from chivedoor.telemetry import events
+from chivedoor.telemetry import logs as logs_module
+
+_DOCUMENT_ORIGIN = "document"
+_UNKNOWN = "unknown"
+
+
+class Journal:
+    """Compares the state with that of the last call and logs differences."""
+
+    def __init__(
+        self,
+        *,
+        balancer: balancers.Balancer,
+        members: memberships.Members,
+        registers: registers_module.DomainRegisters,
+        logs: logs_module.Logs,
+        clock: traffic.Clock,
+    ) -> None:
+        self._context = balancer.context
+        self._registers = registers
+        self._logs = logs
+        self._clock = clock
+        self._out: frozenset[ids.DomainId] = frozenset()
+        self._owned: frozenset[ids.EndpointNumber] = frozenset()
+        self._cold: frozenset[ids.EndpointNumber] = frozenset()
+        self._estimates: dict[ids.EndpointNumber, health.Estimate] = {}
+        self._unsubscribe = members.subscribe(self._note_member)
+
+    def unload(self) -> None:
+        """Ends the subscription."""
+        self._unsubscribe()
+
+    def observe(self) -> None:
+        """Logs what changed since the last call."""
+        owned = {
+            number: target
+            for number, target in self._context.targets.items()
+            if target.role is owners.Role.OWNER
+        }
+        self._note_domains()
+        self._note_roles(owned)
+        self._note_health(owned)
+        self._note_cold(owned)
+
+    def _note_member(
+        self,
+        previous: memberships.Member | None,
+        current: memberships.Member | None,
+    ) -> None:
+        member = current if current is not None else previous
+        before = _UNKNOWN if previous is None else previous.state.name
+        after = _UNKNOWN if current is None else current.state.name
+        if member is None or before == after:
+            return
+        if member.id == self._context.local_id:
+            self._logs.write_event(
+                events.StateChanged(before=before, after=after)
+            )
+            return
+        self._logs.write_event(
+            events.MemberChanged(
+                member=member.id,
+                member_domain=member.domain,
+                before=before,
+                after=after,
+            )
+        )
+
+    def _note_domains(self) -> None:
+        out = self._context.out_domains
+        for domain in sorted(out ^ self._out):
+            register = self._registers.get(domain)
+            origin = _DOCUMENT_ORIGIN if register is None else register.origin
+            self._logs.write_event(
+                events.DomainChanged(
+                    changed_domain=domain, out=domain in out, origin=origin
+                )
+            )
+        self._out = out
+
+    def _note_roles(
+        self, owned: dict[ids.EndpointNumber, owners.TargetOwner]
+    ) -> None:
+        for number in sorted(owned.keys() - self._owned):
+            records = len(owned[number].flows)
+            self._logs.write_event(
+                events.TargetOwned(endpoint=number, records=records)
+            )
+        for number in sorted(self._owned - owned.keys()):
+            self._logs.write_event(
+                events.TargetReleased(
+                    endpoint=number, member=self._find_owner(number)
+                )
+            )
+        self._owned = frozenset(owned)
+
+    def _find_owner(self, number: ids.EndpointNumber) -> str:
+        found = self._context.directory.by_number.get(number)
+        owner = None if found is None else self._context.find_owner(found[1])
+        return _UNKNOWN if owner is None else owner
+
+    def _note_health(
+        self, owned: dict[ids.EndpointNumber, owners.TargetOwner]
+    ) -> None:
+        estimates = {
+            number: target.admission.estimate
+            for number, target in owned.items()
+        }
+        for number, after in estimates.items():
+            before = self._estimates.get(number, health.Estimate.GOOD)
+            if before is not after:
+                self._logs.write_event(
+                    events.TargetHealthChanged(
+                        endpoint=number, before=before.value, after=after.value
+                    )
+                )
+        self._estimates = estimates
+
+    def _note_cold(
+        self, owned: dict[ids.EndpointNumber, owners.TargetOwner]
+    ) -> None:
+        now = self._clock()
+        cold = frozenset(
+            number
+            for number, target in owned.items()
+            if target.admission.is_cold(now)
+        )
+        for number in sorted(cold - self._cold):
+            self._logs.write_event(
+                events.TargetCold(endpoint=number, reason="ramp-started")
+            )
+        self._cold = cold
--- a/src/chivedoor/daemon/traffic.py
+++ b/src/chivedoor/daemon/traffic.py
@@ -28,7 +28,7 @@
         balancer: balancers.Balancer,
         keys: encapsulation.Keys,
         clock: Clock,
-        handle_pause: Callable[[], None],
+        handle_pause: Callable[[float], None],
     ) -> None:
         self.counters: collections.Counter[str] = collections.Counter()
         self._balancer = balancer
@@ -39,6 +39,7 @@
         self._last_heartbeat_s = clock()
         self._heartbeat: asyncio.TimerHandle | None = None
         self.last_packet_s = clock()
+        self.longest_delay_s = 0.0
         self._fabric_port = ports.PacketPort(
             address=settings.vm.address,
             port=settings.vm.packet_port,
@@ -82,6 +83,7 @@
     def _beat(self) -> None:
         late_s = self._clock() - self._last_heartbeat_s - const.HEARTBEAT_S
         self._balancer.context.loop_is_late = late_s > const.LOOP_LATE_S
+        self.longest_delay_s = max(self.longest_delay_s, late_s)
         self._check_pause()
         loop = asyncio.get_running_loop()
         self._heartbeat = loop.call_later(const.HEARTBEAT_S, self._beat)
@@ -93,7 +95,7 @@
         self._last_heartbeat_s = now
         if gap_s <= const.PAUSE_S:
             return False
-        self._handle_pause()
+        self._handle_pause(gap_s)
         return True
 
     def _handle_fabric_batch(self, batch: list[memoryview]) -> None:
