Split the resolver by job

Change: modules resolver, owned_flows, replication, answers and delivery; the flow key of a packet is computed in one place.

--- /dev/null
+++ b/src/chivedoor/balancer/answers.py
@@ -0,0 +1,155 @@
+"""Packets of targets, at their owner."""
+
+from chivedoor import ids
+from chivedoor.balancer import actions
+from chivedoor.balancer import const
+from chivedoor.balancer import context as contexts
+from chivedoor.balancer import delivery
+from chivedoor.balancer import replication as replications
+from chivedoor.balancer import segments
+from chivedoor.configuration import document as documents
+from chivedoor.dataplane import encapsulation
+from chivedoor.dataplane import packet as packets
+from chivedoor.flows import owner as owners
+from chivedoor.flows import records
+from chivedoor.flows import resets
+from chivedoor.routing import directory as directories
+
+_TCP = int(documents.Protocol.TCP)
+_ForwardKind = encapsulation.ForwardKind
+
+
+class Answers:
+    """Decides on control segments and datagrams of targets."""
+
+    def __init__(
+        self,
+        *,
+        context: contexts.Context,
+        replication: replications.Replication,
+    ) -> None:
+        self._context = context
+        self._replication = replication
+        self._resets = resets.ResetFilter()
+
+    def tick(self, now: float) -> None:
+        """Expires what is kept of resets."""
+        self._resets.expire(now)
+
+    def answer(
+        self,
+        packet: packets.Packet,
+        source: directories.EndpointEntry,
+        now: float,
+        *,
+        hops: int = 0,
+    ) -> list[actions.Action]:
+        """Handles a control segment of a target as its owner."""
+        owner = self._context.find_owner(source.endpoint)
+        if owner not in (None, self._context.local_id):
+            return self._pass_answer(packet, source, owner, hops)
+        key = segments.key_of_answer(packet, source)
+        target = self._context.targets.get(source.endpoint.number)
+        if target is None or key not in target.flows:
+            return self._answer_unknown(packet, source, key, target, now)
+        if packet.protocol != _TCP:
+            return self._answer_datagram(packet, source, key, target, now)
+        if packet.is_reset:
+            if target.flows.is_adopted(key):
+                return self._answer_adopted(packet, source, key, target, now)
+            target.admission.note_reset(
+                target.flows.get_state(key) is records.FlowState.OPEN, now
+            )
+        is_first = self._replication.note_answer(packet, key, target, now)
+        copies = (
+            self._replication.copy(packet, source.endpoint, key, source.routes)
+            if is_first or packet.is_fin or packet.is_reset
+            else []
+        )
+        return copies + delivery.deliver_answer(packet, source)
+
+    def _pass_answer(
+        self,
+        packet: packets.Packet,
+        source: directories.EndpointEntry,
+        owner: ids.VmId,
+        hops: int,
+    ) -> list[actions.Action]:
+        if hops >= const.MAX_HOPS:
+            return [actions.Drop(actions.RoutingDrop.TOO_MANY_HOPS)]
+        header = self._context.make_header(
+            _ForwardKind.ANSWER, source.endpoint, hops=hops + 1
+        )
+        return [actions.Forward(owner, header, packet.buffer)]
+
+    def _answer_adopted(
+        self,
+        packet: packets.Packet,
+        source: directories.EndpointEntry,
+        key: ids.FlowKey,
+        target: owners.TargetOwner,
+        now: float,
+    ) -> list[actions.Action]:
+        """Handles a reset of a flow that was assumed to be on a target."""
+        target.remove(key, now)
+        if not self._believes_reset(source.routes, key, now):
+            return [actions.Drop(actions.RoutingDrop.STALE_RESET)]
+        copies = self._replication.copy(
+            packet, source.endpoint, key, source.routes
+        )
+        return copies + delivery.deliver_answer(packet, source)
+
+    def _believes_reset(
+        self,
+        routes: directories.ServiceRoutes,
+        key: ids.FlowKey,
+        now: float,
+    ) -> bool:
+        """Returns whether a reset of an unrecorded flow goes to the caller.
+
+        An endpoint without an owner in view may have the flow, on the other
+        side of a partition that packets of callers still cross.
+        """
+        sees_all = all(
+            self._context.is_out(endpoint)
+            or self._context.find_owner(endpoint) is not None
+            for endpoint in routes.service.endpoints
+        )
+        return sees_all and self._resets.confirm(key, now)
+
+    def _answer_unknown(
+        self,
+        packet: packets.Packet,
+        source: directories.EndpointEntry,
+        key: ids.FlowKey,
+        target: owners.TargetOwner | None,
+        now: float,
+    ) -> list[actions.Action]:
+        if packet.protocol != _TCP:
+            if target is None or not target.has_records:
+                return delivery.deliver_answer(packet, source)
+            return [actions.Drop(actions.RoutingDrop.STALE_ANSWER)]
+        if packet.is_reset and not self._believes_reset(
+            source.routes, key, now
+        ):
+            return [actions.Drop(actions.RoutingDrop.STALE_RESET)]
+        return delivery.deliver_answer(packet, source)
+
+    def _answer_datagram(
+        self,
+        packet: packets.Packet,
+        source: directories.EndpointEntry,
+        key: ids.FlowKey,
+        target: owners.TargetOwner,
+        now: float,
+    ) -> list[actions.Action]:
+        if target.flows.confirm(key, now):
+            target.note_handshake(key, now, is_timed=False)
+        if source.port.kind is documents.PortKind.STREAM:
+            target.flows.touch(key, now)
+            return delivery.deliver_answer(packet, source)
+        target.close(key, now)
+        copies = self._replication.copy(
+            packet, source.endpoint, key, source.routes
+        )
+        return copies + delivery.deliver_answer(packet, source)
--- a/src/chivedoor/balancer/balancer.py
+++ b/src/chivedoor/balancer/balancer.py
@@ -9,10 +9,14 @@
 from chivedoor.admission import duplicates
 from chivedoor.admission import rate
 from chivedoor.balancer import actions
+from chivedoor.balancer import answers as target_answers
 from chivedoor.balancer import const
 from chivedoor.balancer import context as contexts
+from chivedoor.balancer import owned_flows
 from chivedoor.balancer import receiver as receivers
+from chivedoor.balancer import replication as replications
 from chivedoor.balancer import resolver as resolvers
+from chivedoor.balancer import segments
 from chivedoor.balancer import silence
 from chivedoor.balancer import targets as owned_targets
 from chivedoor.configuration import document as documents
@@ -23,7 +27,6 @@
 from chivedoor.flows import refresh
 from chivedoor.membership import members as memberships
 from chivedoor.routing import directory as directories
-from chivedoor.routing import hashing
 
 _ForwardKind = encapsulation.ForwardKind
 _RECORDING_KINDS = frozenset({_ForwardKind.CHAIN, _ForwardKind.COPY})
@@ -64,8 +67,22 @@
         self._region = region
         self._limited_services: frozenset[ids.ServiceId] = frozenset()
         self._modes: dict[ids.EndpointNumber, dict[ids.VmId, Mode]] = {}
+        self._requests = duplicates.RequestFilter()
+        self._replication = replications.Replication(
+            context=self.context, request_filter=self._requests
+        )
+        self._answers = target_answers.Answers(
+            context=self.context, replication=self._replication
+        )
         self._resolver = resolvers.Resolver(
-            context=self.context, request_filter=duplicates.RequestFilter()
+            context=self.context,
+            owned=owned_flows.OwnedFlows(
+                context=self.context,
+                replication=self._replication,
+                request_filter=self._requests,
+            ),
+            replication=self._replication,
+            request_filter=self._requests,
         )
         self._rates = rate.FlowRates(
             capacity_per_s=const.NEW_FLOWS_PER_S, now=now
@@ -74,6 +91,7 @@
         self._receiver = receivers.Receiver(
             context=self.context,
             resolver=self._resolver,
+            answers=self._answers,
             refresh_filter=refresh.RefreshFilter(
                 salt=salt, window_s=_REFRESH_WINDOW_S
             ),
@@ -139,20 +157,14 @@
         entry: directories.ServiceEntry,
         now: float,
     ) -> list[actions.Action]:
-        key = hashing.compute_flow_key(
-            protocol=packet.protocol,
-            caller=packet.source,
-            caller_port=packet.source_port,
-            service=packet.destination,
-            service_port=packet.destination_port,
-        )
+        key = segments.key_of_caller(packet)
         handlers = {
             _ForwardKind.RESOLVE: self._resolver.resolve,
             _ForwardKind.SUSPECT: self._resolver.suspect,
             _ForwardKind.NEXT: self._resolver.look_up,
             _ForwardKind.LOOKUP: self._resolver.look_up,
-            _ForwardKind.CHAIN: self._resolver.record_and_deliver,
-            _ForwardKind.COPY: self._resolver.record_caller_copy,
+            _ForwardKind.CHAIN: self._replication.record_and_deliver,
+            _ForwardKind.COPY: self._replication.record_caller_copy,
         }
         handler = handlers.get(header.kind)
         if handler is None:
@@ -201,8 +213,8 @@
         if not self._is_trusted(header):
             return [actions.Drop(actions.RoutingDrop.NOT_ALIVE)]
         if header.kind is _ForwardKind.COPY:
-            return self._resolver.record_target_copy(packet, source, now)
-        return self._resolver.answer(packet, source, now, hops=header.hops)
+            return self._replication.record_target_copy(packet, source, now)
+        return self._answers.answer(packet, source, now, hops=header.hops)
 
     @property
     def suspicions(self) -> silence.Suspicions:
@@ -218,7 +230,7 @@
         self.watch.expire(now)
         self.suspicions.expire(now)
         self._resolver.forget_flows(self.targets.tick(now))
-        self._resolver.tick(now)
+        self._answers.tick(now)
 
     # Changes of what the balancer knows.
 
--- a/src/chivedoor/balancer/context.py
+++ b/src/chivedoor/balancer/context.py
@@ -151,6 +151,21 @@
             member=member_id, incarnation=member.incarnation
         )
 
+    def find_peers(
+        self, routes: directories.ServiceRoutes, base: documents.Endpoint
+    ) -> dict[ids.EndpointNumber, owners.OwnerIdentity]:
+        """Returns the owners in view of the other endpoints of a service."""
+        identities = (
+            (endpoint.number, self.find_identity(endpoint))
+            for endpoint in routes.service.endpoints
+            if endpoint.number != base.number and not self.is_out(endpoint)
+        )
+        return {
+            number: identity
+            for number, identity in identities
+            if identity is not None
+        }
+
     def find_share(self, domain: ids.DomainId) -> float:
         """Returns the part of a target's limits that its owner may use.
 
--- /dev/null
+++ b/src/chivedoor/balancer/owned_flows.py
@@ -0,0 +1,160 @@
+"""Packets of callers on flows of targets that are owned here."""
+
+from chivedoor import ids
+from chivedoor.admission import duplicates
+from chivedoor.admission import target as admissions
+from chivedoor.balancer import actions
+from chivedoor.balancer import context as contexts
+from chivedoor.balancer import delivery
+from chivedoor.balancer import replication as replications
+from chivedoor.balancer import segments
+from chivedoor.configuration import document as documents
+from chivedoor.dataplane import packet as packets
+from chivedoor.flows import const as flows_const
+from chivedoor.flows import records
+from chivedoor.routing import directory as directories
+
+_TCP = int(documents.Protocol.TCP)
+
+
+class OwnedFlows:
+    """Starts and continues flows on a target, as its owner."""
+
+    def __init__(
+        self,
+        *,
+        context: contexts.Context,
+        replication: replications.Replication,
+        request_filter: duplicates.RequestFilter,
+    ) -> None:
+        self._context = context
+        self._replication = replication
+        self._requests = request_filter
+
+    def start(
+        self,
+        packet: packets.Packet,
+        entry: directories.ServiceEntry,
+        key: ids.FlowKey,
+        endpoint: documents.Endpoint,
+        now: float,
+    ) -> list[actions.Action]:
+        """Sends the first packet of an admitted flow on its way."""
+        self._context.admitted[entry.port.kind] += 1
+        if entry.port.kind is documents.PortKind.REQUEST:
+            self._requests.forget(key)
+            self._requests.check(key, packet.payload)
+        return self._replication.chain(packet, entry, endpoint)
+
+    def continue_flow(
+        self,
+        packet: packets.Packet,
+        entry: directories.ServiceEntry,
+        key: ids.FlowKey,
+        endpoint: documents.Endpoint,
+        now: float,
+    ) -> list[actions.Action]:
+        """Handles a packet of a flow that has a record here."""
+        target = self._context.targets[endpoint.number]
+        if packet.protocol != _TCP:
+            return self._continue_datagrams(packet, entry, key, endpoint, now)
+        if packet.is_syn:
+            return self._restart(packet, entry, key, endpoint, now)
+        if not packet.is_fin and not packet.is_reset:
+            return self._renew(packet, entry, key, endpoint, now)
+        if packet.is_reset:
+            target.close(key, now)
+        else:
+            target.close_caller(key, now)
+        copies = self._replication.copy(packet, endpoint, key, entry.routes)
+        return copies + delivery.deliver(packet, entry, endpoint)
+
+    def _renew(
+        self,
+        packet: packets.Packet,
+        entry: directories.ServiceEntry,
+        key: ids.FlowKey,
+        endpoint: documents.Endpoint,
+        now: float,
+    ) -> list[actions.Action]:
+        """Delivers an established packet and renews the flow's records."""
+        flows = self._context.targets[endpoint.number].flows
+        is_due = flows.enters_window(key, now, flows_const.REPLICA_RENEWAL_S)
+        flows.touch(key, now)
+        copies = (
+            self._replication.copy(packet, endpoint, key, entry.routes)
+            if is_due
+            else []
+        )
+        return copies + delivery.deliver(packet, entry, endpoint)
+
+    def adopt(
+        self,
+        packet: packets.Packet,
+        entry: directories.ServiceEntry,
+        key: ids.FlowKey,
+        endpoint: documents.Endpoint,
+        now: float,
+    ) -> list[actions.Action]:
+        """Records an open flow that has no record, here and at the replica."""
+        target = self._context.targets[endpoint.number]
+        target.adopt(key, entry.port.kind, now)
+        copies = self._replication.copy(packet, endpoint, key, entry.routes)
+        return copies + self.continue_flow(packet, entry, key, endpoint, now)
+
+    def _restart(
+        self,
+        packet: packets.Packet,
+        entry: directories.ServiceEntry,
+        key: ids.FlowKey,
+        endpoint: documents.Endpoint,
+        now: float,
+    ) -> list[actions.Action]:
+        """Handles a SYN of a flow that has a record.
+
+        A retransmitted SYN goes to the same target. A new flow that uses
+        the ports of a closed one also goes there, or nowhere, so that late
+        packets of both reach the target that can tell them apart.
+        """
+        target = self._context.targets[endpoint.number]
+        if target.flows.get_state(key) is records.FlowState.CLOSED:
+            share = self._context.find_share(endpoint.domain)
+            verdict = target.admit(key, entry.port.kind, share, now)
+            if verdict is not admissions.Verdict.ADMIT:
+                # It may be a late copy of the SYN that the target had, which
+                # a refusal would call not run.
+                return [actions.Drop(actions.RoutingDrop.UNCERTAIN)]
+        return self._replication.chain(packet, entry, endpoint)
+
+    def _continue_datagrams(
+        self,
+        packet: packets.Packet,
+        entry: directories.ServiceEntry,
+        key: ids.FlowKey,
+        endpoint: documents.Endpoint,
+        now: float,
+    ) -> list[actions.Action]:
+        target = self._context.targets[endpoint.number]
+        port = entry.port
+        runs_once = segments.runs_once(packet, entry)
+        if runs_once:
+            if not self._requests.list_digests(key):
+                # The record came without the datagrams that were passed, so
+                # this one may be one of them.
+                return [actions.Drop(actions.RoutingDrop.UNCERTAIN)]
+            passage = self._requests.check(key, packet.payload)
+            if passage is not duplicates.Passage.PASS:
+                return [actions.Drop(actions.RoutingDrop.DUPLICATE_REQUEST)]
+        if target.flows.get_state(key) is records.FlowState.CLOSED:
+            share = self._context.find_share(endpoint.domain)
+            verdict = target.admit(key, port.kind, share, now)
+            if verdict is not admissions.Verdict.ADMIT:
+                self._requests.withdraw(key, packet.payload)
+                return delivery.refuse_new_flow(
+                    packet, actions.Refusal.TARGETS_FULL
+                )
+            return self._replication.chain(packet, entry, endpoint)
+        target.flows.touch(key, now)
+        if runs_once:
+            return self._replication.chain(packet, entry, endpoint)
+        return delivery.deliver(packet, entry, endpoint)
--- a/src/chivedoor/balancer/receiver.py
+++ b/src/chivedoor/balancer/receiver.py
@@ -3,7 +3,9 @@
 from chivedoor import ids
 from chivedoor.admission import rate
 from chivedoor.balancer import actions
+from chivedoor.balancer import answers as target_answers
 from chivedoor.balancer import context as contexts
+from chivedoor.balancer import delivery
 from chivedoor.balancer import resolver as resolvers
 from chivedoor.balancer import segments
 from chivedoor.balancer import silence
@@ -12,7 +14,6 @@
 from chivedoor.dataplane import packet as packets
 from chivedoor.flows import refresh
 from chivedoor.routing import directory as directories
-from chivedoor.routing import hashing
 
 
 class Receiver:
@@ -23,12 +24,14 @@
         *,
         context: contexts.Context,
         resolver: resolvers.Resolver,
+        answers: target_answers.Answers,
         refresh_filter: refresh.RefreshFilter,
         rates: rate.FlowRates,
         watch: silence.SilenceWatch,
     ) -> None:
         self._context = context
         self._resolver = resolver
+        self._answers = answers
         self._refresh = refresh_filter
         self._rates = rates
         self._watch = watch
@@ -63,17 +66,11 @@
     ) -> list[actions.Action]:
         if not self._context.may_send:
             return [actions.Drop(actions.RoutingDrop.DOCUMENT_TOO_OLD)]
-        key = hashing.compute_flow_key(
-            protocol=packet.protocol,
-            caller=packet.source,
-            caller_port=packet.source_port,
-            service=packet.destination,
-            service_port=packet.destination_port,
-        )
+        key = segments.key_of_caller(packet)
         routes = entry.routes
         base = routes.table.find_base(key)
         if base is None:
-            return resolvers.refuse_new_flow(packet, actions.Refusal.NO_TARGET)
+            return delivery.refuse_new_flow(packet, actions.Refusal.NO_TARGET)
         kind = encapsulation.ForwardKind.RESOLVE
         if segments.is_established(packet):
             if silence.carries_data(packet) and self._watch.note_data(
@@ -83,7 +80,7 @@
             elif base.number in routes.direct and not self._refresh.is_due(
                 key, now
             ):
-                return resolvers.deliver(packet, entry, base)
+                return delivery.deliver(packet, entry, base)
         return self._send_to_owner(packet, entry, key, base, kind, now)
 
     def _send_to_owner(
@@ -98,7 +95,7 @@
         if segments.starts_flow(packet) and not self._rates.admit(
             entry.routes.service.id, now
         ):
-            return resolvers.refuse_excess(packet)
+            return delivery.refuse_excess(packet)
         owner = self._context.find_owner(base)
         if owner is None:
             return self._resolver.resolve_without_owner(
@@ -118,13 +115,13 @@
         now: float,
     ) -> list[actions.Action]:
         if self._watch.observed:
-            self._watch.note_answer(resolvers.key_of_answer(packet, source))
+            self._watch.note_answer(segments.key_of_answer(packet, source))
         if segments.is_established(packet):
-            return resolvers.deliver_answer(packet, source)
+            return delivery.deliver_answer(packet, source)
         owner = self._context.find_owner(source.endpoint)
         header = self._context.make_header(
             encapsulation.ForwardKind.ANSWER, source.endpoint
         )
         if owner is None or owner == self._context.local_id:
-            return self._resolver.answer(packet, source, now)
+            return self._answers.answer(packet, source, now)
         return [actions.Forward(owner, header, packet.buffer)]
--- /dev/null
+++ b/src/chivedoor/balancer/replication.py
@@ -0,0 +1,205 @@
+"""Records of one target at its owner and at its replica."""
+
+from chivedoor import ids
+from chivedoor.admission import duplicates
+from chivedoor.balancer import actions
+from chivedoor.balancer import context as contexts
+from chivedoor.balancer import delivery
+from chivedoor.balancer import segments
+from chivedoor.configuration import document as documents
+from chivedoor.dataplane import encapsulation
+from chivedoor.dataplane import packet as packets
+from chivedoor.flows import owner as owners
+from chivedoor.routing import directory as directories
+
+_TCP = int(documents.Protocol.TCP)
+_ForwardKind = encapsulation.ForwardKind
+
+
+class Replication:
+    """Keeps the records of the replica equal to those of the owner."""
+
+    def __init__(
+        self,
+        *,
+        context: contexts.Context,
+        request_filter: duplicates.RequestFilter,
+    ) -> None:
+        self._context = context
+        self._requests = request_filter
+
+    def chain(
+        self,
+        packet: packets.Packet,
+        entry: directories.ServiceEntry,
+        endpoint: documents.Endpoint,
+    ) -> list[actions.Action]:
+        """Sends a first packet to the target by way of the replica.
+
+        While the replica is still joining, the balancer that would take
+        over from this one gets a copy.
+        """
+        replica = self._context.find_replica(endpoint)
+        if replica is None:
+            return delivery.deliver(packet, entry, endpoint)
+        header = self._context.make_header(_ForwardKind.CHAIN, endpoint)
+        chained = actions.Forward(replica, header, packet.buffer)
+        successor = self._context.find_active_replica(endpoint)
+        if successor in (None, replica):
+            return [chained]
+        copy = self._context.make_header(_ForwardKind.COPY, endpoint)
+        return [
+            chained,
+            actions.Forward(successor, copy, bytes(packet.buffer)),
+        ]
+
+    def copy(
+        self,
+        packet: packets.Packet,
+        endpoint: documents.Endpoint,
+        key: ids.FlowKey,
+        routes: directories.ServiceRoutes,
+    ) -> list[actions.Action]:
+        """Tells the replica, and the owner of an override, of an end."""
+        receivers = {
+            self._context.find_replica(endpoint),
+            self._context.find_active_replica(endpoint),
+        }
+        base = routes.table.find_base(key)
+        if base is not None and base.number != endpoint.number:
+            receivers.add(self._context.find_owner(base))
+        header = self._context.make_header(_ForwardKind.COPY, endpoint)
+        data = bytes(packet.buffer)
+        return [
+            actions.Forward(member, header, data)
+            for member in receivers
+            if member is not None and member != self._context.local_id
+        ]
+
+    def report_override(
+        self,
+        packet: packets.Packet,
+        base: documents.Endpoint | None,
+        endpoint: documents.Endpoint,
+        now: float,
+        key: ids.FlowKey,
+    ) -> list[actions.Action]:
+        """Tells the base target's owner that a flow lives elsewhere."""
+        if base is None or base.number == endpoint.number:
+            return []
+        owner = self._context.find_owner(base)
+        if owner is None:
+            return []
+        if owner == self._context.local_id:
+            self._context.targets[base.number].set_override(
+                key, endpoint.number, now
+            )
+            return []
+        header = self._context.make_header(_ForwardKind.COPY, endpoint)
+        return [actions.Forward(owner, header, bytes(packet.buffer))]
+
+    def record_and_deliver(
+        self,
+        packet: packets.Packet,
+        entry: directories.ServiceEntry,
+        key: ids.FlowKey,
+        header: encapsulation.Header,
+        now: float,
+    ) -> list[actions.Action]:
+        """Handles a first packet that the owner sent on its way."""
+        number = ids.EndpointNumber(header.endpoint_number)
+        found = self._context.directory.by_number.get(number)
+        if found is None:
+            return [actions.Drop(actions.RoutingDrop.NO_ENDPOINT)]
+        if self._context.is_out(found[1]):
+            # The owner sent the packet before it took the command.
+            return delivery.abort_flow(packet)
+        target = self._context.targets.get(number)
+        if target is not None:
+            target.replicate(key, entry.port.kind, now)
+            if entry.port.kind is documents.PortKind.REQUEST:
+                self._requests.check(key, packet.payload)
+        return delivery.deliver(packet, entry, found[1])
+
+    def record_caller_copy(
+        self,
+        packet: packets.Packet,
+        entry: directories.ServiceEntry,
+        key: ids.FlowKey,
+        header: encapsulation.Header,
+        now: float,
+    ) -> list[actions.Action]:
+        """Notes a copy of a caller's packet."""
+        number = ids.EndpointNumber(header.endpoint_number)
+        base = entry.routes.table.find_base(key)
+        if base is not None and base.number != number:
+            owned = self._context.targets.get(base.number)
+            if owned is not None and self._context.is_owner(base):
+                owned.set_override(key, number, now)
+                if packet.is_fin or packet.is_reset:
+                    owned.end_override(key, now)
+        target = self._context.targets.get(number)
+        if target is not None:
+            self._note_caller_copy(packet, entry, key, target, now)
+        return []
+
+    def _note_caller_copy(
+        self,
+        packet: packets.Packet,
+        entry: directories.ServiceEntry,
+        key: ids.FlowKey,
+        target: owners.TargetOwner,
+        now: float,
+    ) -> None:
+        if key not in target.flows:
+            if not packet.is_reset:
+                target.adopt(key, entry.port.kind, now)
+        elif packet.is_reset:
+            target.close(key, now)
+        elif packet.is_fin:
+            target.close_caller(key, now)
+        else:
+            target.flows.touch(key, now)
+
+    def record_target_copy(
+        self,
+        packet: packets.Packet,
+        source: directories.EndpointEntry,
+        now: float,
+    ) -> list[actions.Action]:
+        """Notes a copy of a target's packet."""
+        key = segments.key_of_answer(packet, source)
+        target = self._context.targets.get(source.endpoint.number)
+        if target is not None and key in target.flows:
+            self.note_answer(packet, key, target, now)
+        base = source.routes.table.find_base(key)
+        if base is not None and base.number != source.endpoint.number:
+            owned = self._context.targets.get(base.number)
+            if owned is not None and not packet.is_syn_ack:
+                owned.end_override(key, now)
+        return []
+
+    def note_answer(
+        self,
+        packet: packets.Packet,
+        key: ids.FlowKey,
+        target: owners.TargetOwner,
+        now: float,
+    ) -> bool:
+        """Takes a target's packet into a record.
+
+        Returns:
+          Whether it is the target's first answer to the flow.
+        """
+        if packet.protocol != _TCP or packet.is_reset:
+            target.close(key, now)
+            return False
+        if packet.is_fin:
+            target.close_target(key, now)
+            return False
+        is_first = target.flows.confirm(key, now)
+        if is_first:
+            # A late loop would make every target look slow.
+            is_timed = not self._context.loop_is_late
+            target.note_handshake(key, now, is_timed=is_timed)
+        return is_first
--- a/src/chivedoor/balancer/targets.py
+++ b/src/chivedoor/balancer/targets.py
@@ -5,7 +5,6 @@
 from chivedoor import ids
 from chivedoor.balancer import const
 from chivedoor.balancer import context as contexts
-from chivedoor.balancer import resolver as resolvers
 from chivedoor.configuration import document as documents
 from chivedoor.flows import owner as owners
 from chivedoor.membership import members as memberships
@@ -107,7 +106,7 @@
             target.become_replica()
             return
         target.become_owner(now)
-        peers = resolvers.find_peers(context, routes, endpoint)
+        peers = context.find_peers(routes, endpoint)
         target.forget_pulls(frozenset(peers))
 
     def list_pulls(self) -> list[Pull]:
@@ -135,7 +134,7 @@
                     generation=generation,
                 )
             ]
-        peers = resolvers.find_peers(context, routes, endpoint)
+        peers = context.find_peers(routes, endpoint)
         return [
             Pull(
                 number=other,
@@ -231,7 +230,7 @@
                 continue
             routes, endpoint = context.directory.by_number[number]
             generation = routes.table.generation
-            peers = resolvers.find_peers(context, routes, endpoint)
+            peers = context.find_peers(routes, endpoint)
             if target.find_missing_pulls(peers, generation):
                 continue
             if target.is_settled(now, const.SETTLE_S):
