Drop doubled answers of datagram requests

Cause: an answer that the fabric doubled reached the caller twice, which is what left a duplicate surface entry in April. Change: the owner passes the same answer to a request once; another request of the flow may have the same answer. Conclusion: a new test fails before and passes after.

--- a/src/chivedoor/balancer/actions.py
+++ b/src/chivedoor/balancer/actions.py
@@ -17,6 +17,7 @@
     STALE_RESET = "stale_reset"
     STALE_ANSWER = "stale_answer"
     DUPLICATE_REQUEST = "duplicate_request"
+    DUPLICATE_ANSWER = "duplicate_answer"
     UNCERTAIN = "uncertain"
     NOT_OWNER = "not_owner"
     NOT_ALIVE = "not_alive"
--- a/src/chivedoor/balancer/answers.py
+++ b/src/chivedoor/balancer/answers.py
@@ -1,6 +1,7 @@
 """Packets of targets, at their owner."""
 
 from chivedoor import ids
+from chivedoor.admission import duplicates
 from chivedoor.balancer import actions
 from chivedoor.balancer import const
 from chivedoor.balancer import context as contexts
@@ -27,9 +28,11 @@
         *,
         context: contexts.Context,
         replication: replications.Replication,
+        answer_filter: duplicates.RequestFilter,
     ) -> None:
         self._context = context
         self._replication = replication
+        self._passed = answer_filter
         self._resets = resets.ResetFilter()
 
     def tick(self, now: float) -> None:
@@ -149,6 +152,9 @@
             target.flows.touch(key, now)
             return delivery.deliver_answer(packet, source)
         target.close(key, now)
+        passage = self._passed.check(key, packet.payload)
+        if passage is duplicates.Passage.DUPLICATE:
+            return [actions.Drop(actions.RoutingDrop.DUPLICATE_ANSWER)]
         copies = self._replication.copy(
             packet, source.endpoint, key, source.routes
         )
--- a/src/chivedoor/balancer/balancer.py
+++ b/src/chivedoor/balancer/balancer.py
@@ -68,11 +68,14 @@
         self._limited_services: frozenset[ids.ServiceId] = frozenset()
         self._modes: dict[ids.EndpointNumber, dict[ids.VmId, Mode]] = {}
         self._requests = duplicates.RequestFilter()
+        self._passed_answers = duplicates.RequestFilter()
         self._replication = replications.Replication(
             context=self.context, request_filter=self._requests
         )
         self._answers = target_answers.Answers(
-            context=self.context, replication=self._replication
+            context=self.context,
+            replication=self._replication,
+            answer_filter=self._passed_answers,
         )
         self._resolver = resolvers.Resolver(
             context=self.context,
@@ -80,9 +83,9 @@
                 context=self.context,
                 replication=self._replication,
                 request_filter=self._requests,
+                answer_filter=self._passed_answers,
             ),
             replication=self._replication,
-            request_filter=self._requests,
         )
         self._rates = rate.FlowRates(
             capacity_per_s=const.NEW_FLOWS_PER_S, now=now
@@ -229,7 +232,9 @@
         """Expires records; called several times a second."""
         self.watch.expire(now)
         self.suspicions.expire(now)
-        self._resolver.forget_flows(self.targets.tick(now))
+        for key in self.targets.tick(now):
+            self._requests.forget(key)
+            self._passed_answers.forget(key)
         self._answers.tick(now)
 
     # Changes of what the balancer knows.
--- a/src/chivedoor/balancer/owned_flows.py
+++ b/src/chivedoor/balancer/owned_flows.py
@@ -26,10 +26,12 @@
         context: contexts.Context,
         replication: replications.Replication,
         request_filter: duplicates.RequestFilter,
+        answer_filter: duplicates.RequestFilter,
     ) -> None:
         self._context = context
         self._replication = replication
         self._requests = request_filter
+        self._answers = answer_filter
 
     def start(
         self,
@@ -43,6 +45,7 @@
         self._context.admitted[entry.port.kind] += 1
         if entry.port.kind is documents.PortKind.REQUEST:
             self._requests.forget(key)
+            self._answers.forget(key)
             self._requests.check(key, packet.payload)
         return self._replication.chain(packet, entry, endpoint)
 
@@ -145,6 +148,8 @@
             passage = self._requests.check(key, packet.payload)
             if passage is not duplicates.Passage.PASS:
                 return [actions.Drop(actions.RoutingDrop.DUPLICATE_REQUEST)]
+            # The answer to another request may be the same bytes.
+            self._answers.forget(key)
         if target.flows.get_state(key) is records.FlowState.CLOSED:
             share = self._context.find_share(endpoint.domain)
             verdict = target.admit(key, port.kind, share, now)
--- a/src/chivedoor/balancer/resolver.py
+++ b/src/chivedoor/balancer/resolver.py
@@ -1,11 +1,9 @@
 """Finds the target of a flow among the owners that may know it."""
 
-from collections.abc import Iterable
 from collections.abc import Sequence
 import itertools
 
 from chivedoor import ids
-from chivedoor.admission import duplicates
 from chivedoor.admission import target as admissions
 from chivedoor.balancer import actions
 from chivedoor.balancer import const
@@ -38,19 +36,12 @@
         context: contexts.Context,
         owned: owned_flows.OwnedFlows,
         replication: replications.Replication,
-        request_filter: duplicates.RequestFilter,
     ) -> None:
         self._context = context
         self._owned = owned
         self._replication = replication
-        self._requests = request_filter
         self.suspicions = silence.Suspicions()
 
-    def forget_flows(self, keys: Iterable[ids.FlowKey]) -> None:
-        """Drops what is kept of flows whose records were dropped."""
-        for key in keys:
-            self._requests.forget(key)
-
     def resolve(
         self,
         packet: packets.Packet,
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -475,6 +475,17 @@
         assert fleet.send(name, fleets.make_datagram(5006, b"request 1")) == []
 
 
+def test_doubled_answer_reaches_the_caller_once(fleet):
+    # Guards against an answer that a caller takes for a second result.
+    (first,) = fleet.send("a0", fleets.make_datagram(5030, b"request 1"))
+    answer = fleets.make_answer(first, payload=b"result")
+    assert len(fleet.send("b0", answer)) == 1
+    assert fleet.send("c1", answer) == []
+    assert fleet.drops[actions.RoutingDrop.DUPLICATE_ANSWER] == 1
+    assert len(fleet.send("a1", fleets.make_datagram(5030, b"request 2"))) == 1
+    assert len(fleet.send("c1", answer)) == 1
+
+
 def test_same_datagram_runs_once_across_the_death_of_its_owner(fleet):
     # Guards against a retransmission that the new owner takes for new.
     (first,) = fleet.send("a0", fleets.make_datagram(5007, b"request 1"))
