Repair the capacity bench and remove unused constants

Cause: bench.capacity failed with a TypeError after the interface of target owners had changed, since no test runs it. Change: the bench passes the new arguments; constants and an enum member that nothing used are gone; a class that logs changes has a plain name.

--- a/bench/capacity/fleet.py
+++ b/bench/capacity/fleet.py
@@ -192,6 +192,7 @@
                 base=pull.base,
                 generation=pull.generation,
                 after=cursor,
+                reader=balancer.targets.identify_local(),
             )
             if batch is None:
                 break
--- a/bench/capacity/traffic.py
+++ b/bench/capacity/traffic.py
@@ -113,7 +113,8 @@
     for flows in _TARGET_FLOWS:
         target = _build_target(flows)
         results[f"target_tick_us_{flows}"] = samples.measure_calls(
-            lambda target=target: target.tick(_NOW_S), calls=_TICKS
+            lambda target=target: target.tick(_NOW_S, view_changed_at_s=0.0),
+            calls=_TICKS,
         )
     return results
 
@@ -327,6 +328,7 @@
             base=pull.base,
             generation=pull.generation,
             after=cursor,
+            reader=owner.targets.identify_local(),
         )
         batches.append(batch)
         cursor = batch.cursor
@@ -342,6 +344,7 @@
         base=ids.EndpointNumber(1 << 30),
         generation=pull.generation,
         after=0,
+        reader=owner.targets.identify_local(),
     )
 
 
--- a/src/chivedoor/balancer/actions.py
+++ b/src/chivedoor/balancer/actions.py
@@ -19,7 +19,6 @@
     DUPLICATE_REQUEST = "duplicate_request"
     DUPLICATE_ANSWER = "duplicate_answer"
     UNCERTAIN = "uncertain"
-    NOT_OWNER = "not_owner"
     NOT_ALIVE = "not_alive"
     DOCUMENT_TOO_OLD = "document_too_old"
     RATE_EXCEEDED = "rate_exceeded"
--- a/src/chivedoor/balancer/answers.py
+++ b/src/chivedoor/balancer/answers.py
@@ -95,14 +95,14 @@
     ) -> list[actions.Action]:
         """Handles a reset of a flow that was assumed to be on a target."""
         target.remove(key, now)
-        if not self._believes_reset(source.routes, key, now):
+        if not self._confirms_reset(source.routes, key, now):
             return [actions.Drop(actions.RoutingDrop.STALE_RESET)]
         copies = self._replication.copy(
             packet, source.endpoint, key, source.routes
         )
         return copies + delivery.deliver_answer(packet, source)
 
-    def _believes_reset(
+    def _confirms_reset(
         self,
         routes: directories.ServiceRoutes,
         key: ids.FlowKey,
@@ -132,7 +132,7 @@
             if target is None or not target.has_records:
                 return delivery.deliver_answer(packet, source)
             return [actions.Drop(actions.RoutingDrop.STALE_ANSWER)]
-        if packet.is_reset and not self._believes_reset(
+        if packet.is_reset and not self._confirms_reset(
             source.routes, key, now
         ):
             return [actions.Drop(actions.RoutingDrop.STALE_RESET)]
--- a/src/chivedoor/balancer/targets.py
+++ b/src/chivedoor/balancer/targets.py
@@ -237,7 +237,7 @@
                 settled.append((number, generation))
         return settled
 
-    def cool_domains(
+    def restart_ramps(
         self, domains: frozenset[ids.DomainId], now: float
     ) -> None:
         """Treats the targets of failure domains that returned as cold."""
--- a/src/chivedoor/daemon/application.py
+++ b/src/chivedoor/daemon/application.py
@@ -20,6 +20,7 @@
 from chivedoor.control import channel as channels
 from chivedoor.control import gossip as gossips
 from chivedoor.control import operators
+from chivedoor.daemon import changes
 from chivedoor.daemon import commands as commands_module
 from chivedoor.daemon import const
 from chivedoor.daemon import documents as document_keeping
@@ -27,7 +28,6 @@
 from chivedoor.daemon import ejections
 from chivedoor.daemon import figures
 from chivedoor.daemon import health
-from chivedoor.daemon import journal
 from chivedoor.daemon import modes
 from chivedoor.daemon import silence as silence_module
 from chivedoor.daemon import traffic as traffic_module
@@ -174,7 +174,7 @@
 
     def _create_interfaces(self) -> None:
         vm = self._settings.vm
-        self._journal = journal.Journal(
+        self._changes = changes.ChangeLogger(
             balancer=self._balancer,
             members=self._members,
             registers=self._domains.registers,
@@ -279,7 +279,7 @@
                 failures.append(error)
         self._modes.unload()
         self._domains.unload()
-        self._journal.unload()
+        self._changes.unload()
         for detach in self._detaches:
             detach()
         waited_s = self._clock() - self._started_at_s
@@ -327,7 +327,7 @@
             self._silence.start_checks()
             missing = self._transfers.start_pulls()
             self._activate_when_ready(missing, now)
-            self._journal.observe()
+            self._changes.observe()
             await asyncio.sleep(const.TICK_S)
 
     def _activate_when_ready(self, missing: int, now: float) -> None:
@@ -377,7 +377,7 @@
         self._balancer.apply_document(
             document=document, out_domains=out_domains, now=now
         )
-        self._balancer.targets.cool_domains(returned, now)
+        self._balancer.targets.restart_ramps(returned, now)
 
     def _update_members(self) -> None:
         self._balancer.update_members(self._clock())
--- a/src/chivedoor/daemon/journal.py
+++ b/src/chivedoor/daemon/changes.py
@@ -14,7 +14,7 @@
 _UNKNOWN = "unknown"
 
 
-class Journal:
+class ChangeLogger:
     """Compares the state with that of the last call and logs differences."""
 
     def __init__(
--- a/src/chivedoor/daemon/const.py
+++ b/src/chivedoor/daemon/const.py
@@ -10,8 +10,6 @@
 LOOP_LATE_S: Final = 0.01
 
 TICK_S: Final = 0.1
-MODE_CHECK_S: Final = 0.1
-PULL_CHECK_S: Final = 0.2
 PULL_TIMEOUT_S: Final = 2.0
 PULL_RETRY_S: Final = 0.3
 PULLS_AT_ONCE: Final = 8
@@ -30,7 +28,6 @@
 # With an announcement from each of 830 balancers, 2,400 versions a day take
 # 37 KB/s of gossip; 32 sources send a difference to all in less than 4 s.
 ANNOUNCERS_PER_DOMAIN: Final = 8
-READER_CHECK_S: Final = 1.0
 DOCUMENT_TIMEOUT_S: Final = 3.0
 DOCUMENT_RETRY_S: Final = 0.5
 VM_LIST_POLL_S: Final = 5.0
--- a/src/chivedoor/flows/const.py
+++ b/src/chivedoor/flows/const.py
@@ -39,9 +39,8 @@
 # Each receiver sends one packet of an active flow through the owner in a
 # window, so that the owner's record does not expire.
 REFRESH_SLOTS: Final = 1 << 17
-REFRESH_WINDOW_FRACTION: Final = 0.25
 
-# A reset of a flow without a record is believed when it is repeated after
+# A reset of a flow without a record is passed on when it is repeated after
 # this time, in which all balancers learn of a document or a member. It lies
 # below the fourth retransmission of a caller (3.0 s with a timeout of 0.2 s).
 RESET_CONFIRM_S: Final = 2.5
--- a/src/chivedoor/flows/resets.py
+++ b/src/chivedoor/flows/resets.py
@@ -18,7 +18,7 @@
         self._first_s: dict[ids.FlowKey, float] = {}
 
     def confirm(self, key: ids.FlowKey, now: float) -> bool:
-        """Notes a reset; returns whether it is to be believed."""
+        """Notes a reset; returns whether it was repeated."""
         first_s = self._first_s.get(key)
         if first_s is None:
             if len(self._first_s) < self._capacity:
