Let chivedoorctl run as a module

Cause: python -m chivedoor.cli.control did nothing, unlike the daemon. Change: the module calls its entry point.

--- a/src/chivedoor/cli/control.py
+++ b/src/chivedoor/cli/control.py
@@ -498,3 +498,7 @@
 
 def _print_error(text: str) -> None:
     print(text, file=sys.stderr)
+
+
+if __name__ == "__main__":
+    main()
