Keep overrides at the replica of the base target

An override was known only to the base target's owner and to the two balancers with the record of the flow's target; when owner and replica of that target died and one of them was the base owner too, the flow was taken for one of its base target. Change: reports and ends of overrides also go to the base target's replica, which keeps them for a takeover. Conclusion: a new test fails before and passes after.

--- a/src/chivedoor/balancer/context.py
+++ b/src/chivedoor/balancer/context.py
@@ -93,6 +93,11 @@
         ranked = ranking.find_owners(endpoint.number)
         return ranked[0] if ranked else None
 
+    def find_owners(self, endpoint: documents.Endpoint) -> tuple[ids.VmId, ...]:
+        """Returns a target's owner and the balancer that would follow it."""
+        ranking = self.owner_rankings.get(endpoint.domain)
+        return () if ranking is None else ranking.find_owners(endpoint.number)
+
     def find_replica(self, endpoint: documents.Endpoint) -> ids.VmId | None:
         """Returns the best other balancer that keeps a target's records.
 
--- a/src/chivedoor/balancer/replication.py
+++ b/src/chivedoor/balancer/replication.py
@@ -67,7 +67,7 @@
         }
         base = routes.table.find_base(key)
         if base is not None and base.number != endpoint.number:
-            receivers.add(self._context.find_owner(base))
+            receivers.update(self._context.find_owners(base))
         header = self._context.make_header(_ForwardKind.COPY, endpoint)
         data = bytes(packet.buffer)
         return [
@@ -84,19 +84,21 @@
         now: float,
         key: ids.FlowKey,
     ) -> list[actions.Action]:
-        """Tells the base target's owner that a flow lives elsewhere."""
+        """Tells the base target's owner and replica of a flow elsewhere."""
         if base is None or base.number == endpoint.number:
             return []
-        owner = self._context.find_owner(base)
-        if owner is None:
-            return []
-        if owner == self._context.local_id:
+        owners_of_base = self._context.find_owners(base)
+        if self._context.local_id in owners_of_base:
             self._context.targets[base.number].set_override(
                 key, endpoint.number, now
             )
-            return []
         header = self._context.make_header(_ForwardKind.COPY, endpoint)
-        return [actions.Forward(owner, header, bytes(packet.buffer))]
+        data = bytes(packet.buffer)
+        return [
+            actions.Forward(member, header, data)
+            for member in owners_of_base
+            if member != self._context.local_id
+        ]
 
     def record_and_deliver(
         self,
@@ -134,7 +136,7 @@
         base = entry.routes.table.find_base(key)
         if base is not None and base.number != number:
             owned = self._context.targets.get(base.number)
-            if owned is not None and self._context.is_owner(base):
+            if owned is not None:
                 owned.set_override(key, number, now)
                 if packet.is_fin or packet.is_reset:
                     owned.end_override(key, now)
--- a/src/chivedoor/flows/owner.py
+++ b/src/chivedoor/flows/owner.py
@@ -87,10 +87,9 @@
             self.admission.begin_recovery(now)
 
     def become_replica(self) -> None:
-        """Stops to decide; what it knows of overrides is no longer kept."""
+        """Stops to decide; overrides are kept for a takeover."""
         self.role = Role.REPLICA
         self._recovered_at_s = None
-        self.overrides.clear()
         self.pending.clear()
         self._pulled.clear()
 
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -280,6 +280,32 @@
             assert delivered.packet.destination == target
 
 
+def test_overrides_survive_the_death_of_their_owner_and_of_their_target(fleet):
+    # Guards against overrides that only their owner knows when the balancers
+    # with the records of the flow's target die with it.
+    opened = {}
+    for port in range(6000, 6028):
+        (delivered,) = fleet.send(
+            "a0",
+            fleets.make_segment(port, fleets.SYN, port=fleets.REQUEST_PORT),
+        )
+        if delivered.packet.destination[:2] == bytes((127, 1)):
+            opened[port] = delivered.packet.destination
+    held = {
+        (number, override.number): key
+        for number in range(1, 8)
+        for key, override in fleet.get_target(number).overrides.items()
+    }
+    (base, number), key = next(
+        pair for pair in held.items() if pair[0][0] % 3 != pair[0][1] % 3
+    )
+    fleet.kill(fleet.find_owner(base))
+    assert fleet.get_target(base).overrides[key].number == number
+    domain = "abc"[(number - 1) % 3]
+    fleet.kill(*(n for n in list(fleet.balancers) if n[0] == domain))
+    assert fleet.get_target(base).overrides[key].number == number
+
+
 def test_slot_is_free_after_the_target_has_answered(fleet):
     # Guards against slots that leak until an idle timeout.
     for port in range(6000, 6200):
