--- a/src/chivedoor/daemon/application.py
+++ b/src/chivedoor/daemon/application.py
@@ -388,7 +388,10 @@
         self._traffic.counters["pauses"] += 1
         self._members.rejoin(memberships.first_incarnation(time.time()), now)
         self._board.set_incarnation(self._members.local.incarnation, keep=False)
-        self._rejoin()
+        discarded = self._rejoin()
+        self._logs.write_event(
+            events.PauseDetected(pause_s=pause_s, discarded_packets=discarded)
+        )
 
     def _rejoin(self) -> int:
         """Forgets what may be old; returns the number of lost packets."""
--- a/src/chivedoor/routing/ownership.py
+++ b/src/chivedoor/routing/ownership.py
@@ -34,6 +34,11 @@
         self._candidates: frozenset[ids.VmId] = frozenset()
         self._ranked: dict[ids.EndpointNumber, tuple[ids.VmId, ...]] = {}
 
+    @property
+    def numbers(self) -> frozenset[ids.EndpointNumber]:
+        """Returns the endpoints whose ranking is kept."""
+        return frozenset(self._ranked)
+
     def find_owners(self, number: ids.EndpointNumber) -> tuple[ids.VmId, ...]:
         """Returns the owner, then its replicas, of an endpoint."""
         ranked = self._ranked.get(number)
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -704,6 +704,14 @@
     assert delivered.packet.destination == target
 
 
+def test_rankings_of_removed_endpoints_are_dropped(fleet):
+    # Guards against memory that grows with each endpoint that ever existed.
+    fleet.apply(fleets.make_document(2, fleets.make_service(_endpoints()[:3])))
+    context = fleet.balancers["a0"].context
+    ranked = {n for r in context.owner_rankings.values() for n in r.numbers}
+    assert ranked <= {1, 2, 3}
+
+
 def test_too_old_document_stops_sending(fleet):
     # Guards against packets for an address that has a new service by now.
     balancer = fleet.balancers["a0"]
--- a/tests/daemon/test_application.py
+++ b/tests/daemon/test_application.py
@@ -1,5 +1,7 @@
 """Tests of one daemon as a whole, without peers and platform."""
 
+import asyncio
+
 import aiohttp
 import pytest
 
@@ -70,6 +72,18 @@
     assert state["members"]["members"]["vm-1"]["state"] == "JOINING"
 
 
+async def test_pause_is_logged_and_starts_a_new_life(daemon, tmp_path):
+    # Guards against a pause that operators cannot see in the logs.
+    before = daemon.dump_state()["members"]["members"]["vm-1"]["incarnation"]
+    daemon._handle_pause(2.5)
+    after = daemon.dump_state()["members"]["members"]["vm-1"]["incarnation"]
+    assert after > before
+    log = tmp_path / "log.jsonl"
+    async with asyncio.timeout(60):
+        while "pause-detected" not in log.read_text():
+            await asyncio.sleep(0.01)
+
+
 async def test_second_daemon_on_the_same_ports_closes_what_it_opened(daemon):
     # Guards against ports that stay open after a failed start.
     settings = settings_module.parse_settings(_INI)
