--- a/bench/capacity/control.py
+++ b/bench/capacity/control.py
@@ -16,7 +16,7 @@
 from chivedoor.configuration import document as documents
 from chivedoor.control import board as boards
 from chivedoor.daemon import health
-from chivedoor.platform import client as clients
+from chivedoor.configservice import client as clients
 
 _MODES = 4_600
 _GENERATION = 0x123456789ABCDEF
--- a/src/chivedoor/platform/backoff.py
+++ b/src/chivedoor/configservice/backoff.py
@@ -2,7 +2,7 @@
 
 import random
 
-from chivedoor.platform import const
+from chivedoor.configservice import const
 
 
 class Backoff:
--- a/src/chivedoor/platform/client.py
+++ b/src/chivedoor/configservice/client.py
@@ -19,9 +19,9 @@
 import aiohttp
 
 from chivedoor import ids
-from chivedoor.platform import backoff
-from chivedoor.platform import const
-from chivedoor.platform import exceptions
+from chivedoor.configservice import backoff
+from chivedoor.configservice import const
+from chivedoor.configservice import exceptions
 
 
 class ReadingState(enum.Enum):
--- a/src/chivedoor/daemon/application.py
+++ b/src/chivedoor/daemon/application.py
@@ -12,6 +12,7 @@
 from chivedoor import ids
 from chivedoor.admission import target as admissions
 from chivedoor.balancer import balancer as balancers
+from chivedoor.configservice import client as clients
 from chivedoor.configuration import document as documents
 from chivedoor.configuration import settings as settings_module
 from chivedoor.control import authentication
@@ -34,7 +35,6 @@
 from chivedoor.daemon import transfers as transfers_module
 from chivedoor.dataplane import encapsulation
 from chivedoor.membership import members as memberships
-from chivedoor.platform import client as clients
 from chivedoor.telemetry import events
 from chivedoor.telemetry import faults
 from chivedoor.telemetry import logs as logs_module
--- a/src/chivedoor/daemon/documents.py
+++ b/src/chivedoor/daemon/documents.py
@@ -6,6 +6,7 @@
 
 from chivedoor import exceptions as base_exceptions
 from chivedoor import ids
+from chivedoor.configservice import client as clients
 from chivedoor.configuration import difference as differences
 from chivedoor.configuration import encoding
 from chivedoor.configuration import exceptions as configuration_errors
@@ -16,7 +17,6 @@
 from chivedoor.daemon import const
 from chivedoor.daemon import traffic
 from chivedoor.membership import members as memberships
-from chivedoor.platform import client as clients
 from chivedoor.routing import hashing
 from chivedoor.routing import ownership
 from chivedoor.telemetry import events
--- a/src/chivedoor/daemon/figures.py
+++ b/src/chivedoor/daemon/figures.py
@@ -6,12 +6,12 @@
 from chivedoor import ids
 from chivedoor.admission import health
 from chivedoor.balancer import balancer as balancers
+from chivedoor.configservice import client as clients
 from chivedoor.configuration import store as stores
 from chivedoor.control import budget as budgets
 from chivedoor.daemon import traffic as traffic_module
 from chivedoor.flows import owner as owners
 from chivedoor.membership import members as memberships
-from chivedoor.platform import client as clients
 from chivedoor.rpc import counts as counting
 from chivedoor.telemetry import catalogue
 from chivedoor.telemetry import logs as logs_module
--- /dev/null
+++ b/src/chivedoor/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Composition and lifetime of the balancer that steers by tags."""
--- /dev/null
+++ b/src/chivedoor/edge/application.py
@@ -0,0 +1,268 @@
+"""Composition and lifetime of an edge balancer."""
+
+import asyncio
+from collections.abc import Callable
+import http
+import importlib
+import json
+import pathlib
+import random
+import signal
+import time
+
+from chivedoor.edge import const
+from chivedoor.edge import exceptions
+from chivedoor.edge import figures as figure_tables
+from chivedoor.edge import forwarder as forwarders
+from chivedoor.edge import knowledge as knowledge_module
+from chivedoor.edge import lines
+from chivedoor.edge import settings as settings_module
+from chivedoor.edge import web
+from chivedoor.feed import follower as followers
+from chivedoor.feed import records
+from chivedoor.platform import store
+from chivedoor.steering import steerer as steerers
+
+
+def read_clock() -> float:
+    """Returns seconds that go on while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Application:
+    """One edge balancer."""
+
+    def __init__(
+        self,
+        *,
+        path: pathlib.Path,
+        settings: settings_module.Settings,
+        log: lines.Lines,
+        clock: Callable[[], float] = read_clock,
+    ) -> None:
+        """Creates a balancer with all ports closed."""
+        self._path = path
+        self._settings = settings
+        self._log = log
+        self._clock = clock
+        generator = random.Random()
+        self.figures = figure_tables.Figures()
+        self.steerer = steerers.Steerer(
+            local=settings.vm, domain=settings.domain, generator=generator
+        )
+        self.forwarder = forwarders.Forwarder(
+            address=settings.packets.host,
+            port=settings.packets.port,
+            steerer=self.steerer,
+            log=log,
+            figures=self.figures,
+            clock=clock,
+        )
+        self.knowledge = knowledge_module.Knowledge(
+            steerer=self.steerer,
+            log=log,
+            figures=self.figures,
+            clock=clock,
+            reset_flows=self.forwarder.reset_flows,
+        )
+        self.forwarder.knowledge = self.knowledge
+        self._store = store.Store(
+            host=settings.source.host, port=settings.source.port
+        )
+        self._follower = followers.Follower(
+            source=self._store,
+            deliver=self._take_batch,
+            note_state=self._note_source,
+            clock=clock,
+            generator=generator,
+        )
+        self._readiness = web.WebServer(
+            host=settings.readiness.host,
+            port=settings.readiness.port,
+            handle=self._handle_readiness,
+        )
+        self._pages = web.WebServer(
+            host=settings.address,
+            port=settings.metrics_port,
+            handle=self._handle_page,
+        )
+        self._stopping = asyncio.Event()
+        self._ready = False
+
+    async def async_run(self) -> None:
+        """Runs until `stop` was called and the stop is complete.
+
+        Raises:
+            OSError: A port cannot be opened.
+            PortError: The packet port cannot be opened.
+        """
+        await self.forwarder.async_open()
+        following = asyncio.create_task(self._follower.async_run())
+        try:
+            await self._readiness.async_open()
+            await self._async_open_pages()
+            ticking = asyncio.create_task(self._async_tick())
+            stopping = asyncio.create_task(self._stopping.wait())
+            done, _ = await asyncio.wait(
+                (following, ticking, stopping),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                task.result()
+            await self._async_linger()
+            ticking.cancel()
+        finally:
+            following.cancel()
+            self._pages.close()
+            self._readiness.close()
+            await self.forwarder.async_close()
+            self._log.write(lines.Kind.STOPPED)
+            self._log.flush()
+
+    def stop(self) -> None:
+        """Begins a planned stop: the fabric sends packets elsewhere first."""
+        if not self._stopping.is_set():
+            self._stopping.set()
+            self._log.write(lines.Kind.STOPPING, flows=len(self.steerer.flows))
+
+    def reload(self) -> None:
+        """Reads the settings again; only the seeds can change in place."""
+        try:
+            settings = settings_module.load_settings(self._path)
+        except exceptions.SettingsError as error:
+            self._log.write(lines.Kind.SETTINGS_REJECTED, faults=error.faults)
+            return
+        changed = [
+            name
+            for name in settings._fields
+            if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        self._settings = self._settings._replace(seeds=settings.seeds)
+        self._log.write(lines.Kind.RELOADED, changed=changed)
+
+    def dump_state(self) -> dict[str, object]:
+        """Returns the state as plain values."""
+        return {
+            "vm": self._settings.vm,
+            "domain": self._settings.domain,
+            "ready": self._ready,
+            "view": self.steerer.view.dump_state(),
+            "view_age_s": self.knowledge.get_age_s(),
+            "revision": self.knowledge.table.revision,
+            "flows": len(self.steerer.flows),
+            "in_flight": self.steerer.flows.list_in_flight(),
+            "log": self._log.dump_state(),
+            "source_calls": self._store.calls,
+        }
+
+    async def _async_open_pages(self) -> None:
+        try:
+            await self._pages.async_open()
+        except OSError as error:
+            # Callers are served also when nobody can be told about it.
+            self._log.write(lines.Kind.FAULT, fault=f"metrics port: {error}")
+
+    async def _async_tick(self) -> None:
+        ticks = 0
+        before = self._clock()
+        while True:
+            await asyncio.sleep(const.TICK_INTERVAL_S)
+            now = self._clock()
+            if now - before > const.PAUSE_S:
+                self._log.write(
+                    lines.Kind.PAUSED, pause_s=round(now - before, 3)
+                )
+            before = now
+            self.knowledge.check_age()
+            ticks += 1
+            if ticks % const.SWEEP_TICKS == 0:
+                self.steerer.expire(now)
+            self._log.flush()
+
+    async def _async_linger(self) -> None:
+        """Goes on serving until the fabric has taken this balancer out."""
+        self._ready = False
+        self._log.flush()
+        ends_at = self._clock() + (
+            self._settings.grace_s - const.STOP_RESERVE_S
+        )
+        earliest = min(ends_at, self._clock() + const.STOP_LINGER_S)
+        while (now := self._clock()) < ends_at:
+            quiet_from = (self.forwarder.packet_at or 0) + const.STOP_QUIET_S
+            if now >= earliest and now >= quiet_from:
+                break
+            await asyncio.sleep(const.STOP_CHECK_S)
+
+    def _take_batch(self, batch: records.Batch) -> None:
+        confirmed_at = self._follower.confirmed_at
+        assert confirmed_at is not None
+        self.knowledge.take_batch(batch, confirmed_at)
+        if not self._ready and self.knowledge.has_view:
+            self._ready = not self._stopping.is_set()
+            self._log.write(
+                lines.Kind.READY,
+                version=self.steerer.view.version,
+                revision=self.knowledge.table.revision,
+            )
+            self._log.flush()
+
+    def _note_source(self, state: followers.FollowerState, reason: str) -> None:
+        kind = (
+            lines.Kind.SOURCE_LOST
+            if state is followers.FollowerState.LOST
+            else lines.Kind.SOURCE_REGAINED
+        )
+        self._log.write(
+            kind, reason=reason, view_age_s=self.knowledge.get_age_s()
+        )
+
+    def _handle_readiness(self, path: str) -> web.Page | None:
+        if path != const.READINESS_PATH:
+            return None
+        ready = self._ready and not self._stopping.is_set()
+        return web.Page(
+            status=http.HTTPStatus.OK
+            if ready
+            else http.HTTPStatus.SERVICE_UNAVAILABLE
+        )
+
+    def _handle_page(self, path: str) -> web.Page | None:
+        if path == const.METRICS_PATH:
+            return self._format_metrics()
+        if path == const.STATE_PATH:
+            return web.Page(
+                status=http.HTTPStatus.OK,
+                content_type=web.ContentType.JSON,
+                body=json.dumps(self.dump_state()).encode(),
+            )
+        return None
+
+    def _format_metrics(self) -> web.Page:
+        exposition = importlib.import_module("chivedoor.edge.exposition")
+        counters = self.forwarder.counters
+        gauges = {
+            "ready": float(self._ready),
+            "flows": float(len(self.steerer.flows)),
+            "view_age_seconds": self.knowledge.get_age_s() or 0.0,
+            "view_version": float(self.steerer.view.version),
+            "packets_received": float(counters.received),
+            "packets_sent": float(counters.sent),
+            "packets_send_blocked": float(counters.send_blocked),
+            "packets_send_errors": float(counters.send_errors),
+            "source_calls": float(self._store.calls),
+            "source_failures": float(self._follower.failures),
+            "log_lines_suppressed": float(self._log.suppressed),
+        }
+        return web.Page(
+            status=http.HTTPStatus.OK,
+            content_type=web.ContentType.METRICS,
+            body=exposition.format_metrics(self.figures, gauges),
+        )
+
+
+def install_signals(application: Application) -> None:
+    """Connects SIGTERM and SIGINT to a planned stop, SIGHUP to a reload."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, application.stop)
+    loop.add_signal_handler(signal.SIGINT, application.stop)
+    loop.add_signal_handler(signal.SIGHUP, application.reload)
--- /dev/null
+++ b/src/chivedoor/edge/lines.py
@@ -0,0 +1,139 @@
+"""Log lines of an edge balancer: JSON on standard output.
+
+eliot takes 40 ms and 4 MB to start (docs/why.md), so that this module writes
+its form of a line without it. Lines are gathered and written by a timer; when
+nobody reads the pipe, the newest lines are dropped and counted.
+"""
+
+import collections
+from collections.abc import Callable
+import enum
+import json
+import os
+import time
+from typing import Any
+
+from chivedoor import ids
+from chivedoor.edge import const
+from chivedoor.telemetry import rates
+
+
+class Kind(enum.Enum):
+    """Kinds of log lines."""
+
+    STARTED = "started"
+    READY = "ready"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    RELOADED = "settings-reloaded"
+    SETTINGS_REJECTED = "settings-rejected"
+    SOURCE_LOST = "source-lost"
+    SOURCE_REGAINED = "source-regained"
+    VIEW_STALE = "view-stale"
+    VIEW_CURRENT = "view-current"
+    RECORD_UNUSABLE = "record-unusable"
+    CONFIGURATION = "configuration-applied"
+    DOMAIN_OUT = "domain-out"
+    DOMAIN_IN = "domain-in"
+    ENDPOINT_LISTED = "endpoint-listed"
+    ENDPOINT_REMOVED = "endpoint-removed"
+    ENDPOINT_SUSPECTED = "endpoint-suspected"
+    ENDPOINT_ANSWERED = "endpoint-answered"
+    FLOW_PLACED = "flow-placed"
+    FLOW_REFUSED = "flow-refused"
+    FLOW_RESET = "flow-reset"
+    PACKET_DROPPED = "packet-dropped"
+    READER_CHANGED = "reader-changed"
+    PAUSED = "paused"
+    FAULT = "fault"
+    SUPPRESSED = "lines-suppressed"
+
+
+class Lines:
+    """Writes lines without blocking and without raising.
+
+    Attributes:
+        written: Lines handed to the operating system.
+        suppressed: Lines over their rate or over the buffer.
+        failed: Writes that failed for another reason than a full pipe.
+    """
+
+    def __init__(
+        self,
+        *,
+        vm: ids.VmId,
+        domain: ids.DomainId,
+        descriptor: int,
+        clock: Callable[[], float],
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        """Creates a writer to a descriptor, which becomes non-blocking."""
+        self.written = 0
+        self.suppressed = 0
+        self.failed = 0
+        self._common = {"vm": vm, "domain": domain}
+        self._descriptor = descriptor
+        self._wall_clock = wall_clock
+        self._encode = json.JSONEncoder(
+            separators=(",", ":"), default=str
+        ).encode
+        self._limits = rates.RateLimits(
+            clock=clock,
+            rate_per_s=const.LOG_RATE_PER_S,
+            burst_events=const.LOG_BURST_LINES,
+        )
+        self._waiting: collections.deque[bytes] = collections.deque()
+        self._partial = b""
+        os.set_blocking(descriptor, False)
+
+    def write(self, kind: Kind, **fields: Any) -> None:
+        """Adds a line; never blocks and never raises."""
+        name = kind.value
+        if not self._limits.admit(name):
+            self.suppressed += 1
+            return
+        missed = self._limits.take_missed(name)
+        if missed:
+            self._append(Kind.SUPPRESSED, {"kind": name, "count": missed})
+        self._append(kind, fields)
+
+    def flush(self) -> None:
+        """Writes as much as the descriptor takes."""
+        count = len(self._waiting)
+        data = self._partial + b"".join(self._waiting)
+        if not data:
+            return
+        self._waiting.clear()
+        try:
+            size = os.write(self._descriptor, data)
+        except BlockingIOError:
+            size = 0
+        except OSError:
+            # The reader closed the pipe; there is nowhere to report it.
+            self.failed += 1
+            size = len(data)
+        else:
+            self.written += count
+        self._partial = data[size:]
+
+    def dump_state(self) -> dict[str, int]:
+        """Returns the counters as plain values."""
+        return {
+            "written": self.written,
+            "suppressed": self.suppressed,
+            "failed": self.failed,
+        }
+
+    def _append(self, kind: Kind, fields: dict[str, Any]) -> None:
+        full = len(self._waiting) >= const.LOG_BUFFER_LINES
+        if full or len(self._partial) > const.LOG_BUFFER_BYTES:
+            self.suppressed += 1
+            self._limits.note_missed(kind.value)
+            return
+        line = {
+            "timestamp": round(self._wall_clock(), 6),
+            "message_type": kind.value,
+            **self._common,
+            **fields,
+        }
+        self._waiting.append(self._encode(line).encode() + b"\n")
--- /dev/null
+++ b/src/chivedoor/edge/settings.py
@@ -0,0 +1,156 @@
+"""Settings of an edge balancer, read from an INI file."""
+
+from collections.abc import Callable
+import configparser
+import ipaddress
+import pathlib
+from typing import Any
+from typing import NamedTuple
+from typing import TypeVar
+
+from chivedoor import ids
+from chivedoor.edge import exceptions
+
+Value = TypeVar("Value")
+
+_MAX_PORT = 65535
+
+
+class Address(NamedTuple):
+    """A host and port, as sockets take it."""
+
+    host: str
+    port: int
+
+
+class Settings(NamedTuple):
+    """Settings of one balancer.
+
+    Attributes:
+        vm: Id of this VM.
+        domain: Its failure domain.
+        region: Its region.
+        packets: Address that packets arrive at; callers get theirs at the
+            same port.
+        readiness: Address of the readiness endpoint.
+        peer_port: Port between balancers, the same on all VMs.
+        seeds: Balancers to ask for others; may be stale.
+        source: Address of the store.
+        descriptors: Descriptors that the process may open.
+        bandwidth_mbps: Bandwidth of the VM's link, in Mbit/s.
+        grace_s: Time from SIGTERM to SIGKILL, in seconds.
+        metrics_port: Port of metrics and state.
+    """
+
+    vm: ids.VmId
+    domain: ids.DomainId
+    region: ids.RegionId
+    address: str
+    packets: Address
+    readiness: Address
+    peer_port: int
+    seeds: tuple[Address, ...]
+    source: Address
+    descriptors: int
+    bandwidth_mbps: float
+    grace_s: float
+    metrics_port: int
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Reads and checks the settings.
+
+    Raises:
+        SettingsError: The file cannot be read or has faults; all are listed.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(path.read_text())
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        raise exceptions.SettingsError([f"{path}: {error}"]) from error
+    reader = _Reader(parser=parser)
+    settings = Settings(
+        vm=ids.VmId(reader.read("vm", "id", _parse_text)),
+        domain=ids.DomainId(reader.read("vm", "domain", _parse_text)),
+        region=ids.RegionId(reader.read("vm", "region", _parse_text)),
+        address=reader.read("vm", "address", _parse_host),
+        packets=reader.read("packets", "address", parse_address),
+        readiness=reader.read("readiness", "address", parse_address),
+        peer_port=reader.read("peers", "port", _parse_port),
+        seeds=reader.read("peers", "seeds", _parse_addresses),
+        source=reader.read("source", "address", parse_address),
+        descriptors=reader.read("limits", "descriptors", _parse_count),
+        bandwidth_mbps=reader.read("limits", "bandwidth_mbps", _parse_size),
+        grace_s=reader.read("stop", "grace_s", _parse_size),
+        metrics_port=reader.read("metrics", "port", _parse_port),
+    )
+    if reader.faults:
+        raise exceptions.SettingsError(reader.faults)
+    return settings
+
+
+def parse_address(text: str) -> Address:
+    """Parses `host:port`.
+
+    Raises:
+        ValueError: The text is no numeric IPv4 address with a port.
+    """
+    host, _, port = text.rpartition(":")
+    return Address(_parse_host(host), _parse_port(port))
+
+
+class _Reader:
+    """Reads options and gathers their faults."""
+
+    def __init__(self, *, parser: configparser.ConfigParser) -> None:
+        self.faults: list[str] = []
+        self._parser = parser
+
+    def read(
+        self, section: str, option: str, parse: Callable[[str], Value]
+    ) -> Value | Any:
+        text = self._parser.get(section, option, fallback=None)
+        if text is None:
+            self.faults.append(f"{section}.{option}: missing")
+            return None
+        try:
+            return parse(text.strip())
+        except ValueError as error:
+            self.faults.append(f"{section}.{option}: {error}")
+            return None
+
+
+def _parse_text(text: str) -> str:
+    if not text:
+        raise ValueError("empty")
+    return text
+
+
+def _parse_host(text: str) -> str:
+    return str(ipaddress.IPv4Address(text))
+
+
+def _parse_port(text: str) -> int:
+    port = int(text)
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError(f"{port} is no port")
+    return port
+
+
+def _parse_count(text: str) -> int:
+    count = int(text)
+    if count <= 0:
+        raise ValueError(f"{count} is not positive")
+    return count
+
+
+def _parse_size(text: str) -> float:
+    size = float(text)
+    if not 0 < size < float("inf"):
+        raise ValueError(f"{text} is not positive")
+    return size
+
+
+def _parse_addresses(text: str) -> tuple[Address, ...]:
+    parts = (part.strip() for part in text.split(","))
+    return tuple(parse_address(part) for part in parts if part)
--- /dev/null
+++ b/src/chivedoor/edge/web.py
@@ -0,0 +1,161 @@
+"""Small HTTP server for readiness, metrics and the state dump."""
+
+import asyncio
+from collections.abc import Callable
+import enum
+import http
+
+import httptools
+
+from chivedoor.edge import const
+
+
+class ContentType(enum.Enum):
+    """Content types of the bodies that are served."""
+
+    TEXT = "text/plain; charset=utf-8"
+    METRICS = "text/plain; version=0.0.4; charset=utf-8"
+    JSON = "application/json"
+
+
+class Page:
+    """A response.
+
+    Attributes:
+        status: The HTTP status.
+        content_type: Type of the body.
+        body: The body.
+    """
+
+    __slots__ = ("body", "content_type", "status")
+
+    def __init__(
+        self,
+        *,
+        status: http.HTTPStatus,
+        content_type: ContentType = ContentType.TEXT,
+        body: bytes = b"",
+    ) -> None:
+        """Creates a response."""
+        self.status = status
+        self.content_type = content_type
+        self.body = body
+
+
+# Returns the response to a path, or None when there is no such path.
+Handler = Callable[[str], Page | None]
+
+
+class WebServer:
+    """Answers GET requests; connections stay open between them."""
+
+    def __init__(self, *, host: str, port: int, handle: Handler) -> None:
+        """Creates a server that is not open."""
+        self._host = host
+        self._port = port
+        self._handle = handle
+        self._server: asyncio.Server | None = None
+        self._connections: set[_Connection] = set()
+
+    @property
+    def port(self) -> int:
+        """The port that the server listens on."""
+        if self._server is None:
+            return self._port
+        return self._server.sockets[0].getsockname()[1]
+
+    async def async_open(self) -> None:
+        """Starts to listen.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(
+                handle=self._handle, connections=self._connections
+            ),
+            self._host,
+            self._port,
+        )
+
+    def close(self) -> None:
+        """Stops listening and closes the connections."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for connection in tuple(self._connections):
+            connection.close()
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(
+        self, *, handle: Handler, connections: set["_Connection"]
+    ) -> None:
+        self._handle = handle
+        self._connections = connections
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b""
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        if len(self._connections) >= const.HTTP_CONNECTIONS:
+            self.close()
+            return
+        self._connections.add(self)
+        self._rearm()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._connections.discard(self)
+        self._transport = None
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.close()
+
+    def on_message_begin(self) -> None:
+        self._target = b""
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+        if len(self._target) > const.HTTP_TARGET_BYTES:
+            self.close()
+
+    def on_message_complete(self) -> None:
+        path = self._target.partition(b"?")[0].decode("latin-1")
+        page = self._handle(path) or Page(status=http.HTTPStatus.NOT_FOUND)
+        if self._parser.get_method() != b"GET":
+            page = Page(status=http.HTTPStatus.METHOD_NOT_ALLOWED)
+        self._send(page)
+        if self._parser.should_keep_alive():
+            self._rearm()
+        else:
+            self.close()
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+    def _send(self, page: Page) -> None:
+        if self._transport is None:
+            return
+        status = page.status
+        head = (
+            f"HTTP/1.1 {status.value} {status.phrase}\r\n"
+            f"Content-Type: {page.content_type.value}\r\n"
+            f"Content-Length: {len(page.body)}\r\n\r\n"
+        )
+        self._transport.write(head.encode() + page.body)
+
+    def _rearm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(const.HTTP_IDLE_S, self.close)
--- /dev/null
+++ b/src/chivedoor/feed/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution of configuration and endpoints among edge balancers."""
--- /dev/null
+++ b/src/chivedoor/feed/follower.py
@@ -0,0 +1,138 @@
+"""Follows a source of records and knows how old its view is."""
+
+import asyncio
+from collections.abc import Callable
+import enum
+import random
+from typing import Protocol
+
+from chivedoor import ids
+from chivedoor.feed import const
+from chivedoor.feed import exceptions
+from chivedoor.feed import records
+
+
+class Source(Protocol):
+    """Where records come from."""
+
+    async def async_read_all(self) -> records.Batch:
+        """Reads all keys.
+
+        Raises:
+            FeedError: Nothing was read.
+        """
+
+    async def async_wait(
+        self, after: ids.Revision, wait_s: float
+    ) -> records.Batch:
+        """Waits for changes after a revision.
+
+        Raises:
+            FeedError: Nothing was read.
+        """
+
+    def close(self) -> None:
+        """Closes the connection."""
+
+
+class FollowerState(enum.Enum):
+    """Whether the source answers."""
+
+    STARTING = "starting"
+    FOLLOWING = "following"
+    LOST = "lost"
+
+
+class Follower:
+    """Reads everything once and then the changes, without end.
+
+    Attributes:
+        state: Whether the source answers.
+        failures: Calls that failed.
+        confirmed_at: Time at which the newest answered call was sent: the
+            view holds all that the source had then. None before the first.
+    """
+
+    def __init__(
+        self,
+        *,
+        source: Source,
+        deliver: Callable[[records.Batch], None],
+        note_state: Callable[[FollowerState, str], None],
+        clock: Callable[[], float],
+        generator: random.Random,
+    ) -> None:
+        """Creates a follower that does not run yet.
+
+        Args:
+            source: Where records come from.
+            deliver: Called with each batch.
+            note_state: Called when the state changes, with a reason.
+            clock: Returns seconds.
+            generator: Spreads retries.
+        """
+        self.state = FollowerState.STARTING
+        self.failures = 0
+        self.confirmed_at: float | None = None
+        self._source = source
+        self._deliver = deliver
+        self._note_state = note_state
+        self._clock = clock
+        self._generator = generator
+        self._revision: ids.Revision | None = None
+
+    def restart_at(self, revision: ids.Revision | None) -> None:
+        """Sets the revision to go on from; None reads everything again."""
+        self._revision = revision
+
+    async def async_run(self) -> None:
+        """Follows the source until it is cancelled."""
+        delay_s = const.RETRY_FIRST_S
+        try:
+            while True:
+                try:
+                    await self._async_read()
+                except exceptions.HistoryLostError as error:
+                    self._revision = None
+                    self._note_failure(error)
+                except exceptions.FeedError as error:
+                    self._note_failure(error)
+                    await asyncio.sleep(self._spread(delay_s))
+                    delay_s = min(
+                        const.RETRY_LIMIT_S, delay_s * const.RETRY_FACTOR
+                    )
+                else:
+                    delay_s = const.RETRY_FIRST_S
+        finally:
+            self._source.close()
+
+    async def _async_read(self) -> None:
+        sent_at = self._clock()
+        if self._revision is None:
+            batch = await self._source.async_read_all()
+        else:
+            batch = await self._source.async_wait(
+                self._revision, const.WATCH_WAIT_S
+            )
+            # A waiting read that returns shows what the source had at its
+            # end, less the time of the answer's way.
+            sent_at = max(sent_at, self._clock() - const.WATCH_SLACK_S)
+        self._revision = batch.revision
+        self.confirmed_at = sent_at
+        self._deliver(batch)
+        self._set_state(FollowerState.FOLLOWING, "")
+        if batch.records:
+            await asyncio.sleep(const.WATCH_PAUSE_S)
+
+    def _note_failure(self, error: exceptions.FeedError) -> None:
+        self.failures += 1
+        self._set_state(FollowerState.LOST, f"{type(error).__name__}: {error}")
+
+    def _set_state(self, state: FollowerState, reason: str) -> None:
+        if state is not self.state:
+            self.state = state
+            self._note_state(state, reason)
+
+    def _spread(self, delay_s: float) -> float:
+        part = const.RETRY_JITTER * self._generator.random()
+        return delay_s * (1.0 - part)
--- a/src/chivedoor/platform/__init__.py
+++ b/src/chivedoor/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Client of the platform's service: documents and the list of VMs."""
+"""Adapter: the users' platform in the project's types."""
--- a/src/chivedoor/platform/const.py
+++ b/src/chivedoor/platform/const.py
@@ -1,28 +1,17 @@
-"""Constants of the platform's client."""
+"""Constants of the platform's formats."""
 
 from typing import Final
 
-# A watch ends by itself after this time. Together with the timeout it stays
-# under the 8 s in which a document must be in force, so that a connection that
-# went silent delays a document by one watch only.
-WATCH_WAIT_S: Final = 4.0
+HEAD_BYTES: Final = 32
+MAX_PAYLOAD_BYTES: Final = 1200
+MAX_SEGMENT_BYTES: Final = HEAD_BYTES + MAX_PAYLOAD_BYTES
 
-# The service answers in milliseconds; the rest is for a loaded network.
-ANSWER_TIMEOUT_S: Final = 2.0
-CONNECT_TIMEOUT_S: Final = 1.0
+FLAG_OPEN: Final = 128
+FLAG_FINISH: Final = 64
+FLAG_RESET: Final = 16
 
-# 830 newcomers at the cap make about 280 calls per second, and the service
-# supports about 2,000. The cap is short because a document has to be in force
-# 8 s after the service returns.
-BACKOFF_INITIAL_S: Final = 0.25
-BACKOFF_CAP_S: Final = 4.0
-BACKOFF_FACTOR: Final = 2.0
-
-# Shortest part of a delay that jitter leaves.
-JITTER_FLOOR: Final = 0.5
-
-# The service holds values up to 1 MB.
-MAX_BODY_BYTES: Final = 1_000_000
-
-VERSION_HEADER: Final = "X-Version"
-MAX_VERSION_DIGITS: Final = 10
+# One read of all keys; pages hold at most about 500 items.
+MAX_PAGES: Final = 200
+# A configuration holds at most 1 MiB, which base64 and a page around it
+# enlarge to less than this.
+MAX_BODY_BYTES: Final = 4 * 1024 * 1024
--- /dev/null
+++ b/src/chivedoor/platform/items.py
@@ -0,0 +1,196 @@
+"""Values of the platform's store, decoded into changes of the view.
+
+Entries of other writers lie among those of the endpoints. A value that cannot
+be read names no endpoint; it is reported as such and changes nothing else.
+"""
+
+from collections.abc import Mapping
+import json
+from typing import Any
+
+from chivedoor import ids
+from chivedoor.feed import records
+from chivedoor.platform import packets
+from chivedoor.steering import segment as segments
+from chivedoor.steering import view as views
+
+_ENDPOINTS = "servers/"
+_DOMAINS_OUT = "op/evacuate/"
+_CONFIGURATION = "op/config"
+_HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
+_MAX_ID_DIGITS = 16
+_STATES = {"ready": False, "draining": True}
+
+
+class UnusableValueError(ValueError):
+    """A value does not have the form that its key calls for."""
+
+
+def decode_record(record: records.Record, now: float) -> views.Change | None:
+    """Decodes a record of the store.
+
+    Args:
+        record: The record.
+        now: The time at which it was read, in seconds.
+
+    Returns:
+        The change; None when the key means nothing to a balancer.
+
+    Raises:
+        UnusableValueError: The value cannot be used. For an endpoint's entry
+            the caller treats the endpoint as removed.
+    """
+    if record.key.startswith(_ENDPOINTS):
+        return _decode_entry(record, now)
+    if record.key.startswith(_DOMAINS_OUT):
+        domain = ids.DomainId(record.key.removeprefix(_DOMAINS_OUT))
+        return views.DomainState(domain=domain, out=record.value is not None)
+    if record.key == _CONFIGURATION and record.value is not None:
+        return _decode_configuration(record.value)
+    return None
+
+
+def get_endpoint_id(key: str) -> ids.EndpointId | None:
+    """Returns the endpoint whose entry a key holds."""
+    if not key.startswith(_ENDPOINTS):
+        return None
+    return ids.EndpointId(key.removeprefix(_ENDPOINTS))
+
+
+def _decode_entry(record: records.Record, now: float) -> views.Change:
+    endpoint_id = ids.EndpointId(record.key.removeprefix(_ENDPOINTS))
+    if record.value is None:
+        return views.RemovedEndpoint(endpoint_id=endpoint_id)
+    entry = _load_object(record.value)
+    # `warmup_left_ms` counts from the moment of writing; the delay until it
+    # is read makes the endpoint look cold a little longer than it is.
+    cold_s = _get_number(entry, "warmup_left_ms", 0) / 1000.0
+    return views.ListedEndpoint(
+        endpoint=views.Endpoint(
+            id=endpoint_id,
+            number=_parse_number(endpoint_id),
+            address=_parse_address(_get_text(entry, "address")),
+            service=ids.ServiceId(_get_text(entry, "service")),
+            domain=ids.DomainId(_get_text(entry, "zone")),
+            # `concurrency` is the number of requests worked on at a time.
+            slots=max(1, int(_get_number(entry, "concurrency", 1))),
+            # `born` is the start of the process, not of the entry.
+            incarnation=int(_get_number(entry, "born", 0)),
+            draining=_get_draining(entry),
+            cold_until=now + cold_s if cold_s > 0.0 else 0.0,
+        )
+    )
+
+
+def _decode_configuration(value: bytes) -> views.Configuration:
+    document = _load_object(value)
+    version = document.get("version")
+    if not isinstance(version, int) or isinstance(version, bool):
+        raise UnusableValueError("version")
+    return views.Configuration(
+        version=ids.Version(version),
+        routes=dict(map(_decode_route, _get_list(document, "routes"))),
+        services=dict(map(_decode_service, _get_list(document, "services"))),
+    )
+
+
+def _decode_route(
+    route: Mapping[str, Any],
+) -> tuple[segments.RouteKey, views.Route]:
+    # `prefix` holds the route's port between slashes.
+    port = _get_text(route, "prefix").strip("/")
+    if not port.isdecimal():
+        raise UnusableValueError("prefix")
+    try:
+        key = packets.make_route_key(_get_text(route, "host"), int(port))
+    except ValueError as error:
+        raise UnusableValueError("host") from error
+    return key, views.Route(
+        name=_get_text(route, "name"), shares=_decode_shares(route)
+    )
+
+
+def _decode_shares(
+    route: Mapping[str, Any],
+) -> tuple[tuple[ids.ServiceId, float], ...]:
+    # `backends` are services, not endpoints.
+    if not route.get("backends"):
+        return ((ids.ServiceId(_get_text(route, "service")), 1.0),)
+    shares = [
+        (
+            ids.ServiceId(_get_text(share, "service")),
+            _get_number(share, "weight", 0),
+        )
+        for share in _get_list(route, "backends")
+    ]
+    weighted = tuple(share for share in shares if share[1] > 0)
+    if not weighted:
+        raise UnusableValueError("backends")
+    return weighted
+
+
+def _decode_service(
+    service: Mapping[str, Any],
+) -> tuple[ids.ServiceId, views.ServiceLimits]:
+    return ids.ServiceId(_get_text(service, "name")), views.ServiceLimits(
+        warmup_per_s=_get_number(service, "warmup_per_s", 0)
+    )
+
+
+def _load_object(value: bytes) -> Mapping[str, Any]:
+    try:
+        loaded = json.loads(value)
+    except (ValueError, RecursionError) as error:
+        raise UnusableValueError("no JSON") from error
+    if not isinstance(loaded, dict):
+        raise UnusableValueError("no object")
+    return loaded
+
+
+def _get_text(fields: Mapping[str, Any], name: str) -> str:
+    value = fields.get(name)
+    if not isinstance(value, str) or not value:
+        raise UnusableValueError(name)
+    return value
+
+
+def _get_number(fields: Mapping[str, Any], name: str, default: float) -> float:
+    value = fields.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise UnusableValueError(name)
+    # NaN fails both comparisons.
+    if not 0 <= value <= 1e15:
+        raise UnusableValueError(name)
+    return value
+
+
+def _get_list(fields: Mapping[str, Any], name: str) -> list[Mapping[str, Any]]:
+    value = fields.get(name)
+    if not isinstance(value, list):
+        raise UnusableValueError(name)
+    if not all(isinstance(item, dict) for item in value):
+        raise UnusableValueError(name)
+    return value
+
+
+def _get_draining(entry: Mapping[str, Any]) -> bool:
+    draining = _STATES.get(_get_text(entry, "state"))
+    if draining is None:
+        raise UnusableValueError("state")
+    return draining
+
+
+def _parse_number(endpoint_id: str) -> int:
+    digits = "".join(digit for digit in endpoint_id if digit in _HEX_DIGITS)
+    if not 0 < len(digits) <= _MAX_ID_DIGITS:
+        raise UnusableValueError("id")
+    return int(digits, 16)
+
+
+def _parse_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    try:
+        packets.make_route_key(host, int(port))
+    except ValueError as error:
+        raise UnusableValueError("address") from error
+    return host, int(port)
--- /dev/null
+++ b/src/chivedoor/platform/packets.py
@@ -0,0 +1,126 @@
+"""The head of the platform's packets.
+
+The 32 bytes are, big-endian: a keyed sum over most of the packet (4), the
+receiver's port (2) and address (4), the sender's address (4) and port (2), the
+echoed field (4), sequence (4), acknowledgement (4), flags (1), padding (1) and
+the length of the data (2). The sum does not cover the echoed field.
+"""
+
+import ipaddress
+import struct
+
+from chivedoor import ids
+from chivedoor.platform import const
+from chivedoor.steering import exceptions
+from chivedoor.steering import segment as segments
+from chivedoor.steering import view as views
+
+_FIELDS = struct.Struct(">4s6s6sIIIBBH")
+_FLOW = slice(4, 16)
+_ROUTE = slice(4, 10)
+_TAG = slice(16, 20)
+_AFTER_TAG = slice(20, None)
+_RESET = struct.Struct(">I6s6sIIIBBH")
+_KIND_MASK = const.FLAG_OPEN | const.FLAG_FINISH | const.FLAG_RESET
+_KINDS = {
+    0: segments.SegmentKind.ESTABLISHED,
+    const.FLAG_OPEN: segments.SegmentKind.OPEN,
+    const.FLAG_FINISH: segments.SegmentKind.FINISH,
+    const.FLAG_RESET: segments.SegmentKind.ABORT,
+    const.FLAG_RESET | const.FLAG_FINISH: segments.SegmentKind.ABORT,
+}
+
+
+def parse_segment(datagram: memoryview) -> segments.Segment:
+    """Decodes a packet of a caller.
+
+    Raises:
+        MalformedSegmentError: The datagram is no packet of a flow.
+    """
+    size = len(datagram)
+    if size < const.HEAD_BYTES:
+        raise exceptions.MalformedSegmentError("short")
+    (_, route, _, tag, sequence, acknowledged, flags, _, payload_bytes) = (
+        _FIELDS.unpack_from(datagram)
+    )
+    if payload_bytes != size - const.HEAD_BYTES:
+        raise exceptions.MalformedSegmentError("length")
+    kind = _KINDS.get(flags & _KIND_MASK)
+    if kind is None:
+        raise exceptions.MalformedSegmentError("flags")
+    # In an opening packet the acknowledgement counts the copies sent before.
+    opening = kind is segments.SegmentKind.OPEN
+    return segments.Segment(
+        flow=segments.FlowId(bytes(datagram[_FLOW])),
+        route=segments.RouteKey(route),
+        kind=kind,
+        tag=ids.Tag(tag),
+        repetition=acknowledged if opening else 0,
+        sequence=sequence,
+        acknowledged=0 if opening else acknowledged,
+        payload_bytes=payload_bytes,
+    )
+
+
+def build_delivery(
+    endpoint: views.Endpoint, datagram: memoryview, tag: ids.Tag | None
+) -> bytes:
+    """Returns the datagram for an endpoint, preceded by the id it checks."""
+    prefix = endpoint.number.to_bytes(8, "big")
+    if tag is None:
+        return prefix + datagram
+    return b"".join(
+        (
+            prefix,
+            datagram[: _TAG.start],
+            tag.to_bytes(4, "big"),
+            datagram[_AFTER_TAG],
+        )
+    )
+
+
+def build_reset(flow: segments.FlowId, acknowledged: int) -> bytes:
+    """Returns a reset for a caller, sent from the route's address.
+
+    Args:
+        flow: The flow to reset.
+        acknowledged: What the caller acknowledged last; 0 while it is not
+            open.
+    """
+    # A flow's id is the receiver's end followed by the sender's address and
+    # port; the reset swaps them, and port and address swap places in each.
+    route_port, route_address = flow[:2], flow[2:6]
+    caller_address, caller_port = flow[6:10], flow[10:12]
+    return _RESET.pack(
+        0,
+        caller_port + caller_address,
+        route_address + route_port,
+        0,
+        acknowledged,
+        0,
+        const.FLAG_RESET,
+        0,
+        0,
+    )
+
+
+def get_caller_host(flow: segments.FlowId) -> str:
+    """Returns the address of a flow's caller as text."""
+    return ".".join(map(str, flow[6:10]))
+
+
+def get_caller_port(flow: segments.FlowId) -> int:
+    """Returns the port of a flow's caller."""
+    return int.from_bytes(flow[10:12], "big")
+
+
+def make_route_key(host: str, port: int) -> segments.RouteKey:
+    """Returns the key of a route, as the head of a packet holds it.
+
+    Raises:
+        ValueError: The host is no IPv4 address or the port is no port.
+    """
+    address = ipaddress.IPv4Address(host).packed
+    if not 0 < port < 65536:
+        raise ValueError(port)
+    return segments.RouteKey(port.to_bytes(2, "big") + address)
--- /dev/null
+++ b/src/chivedoor/platform/store.py
@@ -0,0 +1,257 @@
+"""Client of the platform's store, over one connection at a time."""
+
+import asyncio
+import base64
+import binascii
+from collections.abc import Mapping
+import json
+import socket
+from typing import Any
+import urllib.parse
+
+import httptools
+
+from chivedoor import ids
+from chivedoor.feed import const as feed_const
+from chivedoor.feed import exceptions
+from chivedoor.feed import records
+from chivedoor.platform import const
+
+_OK = 200
+_GONE = 410
+
+
+class Store:
+    """Reads keys and waits for changes.
+
+    A call that fails closes the connection; the next one opens another, so
+    that a connection that went silent is never used twice.
+
+    Attributes:
+        calls: Calls made, also those that failed.
+    """
+
+    def __init__(self, *, host: str, port: int) -> None:
+        """Creates a client that is not connected."""
+        self.calls = 0
+        self._host = host
+        self._port = port
+        self._connection: _Connection | None = None
+
+    async def async_read_all(self) -> records.Batch:
+        """Reads all keys.
+
+        Raises:
+            FeedError: The store did not answer, refused or sent an answer
+                that cannot be read.
+        """
+        pages: list[tuple[records.Record, ...]] = []
+        revision: ids.Revision | None = None
+        after = ""
+        for _ in range(const.MAX_PAGES):
+            query = {"prefix": ""} | ({"after": after} if after else {})
+            answer = await self._async_get(
+                "/v1/kv-range", query, feed_const.READ_TIMEOUT_S
+            )
+            page = _decode_items(answer, "items")
+            pages.append(page)
+            # Pages are no snapshot: changes since the first one are read
+            # again from the watch.
+            if revision is None:
+                revision = _get_revision(answer, "store_revision")
+            if not answer.get("has_more") or not page:
+                return records.Batch(
+                    records=tuple(record for page in pages for record in page),
+                    revision=revision,
+                    complete=True,
+                )
+            after = page[-1].key
+        raise exceptions.MalformedAnswerError("too many pages")
+
+    async def async_wait(
+        self, after: ids.Revision, wait_s: float
+    ) -> records.Batch:
+        """Waits for changes.
+
+        Args:
+            after: The revision that is known.
+            wait_s: How long the store may wait for a change, in seconds.
+
+        Raises:
+            HistoryLostError: The changes since `after` are not available.
+            FeedError: As for `async_read_all`.
+        """
+        query = {
+            "prefix": "",
+            "after": str(after),
+            "wait_ms": str(round(wait_s * 1000)),
+        }
+        answer = await self._async_get(
+            "/v1/kv-watch", query, wait_s + feed_const.WATCH_SLACK_S
+        )
+        return records.Batch(
+            records=_decode_items(answer, "events"),
+            revision=_get_revision(answer, "store_revision"),
+            complete=False,
+        )
+
+    def close(self) -> None:
+        """Closes the connection; a call that waits fails."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.close()
+
+    async def _async_get(
+        self, path: str, query: Mapping[str, str], timeout_s: float
+    ) -> Mapping[str, Any]:
+        self.calls += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._async_connect()
+                status, body = await connection.async_get(
+                    f"{path}?{urllib.parse.urlencode(query)}"
+                )
+        except (OSError, TimeoutError) as error:
+            self.close()
+            raise exceptions.SourceUnreachableError(
+                f"{type(error).__name__}: {error}"
+            ) from error
+        except BaseException:
+            self.close()
+            raise
+        if status == _GONE:
+            raise exceptions.HistoryLostError(path)
+        if status != _OK:
+            raise exceptions.SourceRefusedError(status)
+        return _load_answer(body)
+
+    async def _async_connect(self) -> "_Connection":
+        if self._connection is not None and self._connection.is_open:
+            return self._connection
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(feed_const.CONNECT_TIMEOUT_S):
+            _, self._connection = await loop.create_connection(
+                lambda: _Connection(host=f"{self._host}:{self._port}"),
+                self._host,
+                self._port,
+                family=socket.AF_INET,
+            )
+        return self._connection
+
+
+class _Connection(asyncio.Protocol):
+    """An HTTP/1.1 connection with one call at a time."""
+
+    def __init__(self, *, host: str) -> None:
+        self._host = host
+        self._transport: asyncio.Transport | None = None
+        self._answer: asyncio.Future[tuple[int, bytes]] | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = bytearray()
+
+    @property
+    def is_open(self) -> bool:
+        return self._transport is not None and not self._transport.is_closing()
+
+    async def async_get(self, target: str) -> tuple[int, bytes]:
+        """Sends a request and returns status and body of the response.
+
+        Raises:
+            FeedError: The connection was lost or the response is no HTTP.
+        """
+        if self._transport is None:
+            raise exceptions.SourceUnreachableError("not connected")
+        self._answer = asyncio.get_running_loop().create_future()
+        self._parser = httptools.HttpResponseParser(self)
+        self._body.clear()
+        self._transport.write(
+            f"GET {target} HTTP/1.1\r\nHost: {self._host}\r\n\r\n".encode()
+        )
+        return await self._answer
+
+    def close(self) -> None:
+        """Closes the connection without waiting for anything."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser; a response that cannot be read ends the call."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(exceptions.MalformedAnswerError(str(error)))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fails the call that waits."""
+        self._transport = None
+        self._fail(
+            exceptions.SourceUnreachableError(f"connection lost: {error}")
+        )
+
+    def on_body(self, body: bytes) -> None:
+        """Gathers the body, up to a bound."""
+        self._body += body
+        if len(self._body) > const.MAX_BODY_BYTES:
+            self._fail(exceptions.MalformedAnswerError("body too large"))
+
+    def on_message_complete(self) -> None:
+        """Ends the call."""
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_result(
+                (self._parser.get_status_code(), bytes(self._body))
+            )
+        if not self._parser.should_keep_alive():
+            self.close()
+
+    def _fail(self, error: exceptions.FeedError) -> None:
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_exception(error)
+        self.close()
+
+
+def _load_answer(body: bytes) -> Mapping[str, Any]:
+    try:
+        answer = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise exceptions.MalformedAnswerError("no JSON") from error
+    if not isinstance(answer, dict):
+        raise exceptions.MalformedAnswerError("no object")
+    return answer
+
+
+def _decode_items(
+    answer: Mapping[str, Any], name: str
+) -> tuple[records.Record, ...]:
+    items = answer.get(name)
+    if not isinstance(items, list):
+        raise exceptions.MalformedAnswerError(name)
+    return tuple(map(_decode_item, items))
+
+
+def _decode_item(item: Any) -> records.Record:
+    if not isinstance(item, dict) or not isinstance(item.get("key"), str):
+        raise exceptions.MalformedAnswerError("key")
+    return records.Record(
+        key=item["key"],
+        value=None if item.get("deleted") else _decode_value(item),
+        revision=_get_revision(item, "revision"),
+    )
+
+
+def _decode_value(item: Mapping[str, Any]) -> bytes:
+    try:
+        return base64.b64decode(item.get("value", ""), validate=True)
+    except (binascii.Error, TypeError, ValueError) as error:
+        raise exceptions.MalformedAnswerError("value") from error
+
+
+def _get_revision(fields: Mapping[str, Any], name: str) -> ids.Revision:
+    revision = fields.get(name)
+    if not isinstance(revision, int) or isinstance(revision, bool):
+        raise exceptions.MalformedAnswerError(name)
+    return ids.Revision(revision)
--- /dev/null
+++ b/src/chivedoor/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Routing of flows by a tag that their packets carry."""
--- /dev/null
+++ b/src/chivedoor/steering/const.py
@@ -0,0 +1,47 @@
+"""Constants of the package."""
+
+from typing import Final
+
+# The tag is the 32-bit field that both ends of a flow echo.
+TAG_BITS: Final = 32
+# 4,600 endpoints of the planned size share 20 bits with about ten collisions,
+# which the check bits resolve.
+ENDPOINT_BITS: Final = 20
+CHECK_BITS: Final = TAG_BITS - ENDPOINT_BITS
+CHECK_MASK: Final = (1 << CHECK_BITS) - 1
+ENDPOINT_MASK: Final = (1 << ENDPOINT_BITS) - 1
+
+# The fabric closes flows after 60 s; tags of removed endpoints are known for
+# longer, so that every flow of theirs can be answered with a reset.
+REMOVED_ENDPOINT_KEPT_S: Final = 90.0
+# Entries that lapsed while the store was away return within 2 s of its return
+# (platform's statement); one more half second covers the delivery.
+LAPSED_ENTRY_RETURN_S: Final = 2.5
+
+# A caller repeats its SYN after 200 ms and 600 ms and gives up after 1.4 s.
+HANDSHAKE_LIFETIME_S: Final = 1.5
+# Two of the callers' repetitions fall into this time.
+SUSPICION_S: Final = 2.0
+# A request is not counted as in flight for longer than this; callers' time
+# limits on the known sites are 2.5 s to 11 s.
+REQUEST_LIFETIME_S: Final = 5.0
+# Flows without a packet for this long leave the table; callers' idle timeout
+# on the known sites is 15 s.
+FLOW_IDLE_S: Final = 20.0
+MAX_FLOWS: Final = 200_000
+# The table of flows is swept for expired entries this often.
+SWEEP_INTERVAL_S: Final = 1.0
+
+# Penalty of an endpoint in another failure domain, in parts of a full target.
+# Below it the own domain is used until its targets are that much busier.
+REMOTE_DOMAIN_PENALTY: Final = 0.5
+# An endpoint under suspicion is used only when all others are as well.
+SUSPICION_PENALTY: Final = 100.0
+# Load reports of other balancers older than this are not used.
+LOAD_REPORT_LIFETIME_S: Final = 1.0
+# More endpoints than this are sampled instead of compared one by one.
+MAX_COMPARED_ENDPOINTS: Final = 24
+
+# Balancers that may open flows to one cold endpoint. Each holds a bucket of
+# one flow, so that together they stay below the fixed allowance of five.
+WARMUP_HOLDERS: Final = 2
--- /dev/null
+++ b/src/chivedoor/steering/flows.py
@@ -0,0 +1,218 @@
+"""Requests in flight, as far as this balancer sees them.
+
+Packets of the caller show when a request begins (it sends data) and when the
+reply has arrived (it acknowledges more than before). The table is used for
+placement only; packets find their endpoint by their tag. It is bounded, and a
+flow that is not in it counts as one without a request.
+"""
+
+from collections.abc import Iterator
+import enum
+
+from chivedoor import ids
+from chivedoor.steering import const
+from chivedoor.steering import segment as segments
+
+_SEQUENCE_MASK = 0xFFFFFFFF
+_SEQUENCE_HALF = 0x80000000
+
+
+class FlowState(enum.Enum):
+    """Progress of a flow."""
+
+    OPENING = "opening"
+    IDLE = "idle"
+    WORKING = "working"
+
+
+class Flow:
+    """A flow that this balancer has seen packets of.
+
+    Attributes:
+        endpoint_id: The endpoint that it was placed on.
+        state: Its progress.
+        acknowledged: What the caller acknowledged last.
+        opened_at: Time of the packet that created the record.
+        changed_at: Time of the last change of its state.
+        seen_at: Time of its last packet.
+    """
+
+    __slots__ = (
+        "acknowledged",
+        "changed_at",
+        "endpoint_id",
+        "opened_at",
+        "seen_at",
+        "state",
+    )
+
+    def __init__(
+        self,
+        *,
+        endpoint_id: ids.EndpointId,
+        state: FlowState,
+        acknowledged: int,
+        now: float,
+    ) -> None:
+        """Creates a record at a time in seconds."""
+        self.endpoint_id = endpoint_id
+        self.state = state
+        self.acknowledged = acknowledged
+        self.opened_at = now
+        self.changed_at = now
+        self.seen_at = now
+
+
+class FlowTable:
+    """The flows that this balancer sees, and the requests in flight."""
+
+    def __init__(self) -> None:
+        self._flows: dict[segments.FlowId, Flow] = {}
+        self._in_flight: dict[ids.EndpointId, int] = {}
+
+    def __len__(self) -> int:
+        """Returns the number of flows in the table."""
+        return len(self._flows)
+
+    def get(self, flow_id: segments.FlowId) -> Flow | None:
+        """Returns the record of a flow."""
+        return self._flows.get(flow_id)
+
+    def count_in_flight(self, endpoint_id: ids.EndpointId) -> int:
+        """Returns the requests and handshakes in flight at an endpoint."""
+        return self._in_flight.get(endpoint_id, 0)
+
+    def list_in_flight(self) -> dict[ids.EndpointId, int]:
+        """Returns the requests in flight by endpoint, without zeros."""
+        return {
+            endpoint_id: count
+            for endpoint_id, count in self._in_flight.items()
+            if count
+        }
+
+    def iterate_flows(
+        self, endpoint_id: ids.EndpointId
+    ) -> Iterator[tuple[segments.FlowId, Flow]]:
+        """Returns the flows on an endpoint."""
+        return (
+            (flow_id, flow)
+            for flow_id, flow in tuple(self._flows.items())
+            if flow.endpoint_id == endpoint_id
+        )
+
+    def open_flow(
+        self,
+        flow_id: segments.FlowId,
+        endpoint_id: ids.EndpointId,
+        now: float,
+    ) -> None:
+        """Notes that an opening packet was sent to an endpoint."""
+        self.close_flow(flow_id)
+        if len(self._flows) >= const.MAX_FLOWS:
+            return
+        self._flows[flow_id] = Flow(
+            endpoint_id=endpoint_id,
+            state=FlowState.OPENING,
+            acknowledged=0,
+            now=now,
+        )
+        self._count(endpoint_id, 1)
+
+    def note_segment(
+        self,
+        segment: segments.Segment,
+        endpoint_id: ids.EndpointId,
+        now: float,
+    ) -> bool:
+        """Notes a packet of an established flow.
+
+        Returns:
+            Whether this is the first packet after the handshake.
+        """
+        flow = self._flows.get(segment.flow)
+        if flow is None or flow.endpoint_id != endpoint_id:
+            self.close_flow(segment.flow)
+            self._adopt(segment, endpoint_id, now)
+            return False
+        flow.seen_at = now
+        if flow.state is FlowState.OPENING:
+            flow.acknowledged = segment.acknowledged
+            self._change(
+                flow,
+                FlowState.WORKING if segment.payload_bytes else FlowState.IDLE,
+                now,
+            )
+            return True
+        self._note_progress(flow, segment, now)
+        return False
+
+    def close_flow(self, flow_id: segments.FlowId) -> None:
+        """Drops the record of a flow."""
+        flow = self._flows.pop(flow_id, None)
+        if flow is not None and flow.state is not FlowState.IDLE:
+            self._count(flow.endpoint_id, -1)
+
+    def expire(self, now: float) -> None:
+        """Drops idle flows, and counts overdue requests as finished."""
+        oldest = now - const.FLOW_IDLE_S
+        expired = [
+            flow_id
+            for flow_id, flow in self._flows.items()
+            if flow.seen_at < oldest
+            or (
+                flow.state is FlowState.OPENING
+                and flow.seen_at < now - const.HANDSHAKE_LIFETIME_S
+            )
+        ]
+        for flow_id in expired:
+            self.close_flow(flow_id)
+        overdue = now - const.REQUEST_LIFETIME_S
+        for flow in self._flows.values():
+            if flow.state is FlowState.WORKING and flow.changed_at < overdue:
+                self._change(flow, FlowState.IDLE, now)
+
+    def _adopt(
+        self,
+        segment: segments.Segment,
+        endpoint_id: ids.EndpointId,
+        now: float,
+    ) -> None:
+        if len(self._flows) >= const.MAX_FLOWS:
+            return
+        working = segment.payload_bytes > 0
+        self._flows[segment.flow] = Flow(
+            endpoint_id=endpoint_id,
+            state=FlowState.WORKING if working else FlowState.IDLE,
+            acknowledged=segment.acknowledged,
+            now=now,
+        )
+        if working:
+            self._count(endpoint_id, 1)
+
+    def _note_progress(
+        self, flow: Flow, segment: segments.Segment, now: float
+    ) -> None:
+        advance = (segment.acknowledged - flow.acknowledged) & _SEQUENCE_MASK
+        progressed = 0 < advance < _SEQUENCE_HALF
+        if progressed:
+            flow.acknowledged = segment.acknowledged
+        if segment.payload_bytes:
+            if progressed or flow.state is FlowState.IDLE:
+                self._change(flow, FlowState.WORKING, now)
+        elif progressed:
+            self._change(flow, FlowState.IDLE, now)
+
+    def _change(self, flow: Flow, state: FlowState, now: float) -> None:
+        was_idle = flow.state is FlowState.IDLE
+        is_idle = state is FlowState.IDLE
+        flow.state = state
+        flow.changed_at = now
+        if was_idle != is_idle:
+            self._count(flow.endpoint_id, -1 if is_idle else 1)
+
+    def _count(self, endpoint_id: ids.EndpointId, amount: int) -> None:
+        count = self._in_flight.get(endpoint_id, 0) + amount
+        if count > 0:
+            self._in_flight[endpoint_id] = count
+        else:
+            self._in_flight.pop(endpoint_id, None)
--- /dev/null
+++ b/src/chivedoor/steering/placement.py
@@ -0,0 +1,173 @@
+"""Choice of the endpoint of a new flow.
+
+Answers the worst load seen on the sites: a failure domain whose targets are
+slow, gone or too few for its callers while the others have room. Targets of
+the own domain come first, which spares the links between domains and survives
+their loss; a target elsewhere is chosen as soon as it is less busy by more
+than `REMOTE_DOMAIN_PENALTY` of its slots.
+"""
+
+from collections.abc import Sequence
+import random
+
+from chivedoor import ids
+from chivedoor.steering import const
+from chivedoor.steering import flows as flow_tables
+from chivedoor.steering import suspicion
+from chivedoor.steering import view as views
+from chivedoor.steering import warmup
+
+
+class PeerLoads:
+    """Requests in flight that other balancers reported."""
+
+    def __init__(self) -> None:
+        self._reports: dict[
+            ids.VmId, tuple[float, dict[ids.EndpointId, int]]
+        ] = {}
+        self._sums: dict[ids.EndpointId, int] = {}
+
+    def report(
+        self, vm: ids.VmId, in_flight: dict[ids.EndpointId, int], now: float
+    ) -> None:
+        """Replaces the report of a balancer."""
+        self._withdraw(vm)
+        self._reports[vm] = (now, in_flight)
+        for endpoint_id, count in in_flight.items():
+            self._sums[endpoint_id] = self._sums.get(endpoint_id, 0) + count
+
+    def count_in_flight(self, endpoint_id: ids.EndpointId) -> int:
+        """Returns the requests in flight through the other balancers."""
+        return self._sums.get(endpoint_id, 0)
+
+    def expire(self, now: float) -> None:
+        """Drops reports that are too old to be used."""
+        oldest = now - const.LOAD_REPORT_LIFETIME_S
+        for vm in [vm for vm, (at, _) in self._reports.items() if at < oldest]:
+            self._withdraw(vm)
+
+    def _withdraw(self, vm: ids.VmId) -> None:
+        _, in_flight = self._reports.pop(vm, (0.0, {}))
+        for endpoint_id, count in in_flight.items():
+            self._sums[endpoint_id] -= count
+            if not self._sums[endpoint_id]:
+                del self._sums[endpoint_id]
+
+
+class Placement:
+    """Chooses endpoints for new flows."""
+
+    def __init__(
+        self,
+        *,
+        domain: ids.DomainId,
+        view: views.View,
+        flows: flow_tables.FlowTable,
+        suspicions: suspicion.Suspicions,
+        budget: warmup.WarmupBudget,
+        loads: PeerLoads,
+        generator: random.Random,
+    ) -> None:
+        """Creates a placement for a balancer in `domain`."""
+        self._domain = domain
+        self._view = view
+        self._flows = flows
+        self._suspicions = suspicions
+        self._budget = budget
+        self._loads = loads
+        self._generator = generator
+
+    def choose_endpoint(
+        self,
+        route: views.Route,
+        now: float,
+        avoided: ids.EndpointId | None = None,
+    ) -> views.Endpoint | None:
+        """Returns the endpoint of a new flow.
+
+        Args:
+            route: The route that the caller called.
+            now: The time, in seconds.
+            avoided: An endpoint that left this flow's first opening packet
+                unanswered; chosen only when there is no other.
+
+        Returns:
+            The endpoint; None when no endpoint may take a flow.
+        """
+        service = self._choose_service(route)
+        usable = [
+            endpoint
+            for endpoint in self._view.get_endpoints(service)
+            if not endpoint.draining
+            and endpoint.domain not in self._view.domains_out
+        ]
+        warm = [endpoint for endpoint in usable if endpoint.cold_until <= now]
+        others = [
+            endpoint for endpoint in warm if endpoint.id != avoided
+        ] or warm
+        if others:
+            return self._choose_least_loaded(others, now)
+        return self._choose_cold(service, usable, now)
+
+    def _choose_service(self, route: views.Route) -> ids.ServiceId:
+        if len(route.shares) == 1:
+            return route.shares[0][0]
+        services, weights = zip(*route.shares, strict=True)
+        return self._generator.choices(services, weights)[0]
+
+    def _choose_least_loaded(
+        self, endpoints: Sequence[views.Endpoint], now: float
+    ) -> views.Endpoint:
+        if len(endpoints) > const.MAX_COMPARED_ENDPOINTS:
+            endpoints = self._sample(endpoints)
+        draw = self._generator.random
+        return min(
+            endpoints,
+            key=lambda endpoint: (self._rank(endpoint, now), draw()),
+        )
+
+    def _sample(
+        self, endpoints: Sequence[views.Endpoint]
+    ) -> list[views.Endpoint]:
+        local = [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.domain == self._domain
+        ]
+        half = const.MAX_COMPARED_ENDPOINTS // 2
+        return [
+            *self._generator.sample(local, min(half, len(local))),
+            *self._generator.sample(endpoints, half),
+        ]
+
+    def _rank(self, endpoint: views.Endpoint, now: float) -> float:
+        in_flight = self._flows.count_in_flight(
+            endpoint.id
+        ) + self._loads.count_in_flight(endpoint.id)
+        rank = (in_flight + 1) / endpoint.slots
+        if endpoint.domain != self._domain:
+            rank += const.REMOTE_DOMAIN_PENALTY
+        if self._suspicions.is_suspect(endpoint.id, now):
+            rank += const.SUSPICION_PENALTY
+        return rank
+
+    def _choose_cold(
+        self,
+        service: ids.ServiceId,
+        endpoints: Sequence[views.Endpoint],
+        now: float,
+    ) -> views.Endpoint | None:
+        limits = self._view.services.get(service)
+        if limits is None:
+            return None
+        rate_per_s = limits.warmup_per_s
+        allowed = [
+            endpoint
+            for endpoint in endpoints
+            if self._budget.may_open(endpoint.id, rate_per_s, now)
+        ]
+        if not allowed:
+            return None
+        chosen = self._choose_least_loaded(allowed, now)
+        self._budget.take(chosen.id, rate_per_s, now)
+        return chosen
--- /dev/null
+++ b/src/chivedoor/steering/steerer.py
@@ -0,0 +1,168 @@
+"""All decisions on the packets of callers."""
+
+from collections.abc import Iterator
+import random
+
+from chivedoor import ids
+from chivedoor.steering import flows as flow_tables
+from chivedoor.steering import placement
+from chivedoor.steering import segment as segments
+from chivedoor.steering import suspicion
+from chivedoor.steering import tags
+from chivedoor.steering import verdicts
+from chivedoor.steering import view as views
+from chivedoor.steering import warmup
+
+_DROPS = {
+    reason: verdicts.Drop(reason=reason) for reason in verdicts.DropReason
+}
+_REFUSALS = {
+    reason: verdicts.Refuse(reason=reason) for reason in verdicts.RefusalReason
+}
+
+
+class Steerer:
+    """Steers packets by their tags and places new flows.
+
+    Attributes:
+        view: Routes and endpoints.
+        flows: Requests in flight.
+        suspicions: Endpoints that do not answer.
+        budget: This balancer's part of the rates of cold endpoints.
+        loads: What other balancers reported.
+    """
+
+    def __init__(
+        self,
+        *,
+        local: ids.VmId,
+        domain: ids.DomainId,
+        generator: random.Random,
+    ) -> None:
+        """Creates a steerer without a view."""
+        self.view = views.View()
+        self.flows = flow_tables.FlowTable()
+        self.suspicions = suspicion.Suspicions()
+        self.budget = warmup.WarmupBudget(local=local)
+        self.loads = placement.PeerLoads()
+        self.placement = placement.Placement(
+            domain=domain,
+            view=self.view,
+            flows=self.flows,
+            suspicions=self.suspicions,
+            budget=self.budget,
+            loads=self.loads,
+            generator=generator,
+        )
+        # Time from which a missing entry means that the endpoint is gone;
+        # None while the view is incomplete or not confirmed.
+        self._complete_from: float | None = None
+
+    def set_complete_from(self, complete_from: float | None) -> None:
+        """Sets from when a missing entry means a removed endpoint.
+
+        Args:
+            complete_from: A time in seconds; None while the store cannot be
+                read, or is not known to be current.
+        """
+        self._complete_from = complete_from
+
+    def is_complete(self, now: float) -> bool:
+        """Returns whether missing entries can be trusted."""
+        return self._complete_from is not None and now >= self._complete_from
+
+    def decide(self, segment: segments.Segment, now: float) -> verdicts.Verdict:
+        """Returns what is done with a packet."""
+        if segment.kind is segments.SegmentKind.OPEN:
+            return self._decide_opening(segment, now)
+        return self._decide_established(segment, now)
+
+    def list_stranded_flows(
+        self, endpoint_id: ids.EndpointId
+    ) -> Iterator[tuple[segments.FlowId, flow_tables.Flow]]:
+        """Returns and forgets the flows on an endpoint that is gone."""
+        for flow_id, flow in self.flows.iterate_flows(endpoint_id):
+            self.flows.close_flow(flow_id)
+            yield flow_id, flow
+
+    def expire(self, now: float) -> None:
+        """Drops state that is out of date; called once a second."""
+        self.flows.expire(now)
+        self.suspicions.expire(now)
+        self.budget.expire(now)
+        self.loads.expire(now)
+        self.view.forget_removed(now)
+
+    def _decide_opening(
+        self, segment: segments.Segment, now: float
+    ) -> verdicts.Verdict:
+        if not self.view.version:
+            return _DROPS[verdicts.DropReason.NO_VIEW]
+        route = self.view.routes.get(segment.route)
+        if route is None:
+            if self.is_complete(now):
+                return _REFUSALS[verdicts.RefusalReason.NO_ROUTE]
+            return _DROPS[verdicts.DropReason.STALE_VIEW]
+        unanswered = self._find_unanswered(segment, now)
+        endpoint = self.placement.choose_endpoint(route, now, unanswered)
+        if endpoint is None:
+            return _REFUSALS[verdicts.RefusalReason.NO_ENDPOINT]
+        self.flows.open_flow(segment.flow, endpoint.id, now)
+        return verdicts.Deliver(
+            endpoint=endpoint,
+            tag=tags.make_tag(endpoint.slot, endpoint.number, segment.flow),
+        )
+
+    def _find_unanswered(
+        self, segment: segments.Segment, now: float
+    ) -> ids.EndpointId | None:
+        """Returns the endpoint that left an earlier copy unanswered."""
+        if not segment.repetition:
+            return None
+        flow = self.flows.get(segment.flow)
+        if flow is None or flow.state is not flow_tables.FlowState.OPENING:
+            return None
+        self.suspicions.note_unanswered(flow.endpoint_id, now)
+        return flow.endpoint_id
+
+    def _decide_established(
+        self, segment: segments.Segment, now: float
+    ) -> verdicts.Verdict:
+        if not segment.tag:
+            return _DROPS[verdicts.DropReason.NO_TAG]
+        endpoint = self.view.find_endpoint(segment.tag, segment.flow)
+        if endpoint is None:
+            if self.is_complete(now):
+                return self._refuse(
+                    segment, verdicts.RefusalReason.UNKNOWN_ENDPOINT
+                )
+            return _DROPS[verdicts.DropReason.UNKNOWN_TAG]
+        if endpoint.removed_at is not None and self.is_complete(now):
+            return self._refuse(
+                segment, verdicts.RefusalReason.ENDPOINT_REMOVED
+            )
+        if segment.route not in self.view.routes and self.is_complete(now):
+            return self._refuse(segment, verdicts.RefusalReason.ROUTE_REMOVED)
+        self._note_segment(segment, endpoint, now)
+        return verdicts.Deliver(endpoint=endpoint, tag=None)
+
+    def _note_segment(
+        self,
+        segment: segments.Segment,
+        endpoint: views.Endpoint,
+        now: float,
+    ) -> None:
+        if segment.kind is segments.SegmentKind.ESTABLISHED:
+            opened = self.flows.note_segment(segment, endpoint.id, now)
+            if opened:
+                self.suspicions.note_opened(endpoint.id)
+        else:
+            self.flows.close_flow(segment.flow)
+
+    def _refuse(
+        self, segment: segments.Segment, reason: verdicts.RefusalReason
+    ) -> verdicts.Verdict:
+        self.flows.close_flow(segment.flow)
+        if segment.kind is segments.SegmentKind.ABORT:
+            return _DROPS[verdicts.DropReason.UNANSWERED_RESET]
+        return _REFUSALS[reason]
--- /dev/null
+++ b/src/chivedoor/steering/verdicts.py
@@ -0,0 +1,67 @@
+"""What is done with a packet."""
+
+import enum
+
+from chivedoor import ids
+from chivedoor.steering import view as views
+
+
+class DropReason(enum.Enum):
+    """Why a packet is dropped without an answer."""
+
+    NO_VIEW = "no-view"
+    STALE_VIEW = "stale-view"
+    UNKNOWN_TAG = "unknown-tag"
+    NO_TAG = "no-tag"
+    UNANSWERED_RESET = "unanswered-reset"
+
+
+class RefusalReason(enum.Enum):
+    """Why a flow is answered with a reset."""
+
+    NO_ROUTE = "no-route"
+    NO_ENDPOINT = "no-endpoint"
+    ENDPOINT_REMOVED = "endpoint-removed"
+    ROUTE_REMOVED = "route-removed"
+    UNKNOWN_ENDPOINT = "unknown-endpoint"
+
+
+class Deliver:
+    """Send the packet to an endpoint.
+
+    Attributes:
+        endpoint: Where it goes.
+        tag: The tag to write into the packet; None leaves it as it is.
+    """
+
+    __slots__ = ("endpoint", "tag")
+
+    def __init__(
+        self, *, endpoint: views.Endpoint, tag: ids.Tag | None
+    ) -> None:
+        """Creates a verdict."""
+        self.endpoint = endpoint
+        self.tag = tag
+
+
+class Refuse:
+    """Answer with a reset; nothing ran if the flow was not open."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, *, reason: RefusalReason) -> None:
+        """Creates a verdict."""
+        self.reason = reason
+
+
+class Drop:
+    """Send nothing; the caller repeats the packet."""
+
+    __slots__ = ("reason",)
+
+    def __init__(self, *, reason: DropReason) -> None:
+        """Creates a verdict."""
+        self.reason = reason
+
+
+Verdict = Deliver | Refuse | Drop
--- /dev/null
+++ b/src/chivedoor/steering/view.py
@@ -0,0 +1,285 @@
+"""What a balancer knows: routes, endpoints and domains taken out."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import dataclasses
+import functools
+import itertools
+
+from chivedoor import ids
+from chivedoor.steering import const
+from chivedoor.steering import segment as segments
+from chivedoor.steering import tags
+
+
+class Endpoint:
+    """One start of a target.
+
+    Attributes:
+        id: Identity of the endpoint.
+        number: The identity as a number.
+        slot: Its part of the tags.
+        address: Host and port that packets go to.
+        service: The service that it serves.
+        domain: Its failure domain.
+        slots: Requests that it works on at a time.
+        incarnation: Start of the process, in milliseconds of Unix time.
+        draining: It finishes its flows and takes no new ones.
+        cold_until: Time until which it bears little load.
+        removed_at: Time at which its entry disappeared, None while listed.
+    """
+
+    __slots__ = (
+        "address",
+        "cold_until",
+        "domain",
+        "draining",
+        "id",
+        "incarnation",
+        "number",
+        "removed_at",
+        "service",
+        "slot",
+        "slots",
+    )
+
+    def __init__(
+        self,
+        *,
+        id: ids.EndpointId,
+        number: int,
+        address: tuple[str, int],
+        service: ids.ServiceId,
+        domain: ids.DomainId,
+        slots: int,
+        incarnation: int,
+        draining: bool,
+        cold_until: float,
+    ) -> None:
+        """Creates a listed endpoint; times are in seconds of the clock."""
+        self.id = id
+        self.number = number
+        self.slot = tags.compute_slot(id)
+        self.address = address
+        self.service = service
+        self.domain = domain
+        self.slots = slots
+        self.incarnation = incarnation
+        self.draining = draining
+        self.cold_until = cold_until
+        self.removed_at: float | None = None
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Route:
+    """An address and port with the services behind it.
+
+    Attributes:
+        name: The operators' name of the route.
+        shares: Services with their weights.
+    """
+
+    name: str
+    shares: tuple[tuple[ids.ServiceId, float], ...]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ServiceLimits:
+    """Limits of a service.
+
+    Attributes:
+        warmup_per_s: New flows a second that a cold endpoint bears.
+    """
+
+    warmup_per_s: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ListedEndpoint:
+    """A change: an endpoint was added or its entry changed."""
+
+    endpoint: Endpoint
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RemovedEndpoint:
+    """A change: the entry of an endpoint disappeared or became unusable."""
+
+    endpoint_id: ids.EndpointId
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Configuration:
+    """A change: a configuration in full."""
+
+    version: ids.Version
+    routes: Mapping[segments.RouteKey, Route]
+    services: Mapping[ids.ServiceId, ServiceLimits]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class DomainState:
+    """A change: a failure domain was taken out or brought back."""
+
+    domain: ids.DomainId
+    out: bool
+
+
+Change = ListedEndpoint | RemovedEndpoint | Configuration | DomainState
+
+
+class View:
+    """The state that packets are steered by.
+
+    Attributes:
+        version: Version of the configuration in force, 0 without one.
+        routes: Routes by address and port.
+        services: Limits by service.
+        endpoints: Listed endpoints by id.
+        domains_out: Failure domains that get no new flows.
+    """
+
+    def __init__(self) -> None:
+        self.version = ids.Version(0)
+        self.routes: Mapping[segments.RouteKey, Route] = {}
+        self.services: Mapping[ids.ServiceId, ServiceLimits] = {}
+        self.endpoints: dict[ids.EndpointId, Endpoint] = {}
+        self.domains_out: set[ids.DomainId] = set()
+        self._by_service: dict[ids.ServiceId, dict[ids.EndpointId, Endpoint]]
+        self._by_service = {}
+        self._by_slot: dict[int, list[Endpoint]] = {}
+        self._removed: dict[ids.EndpointId, Endpoint] = {}
+
+    def get_endpoints(self, service: ids.ServiceId) -> list[Endpoint]:
+        """Returns the listed endpoints of a service."""
+        return list(self._by_service.get(service, {}).values())
+
+    def find_endpoint(
+        self, tag: ids.Tag, flow: segments.FlowId
+    ) -> Endpoint | None:
+        """Returns the endpoint that a tag names, also if it was removed."""
+        candidates = self._by_slot.get(tag >> const.CHECK_BITS)
+        if candidates is None:
+            return None
+        check = tag & const.CHECK_MASK
+        for endpoint in candidates:
+            if tags.compute_check(endpoint.number, flow) == check:
+                return endpoint
+        return None
+
+    def apply(self, change: Change, now: float) -> bool:
+        """Applies a change; a configuration never goes back.
+
+        Returns:
+            Whether the view changed.
+        """
+        return _apply(change, self, now)
+
+    def forget_removed(self, now: float) -> None:
+        """Drops endpoints that were removed longer ago than flows live."""
+        oldest = now - const.REMOVED_ENDPOINT_KEPT_S
+        expired = [
+            endpoint
+            for endpoint in self._removed.values()
+            if endpoint.removed_at is not None and endpoint.removed_at < oldest
+        ]
+        for endpoint in expired:
+            del self._removed[endpoint.id]
+            self._unindex(endpoint)
+
+    def list_endpoint(self, endpoint: Endpoint) -> bool:
+        """Adds an endpoint or takes over its new entry."""
+        former = self.endpoints.get(endpoint.id)
+        former = former or self._removed.pop(endpoint.id, None)
+        if former is not None:
+            self._unindex(former)
+            self._by_service.get(former.service, {}).pop(former.id, None)
+        self.endpoints[endpoint.id] = endpoint
+        self._by_service.setdefault(endpoint.service, {})[endpoint.id] = (
+            endpoint
+        )
+        self._by_slot.setdefault(endpoint.slot, []).append(endpoint)
+        return True
+
+    def remove_endpoint(self, endpoint_id: ids.EndpointId, now: float) -> bool:
+        """Stops placing flows on an endpoint; its tags stay known."""
+        endpoint = self.endpoints.pop(endpoint_id, None)
+        if endpoint is None:
+            return False
+        self._by_service[endpoint.service].pop(endpoint_id, None)
+        endpoint.removed_at = now
+        self._removed[endpoint_id] = endpoint
+        return True
+
+    def iterate_removed(self) -> Iterator[Endpoint]:
+        """Returns the endpoints whose tags are still known."""
+        return iter(tuple(self._removed.values()))
+
+    def dump_state(self) -> dict[str, object]:
+        """Returns the view as plain values."""
+        listed = itertools.chain(
+            self.endpoints.values(), self._removed.values()
+        )
+        return {
+            "version": self.version,
+            "routes": len(self.routes),
+            "domains_out": sorted(self.domains_out),
+            "endpoints": [
+                {
+                    "id": endpoint.id,
+                    "service": endpoint.service,
+                    "domain": endpoint.domain,
+                    "draining": endpoint.draining,
+                    "cold_until": endpoint.cold_until,
+                    "removed_at": endpoint.removed_at,
+                }
+                for endpoint in listed
+            ],
+        }
+
+    def _unindex(self, endpoint: Endpoint) -> None:
+        remaining = [
+            other
+            for other in self._by_slot.get(endpoint.slot, ())
+            if other.id != endpoint.id
+        ]
+        if remaining:
+            self._by_slot[endpoint.slot] = remaining
+        else:
+            self._by_slot.pop(endpoint.slot, None)
+
+
+@functools.singledispatch
+def _apply(change: object, view: View, now: float) -> bool:
+    raise TypeError(type(change).__name__)
+
+
+@_apply.register
+def _(change: ListedEndpoint, view: View, now: float) -> bool:
+    return view.list_endpoint(change.endpoint)
+
+
+@_apply.register
+def _(change: RemovedEndpoint, view: View, now: float) -> bool:
+    return view.remove_endpoint(change.endpoint_id, now)
+
+
+@_apply.register
+def _(change: Configuration, view: View, now: float) -> bool:
+    if change.version <= view.version:
+        return False
+    view.version = change.version
+    view.routes = change.routes
+    view.services = change.services
+    return True
+
+
+@_apply.register
+def _(change: DomainState, view: View, now: float) -> bool:
+    if (change.domain in view.domains_out) == change.out:
+        return False
+    if change.out:
+        view.domains_out.add(change.domain)
+    else:
+        view.domains_out.discard(change.domain)
+    return True
--- a/src/chivedoor/telemetry/logs.py
+++ b/src/chivedoor/telemetry/logs.py
@@ -1,6 +1,5 @@
 """Logs as JSON lines, written by a thread of their own."""
 
-from collections.abc import Callable
 import dataclasses
 import pathlib
 import queue
@@ -17,8 +16,7 @@
 from chivedoor.telemetry import const
 from chivedoor.telemetry import events
 from chivedoor.telemetry import exceptions
-
-Clock = Callable[[], float]
+from chivedoor.telemetry import rates
 
 
 class Logs:
@@ -41,7 +39,7 @@
         domain: ids.DomainId,
         stream: BinaryIO | TextIO,
         close_stream: bool,
-        clock: Clock = time.monotonic,
+        clock: rates.Clock = time.monotonic,
     ) -> None:
         """Starts the writer.
 
@@ -58,7 +56,11 @@
         self._common = {"vm": vm, "domain": domain}
         self._stream = stream
         self._close_stream = close_stream
-        self._limits = _RateLimits(clock=clock)
+        self._limits = rates.RateLimits(
+            clock=clock,
+            rate_per_s=const.LOG_RATE_PER_S,
+            burst_events=const.LOG_BURST_EVENTS,
+        )
         self._destination = eliot.FileDestination(file=stream)
         self._queue: queue.Queue[dict[str, Any] | None] = queue.Queue(
             const.LOG_QUEUE_EVENTS
@@ -136,33 +138,6 @@
                 self.failed += 1
 
 
-class _RateLimits:
-    """A token bucket for each type of event."""
-
-    def __init__(self, *, clock: Clock) -> None:
-        self._clock = clock
-        # Tokens and the time of their last change.
-        self._buckets: dict[str, tuple[float, float]] = {}
-        self._missed: dict[str, int] = {}
-
-    def admit(self, message_type: str) -> bool:
-        now = self._clock()
-        full = float(const.LOG_BURST_EVENTS)
-        tokens, changed_s = self._buckets.get(message_type, (full, now))
-        tokens = min(full, tokens + (now - changed_s) * const.LOG_RATE_PER_S)
-        admitted = tokens >= 1.0
-        self._buckets[message_type] = (tokens - admitted, now)
-        if not admitted:
-            self.note_missed(message_type)
-        return admitted
-
-    def note_missed(self, message_type: str) -> None:
-        self._missed[message_type] = self._missed.get(message_type, 0) + 1
-
-    def take_missed(self, message_type: str) -> int:
-        return self._missed.pop(message_type, 0)
-
-
 def setup_logs(
     *,
     vm: ids.VmId,
--- /dev/null
+++ b/tests/configservice/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform package."""
--- a/tests/platform/test_backoff.py
+++ b/tests/configservice/test_backoff.py
@@ -2,7 +2,7 @@
 
 import random
 
-from chivedoor.platform import backoff
+from chivedoor.configservice import backoff
 
 
 def build_backoff():
--- a/tests/platform/test_client.py
+++ b/tests/configservice/test_client.py
@@ -6,10 +6,10 @@
 from aiohttp import web
 import pytest
 
-from chivedoor.platform import backoff
-from chivedoor.platform import client
-from chivedoor.platform import const
-from chivedoor.platform import exceptions
+from chivedoor.configservice import backoff
+from chivedoor.configservice import client
+from chivedoor.configservice import const
+from chivedoor.configservice import exceptions
 from standins import platform
 
 Outcome = client.Outcome
--- a/tests/platform/test_following.py
+++ b/tests/configservice/test_following.py
@@ -7,7 +7,7 @@
 
 from chivedoor.configuration import exceptions
 from chivedoor.configuration import store
-from chivedoor.platform import client
+from chivedoor.configservice import client
 from standins import platform
 
 WALL_S = 1_000_000
