Read the store by few balancers of a domain and pass changes on

Change: greetings within a domain, a reader ranked by link, subscriptions over TCP, and a read of one's own as soon as the view is older than 1.6 s. The packet socket is bound before the rest of the process loads. Targets of other domains are used only when the own ones queue.

--- a/src/chivedoor/dataplane/port.py
+++ b/src/chivedoor/dataplane/port.py
@@ -7,6 +7,7 @@
 
 from chivedoor.dataplane import const
 from chivedoor.dataplane import exceptions
+from chivedoor.dataplane import sockets
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -50,6 +51,7 @@
         port: int,
         handle_batch: Callable[[list[memoryview]], None],
         batch_size: int = const.BATCH_DATAGRAMS,
+        bound: socket.socket | None = None,
     ) -> None:
         """Prepares the port without opening a socket.
 
@@ -59,12 +61,14 @@
             handle_batch: Called on the loop with the datagrams of one turn.
                 The views are valid only during the call.
             batch_size: Largest number of datagrams in a batch.
+            bound: A socket that is bound already; opened when None.
         """
         self.counters = PortCounters()
         self._address = address
         self._port = port
         self._handle_batch = handle_batch
         self._slots = _make_slots(batch_size)
+        self._bound = bound
         self._socket: socket.socket | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
 
@@ -91,18 +95,35 @@
     async def async_open(self) -> None:
         """Binds the socket and starts to read from it.
 
+        Raises:
+            exceptions.PortError: The port is already open, or the system
+                refuses the address.
+        """
+        self.open()
+
+    def open(self) -> None:
+        """Does the same as `async_open`, on the loop's thread.
+
         Raises:
             exceptions.PortError: The port is already open, or the system
                 refuses the address.
         """
         if self._socket is not None:
             raise exceptions.PortError("the port is already open")
-        self._socket = _open_socket(self._address, self._port)
+        bound, self._bound = self._bound, None
+        self._socket = bound or sockets.open_socket(self._address, self._port)
         self._loop = asyncio.get_running_loop()
         self._loop.add_reader(self._socket.fileno(), self._read_batch)
 
     async def async_close(self) -> None:
         """Stops reading and closes the socket; does nothing when closed."""
+        self.close()
+
+    def close(self) -> None:
+        """Does the same as `async_close`, on the loop's thread."""
+        if self._bound is not None:
+            self._bound.close()
+            self._bound = None
         if self._socket is None:
             return
         self._loop.remove_reader(self._socket.fileno())
@@ -194,23 +215,3 @@
     return tuple(
         view[start : start + const.MAX_DATAGRAM_BYTES] for start in starts
     )
-
-
-def _open_socket(address: str, port: int) -> socket.socket:
-    family = socket.AF_INET6 if ":" in address else socket.AF_INET
-    opened = socket.socket(family, socket.SOCK_DGRAM)
-    try:
-        opened.setblocking(False)
-        opened.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, const.RECEIVE_BUFFER_BYTES
-        )
-        opened.setsockopt(
-            socket.SOL_SOCKET, socket.SO_SNDBUF, const.SEND_BUFFER_BYTES
-        )
-        opened.bind((address, port))
-    except (OSError, OverflowError) as error:
-        opened.close()
-        raise exceptions.PortError(
-            f"cannot bind {address} port {port}: {error}"
-        ) from error
-    return opened
--- /dev/null
+++ b/src/chivedoor/dataplane/sockets.py
@@ -0,0 +1,39 @@
+"""UDP sockets of the data plane.
+
+This module imports nothing of the event loop, so that a socket can be bound,
+and begin to queue packets, while the rest of a process is still loading.
+"""
+
+import socket
+
+from chivedoor.dataplane import const
+from chivedoor.dataplane import exceptions
+
+
+def open_socket(address: str, port: int) -> socket.socket:
+    """Binds a non-blocking UDP socket with large buffers.
+
+    Args:
+        address: Numeric local address.
+        port: Local port; 0 lets the system choose one.
+
+    Raises:
+        PortError: The system refuses the address.
+    """
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    opened = socket.socket(family, socket.SOCK_DGRAM)
+    try:
+        opened.setblocking(False)
+        opened.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, const.RECEIVE_BUFFER_BYTES
+        )
+        opened.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, const.SEND_BUFFER_BYTES
+        )
+        opened.bind((address, port))
+    except (OSError, OverflowError) as error:
+        opened.close()
+        raise exceptions.PortError(
+            f"cannot bind {address} port {port}: {error}"
+        ) from error
+    return opened
--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -5,9 +5,9 @@
 import http
 import importlib
 import json
-import pathlib
 import random
 import signal
+import socket
 import time
 
 from chivedoor.edge import const
@@ -18,8 +18,12 @@
 from chivedoor.edge import lines
 from chivedoor.edge import settings as settings_module
 from chivedoor.edge import web
+from chivedoor.feed import coordinator
 from chivedoor.feed import follower as followers
+from chivedoor.feed import greetings
+from chivedoor.feed import peers as peer_sets
 from chivedoor.feed import records
+from chivedoor.feed import relay
 from chivedoor.platform import store
 from chivedoor.steering import steerer as steerers
 
@@ -35,12 +39,21 @@
     def __init__(
         self,
         *,
-        path: pathlib.Path,
+        path: str,
         settings: settings_module.Settings,
         log: lines.Lines,
         clock: Callable[[], float] = read_clock,
+        bound: socket.socket | None = None,
     ) -> None:
-        """Creates a balancer with all ports closed."""
+        """Creates a balancer.
+
+        Args:
+            path: The settings file, read again on a reload.
+            settings: Its present content.
+            log: Takes the log lines.
+            clock: Returns seconds.
+            bound: The packet socket when it is bound already.
+        """
         self._path = path
         self._settings = settings
         self._log = log
@@ -57,6 +70,7 @@
             log=log,
             figures=self.figures,
             clock=clock,
+            bound=bound,
         )
         self.knowledge = knowledge_module.Knowledge(
             steerer=self.steerer,
@@ -69,12 +83,42 @@
         self._store = store.Store(
             host=settings.source.host, port=settings.source.port
         )
-        self._follower = followers.Follower(
-            source=self._store,
+        self._source_lost = False
+        # Time at which the store confirmed the view to this balancer itself.
+        self._read_at: float | None = None
+        self._generator = generator
+        self._incarnation = round(time.time() * 1000)
+        self._settled_at = clock() + const.SETTLING_S
+        self.peers = peer_sets.Peers(
+            local=settings.vm,
+            domain=settings.domain,
+            host=settings.address,
+            bandwidth_mbps=settings.bandwidth_mbps,
+            generator=generator,
+        )
+        self._greetings = greetings.Greetings(
+            peers=self.peers,
+            port=settings.peer_port,
+            make_greeting=self._make_greeting,
+            note_greeting=self._note_greeting,
+            get_seeds=lambda: [seed.host for seed in self._settings.seeds],
+            clock=clock,
+        )
+        self._relay = relay.Relay(
+            records_table=self.knowledge.table,
+            get_age_s=self.knowledge.get_age_s,
+            clock=clock,
+        )
+        self._coordinator = coordinator.Coordinator(
+            peers=self.peers,
+            make_follower=self._make_follower,
             deliver=self._take_batch,
-            note_state=self._note_source,
+            get_age_s=self.knowledge.get_age_s,
+            get_read_age_s=self._get_read_age_s,
+            get_revision=lambda: self.knowledge.table.revision,
+            note_mode=self._note_mode,
+            peer_port=settings.peer_port,
             clock=clock,
-            generator=generator,
         )
         self._readiness = web.WebServer(
             host=settings.readiness.host,
@@ -87,6 +131,7 @@
             handle=self._handle_page,
         )
         self._stopping = asyncio.Event()
+        self._created_at = clock()
         self._ready = False
 
     async def async_run(self) -> None:
@@ -96,26 +141,29 @@
             OSError: A port cannot be opened.
             PortError: The packet port cannot be opened.
         """
-        await self.forwarder.async_open()
-        following = asyncio.create_task(self._follower.async_run())
+        tasks = [asyncio.create_task(self._coordinator.async_run())]
         try:
             await self._readiness.async_open()
-            await self._async_open_pages()
-            ticking = asyncio.create_task(self._async_tick())
-            stopping = asyncio.create_task(self._stopping.wait())
+            await self._async_open_internal()
+            tasks += [
+                asyncio.create_task(self._greetings.async_run()),
+                asyncio.create_task(self._async_tick()),
+                asyncio.create_task(self._stopping.wait()),
+            ]
             done, _ = await asyncio.wait(
-                (following, ticking, stopping),
-                return_when=asyncio.FIRST_COMPLETED,
+                tasks, return_when=asyncio.FIRST_COMPLETED
             )
             for task in done:
                 task.result()
             await self._async_linger()
-            ticking.cancel()
         finally:
-            following.cancel()
+            for task in tasks:
+                task.cancel()
+            self._greetings.close()
+            self._relay.close()
             self._pages.close()
             self._readiness.close()
-            await self.forwarder.async_close()
+            self.forwarder.close()
             self._log.write(lines.Kind.STOPPED)
             self._log.flush()
 
@@ -153,14 +201,23 @@
             "in_flight": self.steerer.flows.list_in_flight(),
             "log": self._log.dump_state(),
             "source_calls": self._store.calls,
+            "reading": self._coordinator.mode.value,
+            "peers": [peer.vm for peer in self.peers.list_live(self._clock())],
         }
 
-    async def _async_open_pages(self) -> None:
-        try:
-            await self._pages.async_open()
-        except OSError as error:
-            # Callers are served also when nobody can be told about it.
-            self._log.write(lines.Kind.FAULT, fault=f"metrics port: {error}")
+    async def _async_open_internal(self) -> None:
+        """Opens the ports that callers do not depend on."""
+        host = self._settings.address
+        port = self._settings.peer_port
+        for name, opening in (
+            ("metrics", self._pages.async_open()),
+            ("relay", self._relay.async_open(host, port)),
+            ("greetings", self._greetings.async_open(host)),
+        ):
+            try:
+                await opening
+            except OSError as error:
+                self._log.write(lines.Kind.FAULT, fault=f"{name}: {error}")
 
     async def _async_tick(self) -> None:
         ticks = 0
@@ -174,6 +231,13 @@
                 )
             before = now
             self.knowledge.check_age()
+            self.steerer.budget.set_members(
+                [
+                    self._settings.vm,
+                    *(peer.vm for peer in self.peers.list_live(now)),
+                ],
+                self._settled_at,
+            )
             ticks += 1
             if ticks % const.SWEEP_TICKS == 0:
                 self.steerer.expire(now)
@@ -181,8 +245,8 @@
 
     async def _async_linger(self) -> None:
         """Goes on serving until the fabric has taken this balancer out."""
-        self._ready = False
         self._log.flush()
+        self._greetings.greet()
         ends_at = self._clock() + (
             self._settings.grace_s - const.STOP_RESERVE_S
         )
@@ -193,29 +257,84 @@
                 break
             await asyncio.sleep(const.STOP_CHECK_S)
 
-    def _take_batch(self, batch: records.Batch) -> None:
-        confirmed_at = self._follower.confirmed_at
-        assert confirmed_at is not None
+    def _get_read_age_s(self) -> float | None:
+        if self._read_at is None:
+            return None
+        return self._clock() - self._read_at
+
+    def _take_read(self, batch: records.Batch, confirmed_at: float) -> None:
+        self._read_at = confirmed_at
+        self._take_batch(batch, confirmed_at)
+
+    def _take_batch(self, batch: records.Batch, confirmed_at: float) -> None:
         self.knowledge.take_batch(batch, confirmed_at)
+        self._relay.publish()
         if not self._ready and self.knowledge.has_view:
-            self._ready = not self._stopping.is_set()
-            self._log.write(
-                lines.Kind.READY,
-                version=self.steerer.view.version,
-                revision=self.knowledge.table.revision,
-            )
-            self._log.flush()
+            self._become_ready()
+
+    def _become_ready(self) -> None:
+        self._ready = True
+        # Packets that waited for longer were repeated or given up since.
+        waited_s = self._clock() - self._created_at
+        self.forwarder.start()
+        if waited_s > const.START_QUEUE_S:
+            self.forwarder.discard_waiting()
+        self._log.write(
+            lines.Kind.READY,
+            version=self.steerer.view.version,
+            revision=self.knowledge.table.revision,
+            waited_s=round(waited_s, 3),
+        )
+        self._log.flush()
+
+    def _make_follower(self) -> followers.Follower:
+        return followers.Follower(
+            source=self._store,
+            deliver=self._take_read,
+            note_state=self._note_source,
+            clock=self._clock,
+            generator=self._generator,
+        )
 
     def _note_source(self, state: followers.FollowerState, reason: str) -> None:
-        kind = (
-            lines.Kind.SOURCE_LOST
-            if state is followers.FollowerState.LOST
-            else lines.Kind.SOURCE_REGAINED
+        lost = state is followers.FollowerState.LOST
+        if lost == self._source_lost:
+            return
+        self._source_lost = lost
+        self._log.write(
+            lines.Kind.SOURCE_LOST if lost else lines.Kind.SOURCE_REGAINED,
+            reason=reason,
+            view_age_s=self.knowledge.get_age_s(),
         )
+
+    def _note_mode(self, mode: coordinator.ReadingMode, detail: str) -> None:
         self._log.write(
-            kind, reason=reason, view_age_s=self.knowledge.get_age_s()
+            lines.Kind.READING,
+            mode=mode.value,
+            detail=detail,
+            peers=len(self.peers.list_live(self._clock())),
+            view_age_s=self.knowledge.get_age_s(),
         )
 
+    def _make_greeting(self) -> peer_sets.Greeting:
+        return peer_sets.Greeting(
+            vm=self._settings.vm,
+            domain=self._settings.domain,
+            host=self._settings.address,
+            incarnation=self._incarnation,
+            bandwidth_mbps=self._settings.bandwidth_mbps,
+            read_age_s=self._get_read_age_s(),
+            revision=self.knowledge.table.revision,
+            leaving=self._stopping.is_set(),
+            in_flight=self.steerer.flows.list_in_flight(),
+        )
+
+    def _note_greeting(self, greeting: peer_sets.Greeting) -> None:
+        if greeting.domain == self._settings.domain:
+            self.steerer.loads.report(
+                greeting.vm, greeting.in_flight, self._clock()
+            )
+
     def _handle_readiness(self, path: str) -> web.Page | None:
         if path != const.READINESS_PATH:
             return None
@@ -250,7 +369,9 @@
             "packets_send_blocked": float(counters.send_blocked),
             "packets_send_errors": float(counters.send_errors),
             "source_calls": float(self._store.calls),
-            "source_failures": float(self._follower.failures),
+            "peers": float(len(self.peers.list_live(self._clock()))),
+            "subscribers": float(self._relay.subscribers),
+            "greetings_malformed": float(self._greetings.malformed),
             "log_lines_suppressed": float(self._log.suppressed),
         }
         return web.Page(
--- a/src/chivedoor/edge/const.py
+++ b/src/chivedoor/edge/const.py
@@ -42,3 +42,10 @@
 READINESS_PATH: Final = "/v1/readiness"
 METRICS_PATH: Final = "/metrics"
 STATE_PATH: Final = "/state"
+
+# Packets that waited longer than this for the first view are dropped: callers
+# give up a handshake after 1.4 s.
+START_QUEUE_S: Final = 1.2
+# A new balancer counts itself as a holder of cold endpoints' rates only after
+# this time, in which the others have greeted it several times.
+SETTLING_S: Final = 2.0
--- a/src/chivedoor/edge/forwarder.py
+++ b/src/chivedoor/edge/forwarder.py
@@ -1,6 +1,7 @@
 """Carries out the decisions on packets."""
 
 from collections.abc import Callable
+import socket
 
 from chivedoor import ids
 from chivedoor.dataplane import port as ports
@@ -41,8 +42,9 @@
         log: lines.Lines,
         figures: figure_tables.Figures,
         clock: Callable[[], float],
+        bound: socket.socket | None = None,
     ) -> None:
-        """Creates a forwarder with a closed port."""
+        """Creates a forwarder that reads no packets yet."""
         self.packet_at: float | None = None
         self.knowledge: knowledge_module.Knowledge | None = None
         self._callers_port = port
@@ -51,7 +53,10 @@
         self._figures = figures
         self._clock = clock
         self._port = ports.PacketPort(
-            address=address, port=port, handle_batch=self._handle_batch
+            address=address,
+            port=port,
+            handle_batch=self._handle_batch,
+            bound=bound,
         )
 
     @property
@@ -59,17 +64,21 @@
         """Counters of the port."""
         return self._port.counters
 
-    async def async_open(self) -> None:
+    def start(self) -> None:
         """Starts to read packets.
 
         Raises:
             PortError: The port cannot be opened.
         """
-        await self._port.async_open()
+        self._port.open()
 
-    async def async_close(self) -> None:
+    def discard_waiting(self) -> int:
+        """Drops the packets that wait in the socket; returns their number."""
+        return self._port.discard_waiting()
+
+    def close(self) -> None:
         """Stops to read packets."""
-        await self._port.async_close()
+        self._port.close()
 
     def reset_flows(self, endpoint_id: ids.EndpointId) -> None:
         """Resets the flows on an endpoint that is gone.
--- a/src/chivedoor/edge/lines.py
+++ b/src/chivedoor/edge/lines.py
@@ -43,7 +43,7 @@
     FLOW_REFUSED = "flow-refused"
     FLOW_RESET = "flow-reset"
     PACKET_DROPPED = "packet-dropped"
-    READER_CHANGED = "reader-changed"
+    READING = "reading-from"
     PAUSED = "paused"
     FAULT = "fault"
     SUPPRESSED = "lines-suppressed"
--- a/src/chivedoor/edge/settings.py
+++ b/src/chivedoor/edge/settings.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Callable
 import configparser
-import ipaddress
-import pathlib
+import socket
 from typing import Any
 from typing import NamedTuple
 from typing import TypeVar
@@ -57,7 +56,7 @@
     metrics_port: int
 
 
-def load_settings(path: pathlib.Path) -> Settings:
+def load_settings(path: str) -> Settings:
     """Reads and checks the settings.
 
     Raises:
@@ -65,8 +64,9 @@
     """
     parser = configparser.ConfigParser(interpolation=None)
     try:
-        parser.read_string(path.read_text())
-    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        with open(path, encoding="utf-8") as file:
+            parser.read_file(file)
+    except (OSError, ValueError, configparser.Error) as error:
         raise exceptions.SettingsError([f"{path}: {error}"]) from error
     reader = _Reader(parser=parser)
     settings = Settings(
@@ -127,7 +127,10 @@
 
 
 def _parse_host(text: str) -> str:
-    return str(ipaddress.IPv4Address(text))
+    try:
+        return socket.inet_ntoa(socket.inet_pton(socket.AF_INET, text))
+    except (OSError, UnicodeEncodeError) as error:
+        raise ValueError(f"{text!r} is no IPv4 address") from error
 
 
 def _parse_port(text: str) -> int:
--- a/src/chivedoor/edge/web.py
+++ b/src/chivedoor/edge/web.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import enum
 import http
+from typing import cast
 
 import httptools
 
@@ -100,8 +101,7 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        self._transport = cast(asyncio.Transport, transport)
         if len(self._connections) >= const.HTTP_CONNECTIONS:
             self.close()
             return
--- a/src/chivedoor/feed/const.py
+++ b/src/chivedoor/feed/const.py
@@ -8,6 +8,9 @@
 WATCH_WAIT_S: Final = 1.0
 # Allowed for the answer beyond the wait; the store answers in 4 ms.
 WATCH_SLACK_S: Final = 0.5
+# Time that an answer may have been on its way: the store's 4 ms, 60 times as
+# long when it is slow.
+ANSWER_WAY_S: Final = 0.25
 READ_TIMEOUT_S: Final = 1.0
 CONNECT_TIMEOUT_S: Final = 0.5
 # Changes arrive in groups; a pause gathers a group into one call.
@@ -18,3 +21,38 @@
 RETRY_LIMIT_S: Final = 1.0
 # Retries of all balancers are spread over this part of the delay.
 RETRY_JITTER: Final = 0.5
+
+# Greetings in a domain: load reports of this age still help placement. The
+# interval grows with the domain, so that a VM's greetings cost the same.
+GREETING_INTERVAL_S: Final = 0.1
+GREETING_INTERVAL_PER_PEER_S: Final = 0.02
+# Silence after which a peer counts as gone, in intervals and in seconds.
+PEER_SILENCE_INTERVALS: Final = 4.0
+PEER_SILENCE_MIN_S: Final = 0.8
+# Peers that were silent for this long are not greeted any more.
+PEER_FORGOTTEN_S: Final = 20.0
+# How often a balancer asks another one for the peers of its domain.
+INTRODUCTION_INTERVAL_S: Final = 5.0
+INTRODUCTION_FAST_INTERVAL_S: Final = 0.5
+MAX_PEERS: Final = 1_000
+MAX_GREETING_BYTES: Final = 60_000
+
+# A balancer whose view was not confirmed for this long reads for itself: one
+# waiting read of its reader, the answer's way and a third of a second.
+SELF_READ_AGE_S: Final = 1.6
+# A reader that has not read for longer than this is passed over.
+READER_FIT_AGE_S: Final = 2.0
+# A balancer that reads for itself goes on for this long after its reader is
+# back, so that it does not switch with each delayed frame.
+SELF_READ_HOLD_S: Final = 3.0
+COORDINATION_INTERVAL_S: Final = 0.25
+# Time for which a subscription may fail before it is tried again.
+SUBSCRIPTION_RETRY_S: Final = 1.0
+
+FRAME_HEAD_BYTES: Final = 4
+MAX_FRAME_BYTES: Final = 8 * 1024 * 1024
+MAX_SUBSCRIBERS: Final = 400
+# A subscriber that reads more slowly than this much behind is closed.
+MAX_SUBSCRIBER_BACKLOG_BYTES: Final = 2 * 1024 * 1024
+# Removals are kept to answer subscribers that are behind.
+MAX_REMOVALS: Final = 10_000
--- /dev/null
+++ b/src/chivedoor/feed/coordinator.py
@@ -0,0 +1,187 @@
+"""Decides whether this balancer reads the store or takes from a peer."""
+
+import asyncio
+from collections.abc import Callable
+import enum
+
+from chivedoor import ids
+from chivedoor.feed import const
+from chivedoor.feed import follower as followers
+from chivedoor.feed import peers as peer_sets
+from chivedoor.feed import records
+from chivedoor.feed import relay
+
+
+class ReadingMode(enum.Enum):
+    """Where changes come from."""
+
+    STORE = "store"
+    PEER = "peer"
+    BOTH = "both"
+
+
+def choose_mode(
+    *,
+    reader_known: bool,
+    subscribed: bool,
+    view_age_s: float | None,
+    reading_for_s: float | None,
+) -> ReadingMode:
+    """Returns where changes are taken from.
+
+    Whatever a peer promises, a view that is not confirmed in time makes a
+    balancer read for itself, so that a silent reader costs calls and never
+    keeps a change from being in force.
+
+    Args:
+        reader_known: Whether a peer is fit to be taken from.
+        subscribed: Whether a subscription to it is open.
+        view_age_s: Age of the own view, None without one.
+        reading_for_s: For how long this balancer has read the store, None
+            when it does not.
+    """
+    if not reader_known:
+        return ReadingMode.STORE
+    stale = view_age_s is None or view_age_s > const.SELF_READ_AGE_S
+    if stale or not subscribed:
+        return ReadingMode.BOTH
+    if reading_for_s is not None and reading_for_s < const.SELF_READ_HOLD_S:
+        return ReadingMode.BOTH
+    return ReadingMode.PEER
+
+
+class Coordinator:
+    """Runs the follower of the store and the subscription to a peer.
+
+    Attributes:
+        mode: Where changes come from.
+    """
+
+    def __init__(
+        self,
+        *,
+        peers: peer_sets.Peers,
+        make_follower: Callable[[], followers.Follower],
+        deliver: Callable[[records.Batch, float], None],
+        get_age_s: Callable[[], float | None],
+        get_read_age_s: Callable[[], float | None],
+        get_revision: Callable[[], ids.Revision],
+        note_mode: Callable[[ReadingMode, str], None],
+        peer_port: int,
+        clock: Callable[[], float],
+    ) -> None:
+        """Creates a coordinator that does not read.
+
+        Args:
+            peers: The balancers of the domain.
+            make_follower: Returns a follower of the store.
+            deliver: Called with batches from a peer.
+            get_age_s: Returns the age of the view.
+            get_read_age_s: Returns the time since the last own read.
+            get_revision: Returns the revision that the view has reached.
+            note_mode: Called when the mode or the reader changes.
+            peer_port: The port of the relays.
+            clock: Returns seconds.
+        """
+        self.mode = ReadingMode.STORE
+        self._peers = peers
+        self._make_follower = make_follower
+        self._deliver = deliver
+        self._get_age_s = get_age_s
+        self._get_read_age_s = get_read_age_s
+        self._get_revision = get_revision
+        self._note_mode = note_mode
+        self._peer_port = peer_port
+        self._clock = clock
+        self._following: asyncio.Task[None] | None = None
+        self._following_since: float | None = None
+        self._subscription: relay.Subscription | None = None
+        self._opening: asyncio.Task[None] | None = None
+        self._retry_at = 0.0
+
+    async def async_run(self) -> None:
+        """Reads until it is cancelled."""
+        self._follow()
+        try:
+            while True:
+                self.coordinate()
+                await asyncio.sleep(const.COORDINATION_INTERVAL_S)
+                self._check_following()
+        finally:
+            self._stop_following()
+            self._unsubscribe()
+
+    def coordinate(self) -> None:
+        """Chooses the mode and puts it into force."""
+        now = self._clock()
+        age_s = self._get_age_s()
+        reader = self._peers.find_reader(now, self._get_read_age_s())
+        self._choose_subscription(reader, now)
+        mode = choose_mode(
+            reader_known=reader is not None,
+            subscribed=self._subscription is not None,
+            view_age_s=age_s,
+            reading_for_s=None
+            if self._following_since is None
+            else now - self._following_since,
+        )
+        if mode is ReadingMode.PEER:
+            self._stop_following()
+        else:
+            self._follow()
+        if mode is not self.mode:
+            self.mode = mode
+            self._note_mode(mode, reader.vm if reader is not None else "")
+
+    def _choose_subscription(
+        self, reader: peer_sets.Peer | None, now: float
+    ) -> None:
+        if reader is None:
+            self._unsubscribe()
+            return
+        current = self._subscription
+        if current is not None and current.host == reader.host:
+            return
+        if now < self._retry_at:
+            return
+        self._unsubscribe()
+        self._retry_at = now + const.SUBSCRIPTION_RETRY_S
+        self._subscription = relay.Subscription(
+            host=reader.host,
+            port=self._peer_port,
+            revision=self._get_revision(),
+            deliver=self._deliver,
+            note_end=self._note_end,
+            clock=self._clock,
+        )
+        self._opening = asyncio.create_task(self._subscription.async_open())
+
+    def _note_end(self, subscription: relay.Subscription, reason: str) -> None:
+        if subscription is self._subscription:
+            self._subscription = None
+            self._note_mode(self.mode, reason)
+            # Without a reader in touch, the store is read at once.
+            self._follow()
+
+    def _unsubscribe(self) -> None:
+        subscription, self._subscription = self._subscription, None
+        if subscription is not None:
+            subscription.close()
+
+    def _follow(self) -> None:
+        if self._following is None:
+            follower = self._make_follower()
+            follower.restart_at(self._get_revision() or None)
+            self._following = asyncio.create_task(follower.async_run())
+            self._following_since = self._clock()
+
+    def _stop_following(self) -> None:
+        following, self._following = self._following, None
+        self._following_since = None
+        if following is not None:
+            following.cancel()
+
+    def _check_following(self) -> None:
+        """Raises what ended the follower, which never ends by itself."""
+        if self._following is not None and self._following.done():
+            self._following.result()
--- a/src/chivedoor/feed/follower.py
+++ b/src/chivedoor/feed/follower.py
@@ -49,15 +49,13 @@
     Attributes:
         state: Whether the source answers.
         failures: Calls that failed.
-        confirmed_at: Time at which the newest answered call was sent: the
-            view holds all that the source had then. None before the first.
     """
 
     def __init__(
         self,
         *,
         source: Source,
-        deliver: Callable[[records.Batch], None],
+        deliver: Callable[[records.Batch, float], None],
         note_state: Callable[[FollowerState, str], None],
         clock: Callable[[], float],
         generator: random.Random,
@@ -66,14 +64,14 @@
 
         Args:
             source: Where records come from.
-            deliver: Called with each batch.
+            deliver: Called with each batch and the time at which the source
+                held nothing newer.
             note_state: Called when the state changes, with a reason.
             clock: Returns seconds.
             generator: Spreads retries.
         """
         self.state = FollowerState.STARTING
         self.failures = 0
-        self.confirmed_at: float | None = None
         self._source = source
         self._deliver = deliver
         self._note_state = note_state
@@ -114,12 +112,10 @@
             batch = await self._source.async_wait(
                 self._revision, const.WATCH_WAIT_S
             )
-            # A waiting read that returns shows what the source had at its
-            # end, less the time of the answer's way.
-            sent_at = max(sent_at, self._clock() - const.WATCH_SLACK_S)
+            # The source held nothing newer when it answered.
+            sent_at = max(sent_at, self._clock() - const.ANSWER_WAY_S)
         self._revision = batch.revision
-        self.confirmed_at = sent_at
-        self._deliver(batch)
+        self._deliver(batch, sent_at)
         self._set_state(FollowerState.FOLLOWING, "")
         if batch.records:
             await asyncio.sleep(const.WATCH_PAUSE_S)
--- /dev/null
+++ b/src/chivedoor/feed/messages.py
@@ -0,0 +1,202 @@
+"""Messages between balancers, in CBOR."""
+
+import dataclasses
+import functools
+from typing import Any
+
+import cbor2
+
+from chivedoor import ids
+from chivedoor.feed import const
+from chivedoor.feed import exceptions
+from chivedoor.feed import peers
+from chivedoor.feed import records
+
+_GREETING = 1
+_ASK = 2
+_NAMES = 3
+_GREETING_FIELDS = tuple(
+    field.name for field in dataclasses.fields(peers.Greeting)
+)
+_GREETING_TYPES = (str, str, str, int, float, float, int, bool, dict)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Ask:
+    """Asks for the balancers of the sender's domain, and names the sender."""
+
+    vm: ids.VmId
+    domain: ids.DomainId
+    host: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Names:
+    """Names balancers.
+
+    Attributes:
+        peers: Id, failure domain and address of each.
+    """
+
+    peers: tuple[tuple[ids.VmId, ids.DomainId, str], ...]
+
+
+Message = peers.Greeting | Ask | Names
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Frame:
+    """Changes that a reader passes on.
+
+    Attributes:
+        batch: The changes.
+        age_s: Age of the reader's view when it sent the frame, in seconds.
+        sent_at: The reader's clock at that time; comparable only with other
+            frames of the same connection.
+    """
+
+    batch: records.Batch
+    age_s: float
+    sent_at: float
+
+
+@functools.singledispatch
+def encode_message(message: Message) -> bytes:
+    """Encodes a message as a datagram."""
+    raise TypeError(type(message).__name__)
+
+
+@encode_message.register
+def _(message: peers.Greeting) -> bytes:
+    values = [getattr(message, name) for name in _GREETING_FIELDS]
+    return cbor2.dumps([_GREETING, *values])
+
+
+@encode_message.register
+def _(message: Ask) -> bytes:
+    return cbor2.dumps([_ASK, message.vm, message.domain, message.host])
+
+
+@encode_message.register
+def _(message: Names) -> bytes:
+    return cbor2.dumps([_NAMES, [list(peer) for peer in message.peers]])
+
+
+def decode_message(data: bytes) -> Message:
+    """Decodes a datagram.
+
+    Raises:
+        MalformedAnswerError: The datagram is no message.
+    """
+    match _load(data):
+        case [int(kind), *values] if kind == _GREETING:
+            return _decode_greeting(values)
+        case [int(kind), str(vm), str(domain), str(host)] if kind == _ASK:
+            return Ask(vm=ids.VmId(vm), domain=ids.DomainId(domain), host=host)
+        case [int(kind), list(named)] if kind == _NAMES:
+            return Names(peers=tuple(map(_decode_name, named)))
+    raise exceptions.MalformedAnswerError("unknown message")
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Encodes a frame with its length in front."""
+    batch = frame.batch
+    body = cbor2.dumps(
+        [
+            frame.sent_at,
+            frame.age_s,
+            batch.revision,
+            batch.complete,
+            [
+                [record.key, record.value, record.revision]
+                for record in batch.records
+            ],
+        ]
+    )
+    return len(body).to_bytes(const.FRAME_HEAD_BYTES, "big") + body
+
+
+def decode_frame(body: bytes) -> Frame:
+    """Decodes a frame without its length.
+
+    Raises:
+        MalformedAnswerError: The bytes are no frame.
+    """
+    match _load(body):
+        case [
+            float(sent_at),
+            float(age_s),
+            int(revision),
+            bool(complete),
+            list(items),
+        ]:
+            return Frame(
+                batch=records.Batch(
+                    records=tuple(map(_decode_record, items)),
+                    revision=ids.Revision(revision),
+                    complete=complete,
+                ),
+                age_s=age_s,
+                sent_at=sent_at,
+            )
+    raise exceptions.MalformedAnswerError("no frame")
+
+
+def encode_subscription(revision: ids.Revision) -> bytes:
+    """Encodes the request to a reader: send what is newer than this."""
+    body = cbor2.dumps(revision)
+    return len(body).to_bytes(const.FRAME_HEAD_BYTES, "big") + body
+
+
+def decode_subscription(body: bytes) -> ids.Revision:
+    """Decodes a subscriber's revision.
+
+    Raises:
+        MalformedAnswerError: The bytes are no revision.
+    """
+    revision = _load(body)
+    if not isinstance(revision, int) or isinstance(revision, bool):
+        raise exceptions.MalformedAnswerError("no revision")
+    return ids.Revision(revision)
+
+
+def _load(data: bytes) -> Any:
+    try:
+        return cbor2.loads(data)
+    except (cbor2.CBORError, ValueError, TypeError, RecursionError) as error:
+        raise exceptions.MalformedAnswerError("no CBOR") from error
+
+
+def _decode_greeting(values: list[Any]) -> peers.Greeting:
+    if len(values) != len(_GREETING_FIELDS):
+        raise exceptions.MalformedAnswerError("greeting")
+    for name, value, expected in zip(
+        _GREETING_FIELDS, values, _GREETING_TYPES, strict=True
+    ):
+        if value is None and name == "read_age_s":
+            continue
+        if type(value) is not expected:
+            raise exceptions.MalformedAnswerError(name)
+    in_flight = values[-1]
+    if not all(
+        type(key) is str and type(count) is int
+        for key, count in in_flight.items()
+    ):
+        raise exceptions.MalformedAnswerError("in_flight")
+    return peers.Greeting(**dict(zip(_GREETING_FIELDS, values, strict=True)))
+
+
+def _decode_name(value: Any) -> tuple[ids.VmId, ids.DomainId, str]:
+    match value:
+        case [str(vm), str(domain), str(host)]:
+            return ids.VmId(vm), ids.DomainId(domain), host
+    raise exceptions.MalformedAnswerError("name")
+
+
+def _decode_record(value: Any) -> records.Record:
+    match value:
+        case [str(key), bytes() | None as content, int(revision)]:
+            return records.Record(
+                key=key, value=content, revision=ids.Revision(revision)
+            )
+    raise exceptions.MalformedAnswerError("record")
--- /dev/null
+++ b/src/chivedoor/feed/relay.py
@@ -0,0 +1,246 @@
+"""Streams of changes from the balancer that reads to the others."""
+
+import asyncio
+from collections.abc import Callable
+import socket
+from typing import cast
+
+from chivedoor import ids
+from chivedoor.feed import const
+from chivedoor.feed import exceptions
+from chivedoor.feed import messages
+from chivedoor.feed import records
+from chivedoor.feed import table
+
+
+class _FrameReader:
+    """Cuts a stream into frames."""
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Adds bytes and returns the frames that are complete.
+
+        Raises:
+            MalformedAnswerError: A frame is longer than allowed.
+        """
+        self._data += data
+        frames = []
+        head = const.FRAME_HEAD_BYTES
+        while len(self._data) >= head:
+            size = int.from_bytes(self._data[:head], "big")
+            if size > const.MAX_FRAME_BYTES:
+                raise exceptions.MalformedAnswerError("frame too long")
+            if len(self._data) < head + size:
+                break
+            frames.append(bytes(self._data[head : head + size]))
+            del self._data[: head + size]
+        return frames
+
+
+class Relay:
+    """Serves the table of records to subscribers."""
+
+    def __init__(
+        self,
+        *,
+        records_table: table.RecordTable,
+        get_age_s: Callable[[], float | None],
+        clock: Callable[[], float],
+    ) -> None:
+        """Creates a relay with a closed port."""
+        self._table = records_table
+        self._get_age_s = get_age_s
+        self._clock = clock
+        self._server: asyncio.Server | None = None
+        self._subscribers: set[_Subscriber] = set()
+
+    @property
+    def subscribers(self) -> int:
+        """The number of subscribers."""
+        return len(self._subscribers)
+
+    async def async_open(self, host: str, port: int) -> None:
+        """Starts to listen.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Subscriber(relay=self), host, port
+        )
+
+    def close(self) -> None:
+        """Stops listening and ends all subscriptions."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for subscriber in tuple(self._subscribers):
+            subscriber.close()
+
+    def publish(self) -> None:
+        """Sends each subscriber what it lacks, and the age of the view."""
+        for subscriber in tuple(self._subscribers):
+            subscriber.update()
+
+    def add(self, subscriber: "_Subscriber") -> bool:
+        """Adds a subscriber; returns False when there are too many."""
+        if len(self._subscribers) >= const.MAX_SUBSCRIBERS:
+            return False
+        self._subscribers.add(subscriber)
+        return True
+
+    def remove(self, subscriber: "_Subscriber") -> None:
+        """Drops a subscriber."""
+        self._subscribers.discard(subscriber)
+
+    def make_frame(self, revision: ids.Revision) -> messages.Frame | None:
+        """Returns what changed after a revision, None without a view."""
+        age_s = self._get_age_s()
+        if age_s is None:
+            return None
+        return messages.Frame(
+            batch=self._table.list_since(revision),
+            age_s=float(age_s),
+            sent_at=float(self._clock()),
+        )
+
+
+class _Subscriber(asyncio.Protocol):
+    """One subscriber, at the reader's end."""
+
+    def __init__(self, *, relay: Relay) -> None:
+        self._relay = relay
+        self._transport: asyncio.Transport | None = None
+        self._frames = _FrameReader()
+        self._revision: ids.Revision | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        if not self._relay.add(self):
+            self.close()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._transport = None
+        self._relay.remove(self)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            for body in self._frames.feed(data):
+                self._revision = messages.decode_subscription(body)
+                self.update()
+        except exceptions.MalformedAnswerError:
+            self.close()
+
+    def update(self) -> None:
+        """Sends what changed since the last frame."""
+        if self._revision is None or self._transport is None:
+            return
+        backlog = self._transport.get_write_buffer_size()
+        if backlog > const.MAX_SUBSCRIBER_BACKLOG_BYTES:
+            self.close()
+            return
+        frame = self._relay.make_frame(self._revision)
+        if frame is not None:
+            self._revision = frame.batch.revision
+            self._transport.write(messages.encode_frame(frame))
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class Subscription(asyncio.Protocol):
+    """Takes changes from a reader.
+
+    Attributes:
+        host: The reader's address.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        revision: ids.Revision,
+        deliver: Callable[[records.Batch, float], None],
+        note_end: Callable[["Subscription", str], None],
+        clock: Callable[[], float],
+    ) -> None:
+        """Creates a subscription that is not connected.
+
+        Args:
+            host: The reader's address.
+            port: The reader's port.
+            revision: The revision that is known.
+            deliver: Called with each batch and the time at which it was
+                known to be current.
+            note_end: Called once when the subscription ends, with a reason.
+            clock: Returns seconds.
+        """
+        self.host = host
+        self._port = port
+        self._revision = revision
+        self._deliver = deliver
+        self._note_end = note_end
+        self._clock = clock
+        self._transport: asyncio.Transport | None = None
+        self._frames = _FrameReader()
+        # Smallest difference seen between the two clocks. What a frame lies
+        # above it is the time that it spent on the way.
+        self._offset_s: float | None = None
+        self._ended = False
+
+    async def async_open(self) -> None:
+        """Connects; a failure is told through `note_end`."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(const.CONNECT_TIMEOUT_S):
+                await loop.create_connection(
+                    lambda: self, self.host, self._port, family=socket.AF_INET
+                )
+        except (OSError, TimeoutError) as error:
+            self._end(f"{type(error).__name__}: {error}")
+
+    def close(self) -> None:
+        """Ends the subscription; `note_end` is not called any more."""
+        self._ended = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Tells the reader what is known."""
+        self._transport = cast(asyncio.Transport, transport)
+        if self._ended:
+            self._transport.abort()
+            return
+        self._transport.write(messages.encode_subscription(self._revision))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Ends the subscription."""
+        self._transport = None
+        self._end(f"connection lost: {error}")
+
+    def data_received(self, data: bytes) -> None:
+        """Takes the frames; one that cannot be read ends the subscription."""
+        try:
+            for body in self._frames.feed(data):
+                self._take_frame(messages.decode_frame(body))
+        except exceptions.MalformedAnswerError as error:
+            self._end(str(error))
+
+    def _take_frame(self, frame: messages.Frame) -> None:
+        now = self._clock()
+        offset_s = now - frame.sent_at
+        if self._offset_s is None or offset_s < self._offset_s:
+            self._offset_s = offset_s
+        on_way_s = offset_s - self._offset_s
+        self._deliver(frame.batch, now - on_way_s - frame.age_s)
+
+    def _end(self, reason: str) -> None:
+        if self._ended:
+            return
+        self.close()
+        self._note_end(self, reason)
--- a/src/chivedoor/feed/table.py
+++ b/src/chivedoor/feed/table.py
@@ -4,6 +4,7 @@
 import itertools
 
 from chivedoor import ids
+from chivedoor.feed import const
 from chivedoor.feed import records
 
 
@@ -18,8 +19,11 @@
     def __init__(self) -> None:
         self.revision = ids.Revision(0)
         self._records: dict[str, records.Record] = {}
-        # Removed keys, so that an older batch does not bring them back.
+        # Removed keys, so that an older batch does not bring them back and
+        # subscribers that are behind learn of them. Oldest first.
         self._removals: dict[str, ids.Revision] = {}
+        # Newest removal that is no longer kept.
+        self._forgotten = ids.Revision(0)
 
     def merge(self, batch: records.Batch) -> list[records.Record]:
         """Takes over what is newer; returns the records that changed."""
@@ -30,32 +34,54 @@
         self.revision = max(self.revision, batch.revision)
         return changed
 
-    def list_records(self) -> tuple[records.Record, ...]:
-        """Returns the present records."""
-        return tuple(self._records.values())
+    def list_since(self, revision: ids.Revision) -> records.Batch:
+        """Returns what changed after a revision.
 
-    def make_batch(self) -> records.Batch:
-        """Returns everything as one complete batch."""
+        The batch is complete when the removals since then are not known.
+        """
+        complete = revision <= self._forgotten
+        present = (
+            record
+            for record in self._records.values()
+            if complete or record.revision > revision
+        )
+        removed = (
+            records.Record(key=key, value=None, revision=at)
+            for key, at in self._removals.items()
+            if at > revision and not complete
+        )
         return records.Batch(
-            records=self.list_records(), revision=self.revision, complete=True
+            records=tuple(itertools.chain(present, removed)),
+            revision=self.revision,
+            complete=complete,
         )
 
     def _take(self, record: records.Record) -> bool:
         known = self._records.get(record.key)
         newest = known.revision if known else self._removals.get(record.key, 0)
-        # A complete batch removes a key at the revision of its last change or
-        # later, so a removal wins over an equal revision.
-        removal = record.value is None
-        if record.revision < newest + (0 if removal else 1):
+        if record.value is None:
+            return self._remove(record, known)
+        if record.revision <= newest:
             return False
-        if removal:
-            self._records.pop(record.key, None)
-            self._removals[record.key] = record.revision
-            return known is not None
         self._removals.pop(record.key, None)
         self._records[record.key] = record
         return known is None or known.value != record.value
 
+    def _remove(
+        self, record: records.Record, known: records.Record | None
+    ) -> bool:
+        # A key that is missing in a complete batch was removed at the
+        # revision of its last change or later, so an equal one suffices.
+        if known is not None and record.revision < known.revision:
+            return False
+        self._records.pop(record.key, None)
+        former = self._removals.pop(record.key, ids.Revision(0))
+        self._removals[record.key] = max(former, record.revision)
+        if len(self._removals) > const.MAX_REMOVALS:
+            key = next(iter(self._removals))
+            self._forgotten = max(self._forgotten, self._removals.pop(key))
+        return known is not None
+
     def _list_missing(self, batch: records.Batch) -> list[records.Record]:
         present = {record.key for record in batch.records}
         return [
--- a/src/chivedoor/platform/packets.py
+++ b/src/chivedoor/platform/packets.py
@@ -6,7 +6,7 @@
 the length of the data (2). The sum does not cover the echoed field.
 """
 
-import ipaddress
+import socket
 import struct
 
 from chivedoor import ids
@@ -120,7 +120,10 @@
     Raises:
         ValueError: The host is no IPv4 address or the port is no port.
     """
-    address = ipaddress.IPv4Address(host).packed
+    try:
+        address = socket.inet_pton(socket.AF_INET, host)
+    except (OSError, UnicodeEncodeError) as error:
+        raise ValueError(host) from error
     if not 0 < port < 65536:
         raise ValueError(port)
     return segments.RouteKey(port.to_bytes(2, "big") + address)
--- a/src/chivedoor/platform/store.py
+++ b/src/chivedoor/platform/store.py
@@ -7,6 +7,7 @@
 import json
 import socket
 from typing import Any
+from typing import cast
 import urllib.parse
 
 import httptools
@@ -176,8 +177,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        self._transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; a response that cannot be read ends the call."""
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -33,8 +33,9 @@
 SWEEP_INTERVAL_S: Final = 1.0
 
 # Penalty of an endpoint in another failure domain, in parts of a full target.
-# Below it the own domain is used until its targets are that much busier.
-REMOTE_DOMAIN_PENALTY: Final = 0.5
+# Flows elsewhere break or wait when the domains are cut off from each other,
+# so the own targets are used until each slot has a request and a half waiting.
+REMOTE_DOMAIN_PENALTY: Final = 1.5
 # An endpoint under suspicion is used only when all others are as well.
 SUSPICION_PENALTY: Final = 100.0
 # Load reports of other balancers older than this are not used.
