--- a/tests/configservice/test_following.py
+++ b/tests/configservice/test_following.py
@@ -5,9 +5,9 @@
 
 import pytest
 
+from chivedoor.configservice import client
 from chivedoor.configuration import exceptions
 from chivedoor.configuration import store
-from chivedoor.configservice import client
 from standins import platform
 
 WALL_S = 1_000_000
--- a/tests/daemon/test_documents.py
+++ b/tests/daemon/test_documents.py
@@ -8,11 +8,11 @@
 
 from chivedoor import exceptions
 from chivedoor import ids
+from chivedoor.configservice import client as clients
 from chivedoor.configuration import encoding
 from chivedoor.control import board as boards
 from chivedoor.daemon import documents as documents_module
 from chivedoor.membership import members as memberships
-from chivedoor.configservice import client as clients
 from tests.balancer import fleet as fleets
 
 _State = clients.ReadingState
--- /dev/null
+++ b/tests/steering/test_flows.py
@@ -0,0 +1,149 @@
+"""Requests in flight are counted from packets of callers."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from chivedoor import ids
+from chivedoor.steering import const
+from chivedoor.steering import flows as flow_tables
+from tests.steering import conftest
+
+ENDPOINT = ids.EndpointId("i-1")
+OTHER = ids.EndpointId("i-2")
+
+
+def open_flow(table: flow_tables.FlowTable, number: int) -> None:
+    table.open_flow(conftest.make_flow(number), ENDPOINT, 0.0)
+
+
+def note(
+    table: flow_tables.FlowTable,
+    number: int,
+    *,
+    acknowledged: int,
+    payload_bytes: int = 0,
+    now: float = 0.1,
+) -> bool:
+    segment = conftest.make_segment(
+        conftest.make_flow(number),
+        acknowledged=acknowledged,
+        payload_bytes=payload_bytes,
+    )
+    return table.note_segment(segment, ENDPOINT, now)
+
+
+def test_request_counts_from_its_data_to_the_reply() -> None:
+    """Guards against load that stays after the reply arrived."""
+    table = flow_tables.FlowTable()
+    open_flow(table, 1)
+    assert table.count_in_flight(ENDPOINT) == 1
+    assert note(table, 1, acknowledged=1000)
+    assert table.count_in_flight(ENDPOINT) == 0
+    note(table, 1, acknowledged=1000, payload_bytes=500)
+    assert table.count_in_flight(ENDPOINT) == 1
+    note(table, 1, acknowledged=3000)
+    assert table.count_in_flight(ENDPOINT) == 0
+
+
+def test_acknowledgement_wraps_around() -> None:
+    """Guards against a request that never ends after 4 GiB."""
+    table = flow_tables.FlowTable()
+    open_flow(table, 1)
+    note(table, 1, acknowledged=0xFFFFFF00, payload_bytes=10)
+    note(table, 1, acknowledged=0x00000100)
+    assert table.count_in_flight(ENDPOINT) == 0
+
+
+def test_repeated_old_packet_does_not_end_a_request() -> None:
+    """Guards against a late copy that is taken for progress."""
+    table = flow_tables.FlowTable()
+    open_flow(table, 1)
+    note(table, 1, acknowledged=5000, payload_bytes=10)
+    note(table, 1, acknowledged=4000)
+    assert table.count_in_flight(ENDPOINT) == 1
+
+
+def test_overdue_request_stops_counting() -> None:
+    """Guards against an endpoint that looks busy after a lost reply."""
+    table = flow_tables.FlowTable()
+    open_flow(table, 1)
+    note(table, 1, acknowledged=1, payload_bytes=10)
+    table.expire(0.1 + const.REQUEST_LIFETIME_S + 0.1)
+    assert table.count_in_flight(ENDPOINT) == 0
+    assert len(table) == 1
+
+
+def test_handshake_without_an_answer_expires() -> None:
+    """Guards against load left by callers that gave up."""
+    table = flow_tables.FlowTable()
+    open_flow(table, 1)
+    table.expire(const.HANDSHAKE_LIFETIME_S + 0.1)
+    assert len(table) == 0
+    assert table.list_in_flight() == {}
+
+
+def test_flow_that_moved_here_is_adopted() -> None:
+    """Guards against flows of other balancers that are never counted."""
+    table = flow_tables.FlowTable()
+    assert not note(table, 1, acknowledged=1, payload_bytes=10)
+    assert table.count_in_flight(ENDPOINT) == 1
+
+
+class CountedFlows(stateful.RuleBasedStateMachine):
+    """The counts equal those of the flows, whatever comes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.table = flow_tables.FlowTable()
+        self.now = 0.0
+
+    @stateful.rule(
+        number=strategies.integers(0, 5),
+        endpoint=strategies.sampled_from([ENDPOINT, OTHER]),
+    )
+    def open(self, number: int, endpoint: ids.EndpointId) -> None:
+        flow = conftest.make_flow(number)
+        self.table.open_flow(flow, endpoint, self.now)
+
+    @stateful.rule(
+        number=strategies.integers(0, 5),
+        endpoint=strategies.sampled_from([ENDPOINT, OTHER]),
+        acknowledged=strategies.integers(0, 0xFFFFFFFF),
+        payload_bytes=strategies.sampled_from([0, 100]),
+    )
+    def note(
+        self,
+        number: int,
+        endpoint: ids.EndpointId,
+        acknowledged: int,
+        payload_bytes: int,
+    ) -> None:
+        segment = conftest.make_segment(
+            conftest.make_flow(number),
+            acknowledged=acknowledged,
+            payload_bytes=payload_bytes,
+        )
+        self.table.note_segment(segment, endpoint, self.now)
+
+    @stateful.rule(number=strategies.integers(0, 5))
+    def close(self, number: int) -> None:
+        self.table.close_flow(conftest.make_flow(number))
+
+    @stateful.rule(passed_s=strategies.floats(0, 10))
+    def expire(self, passed_s: float) -> None:
+        self.now += passed_s
+        self.table.expire(self.now)
+
+    @stateful.invariant()
+    def counts_match_flows(self) -> None:
+        for endpoint in (ENDPOINT, OTHER):
+            busy = sum(
+                flow.state is not flow_tables.FlowState.IDLE
+                for _, flow in self.table.iterate_flows(endpoint)
+            )
+            assert self.table.count_in_flight(endpoint) == busy
+
+
+TestCountedFlows = CountedFlows.TestCase
+TestCountedFlows.settings = hypothesis.settings(max_examples=50)
--- /dev/null
+++ b/tests/steering/test_placement.py
@@ -0,0 +1,181 @@
+"""Placement under the loads that it answers."""
+
+import collections
+
+import pytest
+
+from chivedoor import ids
+from chivedoor.steering import const
+from chivedoor.steering import verdicts
+from chivedoor.steering import view as views
+from tests.steering import conftest
+
+
+def place(steerer, numbers, now=1.0):
+    """Opens flows; returns how many went to each endpoint."""
+    counts = collections.Counter()
+    for number in numbers:
+        verdict = steerer.decide(
+            conftest.make_opening(conftest.make_flow(number)), now
+        )
+        if isinstance(verdict, verdicts.Deliver):
+            counts[verdict.endpoint.id] += 1
+    return counts
+
+
+def test_burst_is_spread_by_what_is_in_flight(make_steerer) -> None:
+    """Guards against random choice: the busiest target gets little more."""
+    steerer = make_steerer(*(conftest.make_endpoint(n) for n in range(1, 8)))
+    counts = place(steerer, range(700))
+    assert max(counts.values()) - min(counts.values()) <= 1
+
+
+def test_slots_weigh(make_steerer) -> None:
+    """Guards against a small target that gets as much as a large one."""
+    small = conftest.make_endpoint(1, slots=2)
+    large = conftest.make_endpoint(2, slots=8)
+    counts = place(make_steerer(small, large), range(100))
+    assert counts[large.id] == pytest.approx(80, abs=2)
+
+
+def test_own_domain_is_used_first(make_steerer) -> None:
+    """Guards against flows that a cut between domains would break."""
+    own = conftest.make_endpoint(1)
+    other = conftest.make_endpoint(2, domain="b")
+    counts = place(make_steerer(own, other), range(4))
+    assert counts == {own.id: 4}
+
+
+def test_full_own_domain_spills_over(make_steerer) -> None:
+    """Guards against callers that queue while another domain has room."""
+    own = conftest.make_endpoint(1)
+    others = [conftest.make_endpoint(n, domain="b") for n in range(2, 5)]
+    counts = place(make_steerer(own, *others), range(40))
+    # The own target's queue stays bounded by the penalty in its slots.
+    bound = own.slots * (1 + const.REMOTE_DOMAIN_PENALTY) + 10
+    assert counts[own.id] <= bound
+    assert sum(counts.values()) == 40
+
+
+def test_load_of_other_balancers_counts(make_steerer) -> None:
+    """Guards against balancers that all choose the same idle target."""
+    busy, idle = conftest.make_endpoint(1), conftest.make_endpoint(2)
+    steerer = make_steerer(busy, idle)
+    steerer.loads.report(ids.VmId("vm-2"), {busy.id: 4}, 1.0)
+    assert place(steerer, range(4)) == {idle.id: 4}
+
+
+def test_old_reports_are_not_used(make_steerer) -> None:
+    """Guards against figures of a balancer that is gone."""
+    busy, idle = conftest.make_endpoint(1), conftest.make_endpoint(2)
+    steerer = make_steerer(busy, idle)
+    steerer.loads.report(ids.VmId("vm-2"), {busy.id: 4}, 1.0)
+    steerer.expire(1.0 + const.LOAD_REPORT_LIFETIME_S + 0.1)
+    assert steerer.loads.count_in_flight(busy.id) == 0
+
+
+def test_half_of_the_targets_slow(make_steerer) -> None:
+    """Guards against slow targets that keep their share of new flows.
+
+    Load: 40 flows a second, of which the fast targets finish each within
+    50 ms and the slow ones within 500 ms.
+    """
+    fast = [conftest.make_endpoint(n) for n in (1, 2)]
+    slow = [conftest.make_endpoint(n) for n in (3, 4)]
+    steerer = make_steerer(*fast, *slow)
+    work_s = {e.id: 0.05 for e in fast} | {e.id: 0.5 for e in slow}
+    counts = collections.Counter()
+    ends = []
+    for number in range(400):
+        now = 1.0 + number / 40
+        for end in [end for end in ends if end[0] <= now]:
+            ends.remove(end)
+            steerer.flows.close_flow(end[1])
+        flow = conftest.make_flow(number)
+        verdict = steerer.decide(conftest.make_opening(flow), now)
+        counts[verdict.endpoint.id] += 1
+        ends.append((now + work_s[verdict.endpoint.id], flow))
+    assert sum(counts[e.id] for e in slow) < 0.4 * sum(counts.values())
+
+
+def test_all_cold_keeps_the_rate_and_refuses_the_rest(make_steerer) -> None:
+    """Guards against a service that falls over when all of it is cold."""
+    cold = [conftest.make_endpoint(n, cold_until=100.0) for n in (1, 2)]
+    steerer = make_steerer(*cold)
+    steerer.budget.set_members([ids.VmId("vm-1")], settled_at=0.0)
+    counts = place(steerer, range(100))
+    # The rate allows eight flows a second and endpoint; a bucket holds one.
+    assert sum(counts.values()) == 2
+    verdict = steerer.decide(
+        conftest.make_opening(conftest.make_flow(1000)), 1.0
+    )
+    assert verdict.reason is verdicts.RefusalReason.NO_ENDPOINT
+
+
+def test_cold_targets_are_spared_while_warm_ones_exist(make_steerer) -> None:
+    """Guards against load on a target that just started."""
+    warm = conftest.make_endpoint(1, domain="b")
+    cold = conftest.make_endpoint(2, cold_until=100.0)
+    steerer = make_steerer(warm, cold)
+    steerer.budget.set_members([ids.VmId("vm-1")], settled_at=0.0)
+    assert place(steerer, range(20)) == {warm.id: 20}
+
+
+def test_domain_that_is_out_gets_nothing(make_steerer) -> None:
+    """Guards against flows to a domain that the operators took out."""
+    own = conftest.make_endpoint(1)
+    other = conftest.make_endpoint(2, domain="b")
+    steerer = make_steerer(own, other)
+    steerer.view.apply(
+        views.DomainState(domain=ids.DomainId("a"), out=True), 0.0
+    )
+    assert place(steerer, range(20)) == {other.id: 20}
+
+
+def test_draining_target_gets_nothing(make_steerer) -> None:
+    """Guards against new flows on a target that leaves."""
+    leaving = conftest.make_endpoint(1, draining=True)
+    staying = conftest.make_endpoint(2, domain="b")
+    assert place(make_steerer(leaving, staying), range(9)) == {staying.id: 9}
+
+
+def test_domain_gone_dark_is_left_after_one_repetition(make_steerer) -> None:
+    """Guards against callers that wait for a domain that is cut off."""
+    dark = [conftest.make_endpoint(n) for n in (1, 2)]
+    other = conftest.make_endpoint(3, domain="b")
+    steerer = make_steerer(*dark, other)
+    unanswered = 0
+    for number in range(40):
+        flow = conftest.make_flow(number)
+        now = 1.0 + number * 0.02
+        verdict = steerer.decide(conftest.make_opening(flow), now)
+        if verdict.endpoint is other:
+            continue
+        unanswered += 1
+        again = conftest.make_opening(flow, repetition=1)
+        steerer.decide(again, now + 0.01)
+    assert unanswered <= len(dark)
+
+
+def test_large_service_is_sampled(make_steerer) -> None:
+    """Guards against a choice whose cost grows with the service."""
+    endpoints = [
+        conftest.make_endpoint(n, domain="a" if n % 4 else "b")
+        for n in range(1, 401)
+    ]
+    counts = place(make_steerer(*endpoints), range(1200))
+    local = {e.id for e in endpoints if e.domain == "a"}
+    assert sum(counts[id_] for id_ in local) > 1100
+    assert max(counts.values()) <= 12
+
+
+def test_weights_of_a_route_hold(make_steerer) -> None:
+    """Guards against shares of a route that are ignored."""
+    other = ids.ServiceId("canary")
+    steerer = make_steerer(
+        conftest.make_endpoint(1), conftest.make_endpoint(2, service=other)
+    )
+    shares = ((conftest.SERVICE, 90.0), (other, 10.0))
+    steerer.view.routes = {conftest.ROUTE: views.Route(name="r", shares=shares)}
+    counts = place(steerer, range(2000))
+    assert counts["i-00000002"] == pytest.approx(200, abs=60)
--- /dev/null
+++ b/tests/steering/test_steerer.py
@@ -0,0 +1,168 @@
+"""Decisions on packets."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from chivedoor import ids
+from chivedoor.steering import segment as segments
+from chivedoor.steering import verdicts
+from chivedoor.steering import view as views
+from tests.steering import conftest
+
+FLOW = conftest.make_flow(1)
+
+
+def test_established_packet_needs_no_record(make_steerer) -> None:
+    """Guards against flows that break when another balancer takes over."""
+    endpoint = conftest.make_endpoint(1)
+    opened = make_steerer(endpoint, conftest.make_endpoint(2), vm="vm-1")
+    tag = opened.decide(conftest.make_opening(FLOW), 1.0).tag
+    other = make_steerer(endpoint, conftest.make_endpoint(2), vm="vm-2")
+    verdict = other.decide(conftest.make_segment(FLOW, tag=tag), 1.1)
+    expected = opened.view.find_endpoint(tag, FLOW)
+    assert verdict.endpoint.id == expected.id
+    assert verdict.tag is None
+
+
+@pytest.mark.parametrize("cause", ["draining", "domain-out", "cold"])
+def test_open_flow_stays_on_its_endpoint(make_steerer, cause: str) -> None:
+    """Guards against planned changes that break open flows."""
+    endpoint = conftest.make_endpoint(1)
+    steerer = make_steerer(endpoint, conftest.make_endpoint(2))
+    tag = conftest.make_tag(endpoint, FLOW)
+    changed = conftest.make_endpoint(
+        1,
+        draining=cause == "draining",
+        cold_until=99.0 if cause == "cold" else 0.0,
+    )
+    steerer.view.apply(views.ListedEndpoint(endpoint=changed), 1.0)
+    if cause == "domain-out":
+        steerer.view.apply(
+            views.DomainState(domain=ids.DomainId("a"), out=True), 1.0
+        )
+    verdict = steerer.decide(conftest.make_segment(FLOW, tag=tag), 2.0)
+    assert verdict.endpoint is changed
+
+
+def test_flow_of_a_removed_endpoint_is_reset(make_steerer) -> None:
+    """Guards against callers that wait for a target that is gone."""
+    endpoint = conftest.make_endpoint(1)
+    steerer = make_steerer(endpoint)
+    tag = conftest.make_tag(endpoint, FLOW)
+    steerer.view.apply(views.RemovedEndpoint(endpoint_id=endpoint.id), 1.0)
+    verdict = steerer.decide(conftest.make_segment(FLOW, tag=tag), 2.0)
+    assert verdict.reason is verdicts.RefusalReason.ENDPOINT_REMOVED
+
+
+def test_flow_is_not_reset_while_the_view_may_be_incomplete(
+    make_steerer,
+) -> None:
+    """Guards against resets of live flows after the store's entries lapsed."""
+    endpoint = conftest.make_endpoint(1)
+    steerer = make_steerer(endpoint)
+    tag = conftest.make_tag(endpoint, FLOW)
+    steerer.view.apply(views.RemovedEndpoint(endpoint_id=endpoint.id), 1.0)
+    steerer.set_complete_from(3.5)
+    verdict = steerer.decide(conftest.make_segment(FLOW, tag=tag), 2.0)
+    assert isinstance(verdict, verdicts.Deliver)
+    steerer.set_complete_from(None)
+    verdict = steerer.decide(conftest.make_segment(FLOW, tag=tag), 9.0)
+    assert isinstance(verdict, verdicts.Deliver)
+
+
+def test_unknown_tag_is_dropped_until_the_view_is_complete(
+    make_steerer,
+) -> None:
+    """Guards against a new balancer that resets flows it does not know."""
+    steerer = make_steerer(conftest.make_endpoint(1))
+    segment = conftest.make_segment(FLOW, tag=0x12345678)
+    steerer.set_complete_from(None)
+    verdict = steerer.decide(segment, 1.0)
+    assert verdict.reason is verdicts.DropReason.UNKNOWN_TAG
+    steerer.set_complete_from(1.0)
+    verdict = steerer.decide(segment, 2.0)
+    assert verdict.reason is verdicts.RefusalReason.UNKNOWN_ENDPOINT
+
+
+def test_reset_of_a_caller_is_never_answered(make_steerer) -> None:
+    """Guards against two ends that answer resets with resets."""
+    steerer = make_steerer(conftest.make_endpoint(1))
+    segment = conftest.make_segment(
+        FLOW, tag=0x12345678, kind=segments.SegmentKind.ABORT
+    )
+    verdict = steerer.decide(segment, 1.0)
+    assert verdict.reason is verdicts.DropReason.UNANSWERED_RESET
+
+
+def test_unknown_route_is_refused_by_a_current_view_only(make_steerer) -> None:
+    """Guards against refusing a route that was added a moment ago."""
+    steerer = make_steerer(conftest.make_endpoint(1))
+    flow = segments.FlowId(b"\x00\x50" + FLOW[2:])
+    verdict = steerer.decide(conftest.make_opening(flow), 1.0)
+    assert verdict.reason is verdicts.RefusalReason.NO_ROUTE
+    steerer.set_complete_from(None)
+    verdict = steerer.decide(conftest.make_opening(flow), 1.0)
+    assert verdict.reason is verdicts.DropReason.STALE_VIEW
+
+
+def test_flow_on_a_removed_route_is_reset(make_steerer) -> None:
+    """Guards against packets that go on to a route that was dropped."""
+    endpoint = conftest.make_endpoint(1)
+    steerer = make_steerer(endpoint)
+    tag = conftest.make_tag(endpoint, FLOW)
+    steerer.view.apply(conftest.make_configuration(2, routes=False), 1.0)
+    verdict = steerer.decide(conftest.make_segment(FLOW, tag=tag), 2.0)
+    assert verdict.reason is verdicts.RefusalReason.ROUTE_REMOVED
+
+
+def test_repeated_opening_goes_to_another_endpoint(make_steerer) -> None:
+    """Guards against three copies of one handshake to a dead target."""
+    steerer = make_steerer(*(conftest.make_endpoint(n) for n in (1, 2, 3)))
+    first = steerer.decide(conftest.make_opening(FLOW), 1.0)
+    again = steerer.decide(conftest.make_opening(FLOW, repetition=1), 1.2)
+    assert again.endpoint is not first.endpoint
+    assert steerer.suspicions.is_suspect(first.endpoint.id, 1.2)
+
+
+def test_suspicion_ends_with_the_first_flow_that_opens(make_steerer) -> None:
+    """Guards against a target that stays left out after one lost packet."""
+    endpoint = conftest.make_endpoint(1)
+    steerer = make_steerer(endpoint)
+    steerer.suspicions.note_unanswered(endpoint.id, 1.0)
+    tag = steerer.decide(conftest.make_opening(FLOW), 1.1).tag
+    steerer.decide(conftest.make_segment(FLOW, tag=tag, acknowledged=1), 1.2)
+    assert not steerer.suspicions.is_suspect(endpoint.id, 1.2)
+
+
+def test_stranded_flows_are_listed_once(make_steerer) -> None:
+    """Guards against two resets of one flow."""
+    endpoint = conftest.make_endpoint(1)
+    steerer = make_steerer(endpoint)
+    steerer.decide(conftest.make_opening(FLOW), 1.0)
+    assert [f for f, _ in steerer.list_stranded_flows(endpoint.id)] == [FLOW]
+    assert list(steerer.list_stranded_flows(endpoint.id)) == []
+
+
+@hypothesis.given(
+    kind=strategies.sampled_from(segments.SegmentKind),
+    tag=strategies.integers(0, 0xFFFFFFFF),
+    repetition=strategies.integers(0, 0xFFFFFFFF),
+    flow=strategies.binary(min_size=12, max_size=12),
+)
+def test_any_packet_gets_a_verdict(kind, tag, repetition, flow) -> None:
+    """Guards against packets that raise, and tags that cross services."""
+    make = conftest.make_steerer.__wrapped__()
+    intake = ids.ServiceId("intake")
+    steerer = make(
+        conftest.make_endpoint(1), conftest.make_endpoint(2, service=intake)
+    )
+    segment = conftest.make_segment(
+        segments.FlowId(flow), kind=kind, tag=tag, repetition=repetition
+    )
+    verdict = steerer.decide(segment, 1.0)
+    if isinstance(verdict, verdicts.Deliver):
+        # No route leads to the second service; only its own tag would.
+        assert verdict.endpoint.service == conftest.SERVICE or (
+            tag == conftest.make_tag(verdict.endpoint, flow)
+        )
--- /dev/null
+++ b/tests/steering/test_tags.py
@@ -0,0 +1,64 @@
+"""Tags name endpoints and are bound to flows."""
+
+import hypothesis
+from hypothesis import strategies
+
+from chivedoor import ids
+from chivedoor.steering import const
+from chivedoor.steering import tags
+from chivedoor.steering import view as views
+from tests.steering import conftest
+
+
+def test_tag_names_its_endpoint_among_all_of_the_planned_size() -> None:
+    """Guards against flows that reach another endpoint with an equal slot."""
+    view = views.View()
+    endpoints = [conftest.make_endpoint(n * 7919) for n in range(1, 4601)]
+    for endpoint in endpoints:
+        view.list_endpoint(endpoint)
+    wrong = [
+        endpoint
+        for number, endpoint in enumerate(endpoints)
+        if view.find_endpoint(
+            conftest.make_tag(endpoint, conftest.make_flow(number)),
+            conftest.make_flow(number),
+        )
+        is not endpoint
+    ]
+    assert not wrong
+
+
+def test_tag_of_another_flow_is_unknown() -> None:
+    """Guards against a caller that uses the tag of another flow."""
+    view = views.View()
+    endpoint = conftest.make_endpoint(77)
+    view.list_endpoint(endpoint)
+    tag = conftest.make_tag(endpoint, conftest.make_flow(0))
+    found = sum(
+        view.find_endpoint(tag, conftest.make_flow(number)) is endpoint
+        for number in range(1, 20_001)
+    )
+    # One in 4,096 is expected to match by chance; three times that is allowed.
+    assert found <= 3 * 20_000 / (const.CHECK_MASK + 1)
+
+
+@hypothesis.given(
+    strategies.text(min_size=1), strategies.binary(min_size=12, max_size=12)
+)
+def test_tag_fits_its_field_and_is_never_absent(name: str, flow: bytes) -> None:
+    """Guards against tag 0, which means that a flow has none."""
+    slot = tags.compute_slot(ids.EndpointId(name))
+    tag = tags.make_tag(slot, 1, flow)
+    assert 0 < tag < 1 << const.TAG_BITS
+
+
+def test_endpoint_with_equal_slot_is_told_apart_by_its_check() -> None:
+    """Guards against two endpoints that share a slot taking one flow."""
+    view = views.View()
+    first, second = conftest.make_endpoint(1), conftest.make_endpoint(2)
+    second.slot = first.slot
+    view.list_endpoint(first)
+    view.list_endpoint(second)
+    flow = conftest.make_flow(5)
+    assert view.find_endpoint(conftest.make_tag(second, flow), flow) is second
+    assert view.find_endpoint(conftest.make_tag(first, flow), flow) is first
--- /dev/null
+++ b/tests/steering/test_view.py
@@ -0,0 +1,78 @@
+"""The view takes changes and never goes back."""
+
+import pytest
+
+from chivedoor import ids
+from chivedoor.steering import const
+from chivedoor.steering import view as views
+from tests.steering import conftest
+
+
+def test_older_configuration_is_ignored() -> None:
+    """Guards against a late answer that brings back an old version."""
+    view = views.View()
+    view.apply(conftest.make_configuration(7), 0.0)
+    assert not view.apply(conftest.make_configuration(5, routes=False), 1.0)
+    assert view.version == 7
+    assert conftest.ROUTE in view.routes
+
+
+def test_removed_endpoint_keeps_its_tags_for_as_long_as_flows_live() -> None:
+    """Guards against unknown tags of flows on an endpoint that just left."""
+    view = views.View()
+    endpoint = conftest.make_endpoint(1)
+    view.list_endpoint(endpoint)
+    flow = conftest.make_flow(1)
+    tag = conftest.make_tag(endpoint, flow)
+    view.apply(views.RemovedEndpoint(endpoint_id=endpoint.id), 10.0)
+    assert view.get_endpoints(conftest.SERVICE) == []
+    view.forget_removed(10.0 + const.REMOVED_ENDPOINT_KEPT_S - 1)
+    found = view.find_endpoint(tag, flow)
+    assert found is endpoint
+    assert found.removed_at == 10.0
+    view.forget_removed(10.0 + const.REMOVED_ENDPOINT_KEPT_S + 1)
+    assert view.find_endpoint(tag, flow) is None
+
+
+def test_endpoint_that_returns_is_listed_once() -> None:
+    """Guards against an old start of an endpoint that stays indexed."""
+    view = views.View()
+    view.list_endpoint(conftest.make_endpoint(1))
+    view.apply(
+        views.RemovedEndpoint(endpoint_id=ids.EndpointId("i-00000001")), 1.0
+    )
+    again = conftest.make_endpoint(1, incarnation=2)
+    view.list_endpoint(again)
+    flow = conftest.make_flow(1)
+    tag = conftest.make_tag(again, flow)
+    assert view.get_endpoints(conftest.SERVICE) == [again]
+    assert view.find_endpoint(tag, flow) is again
+    view.forget_removed(1000.0)
+    assert view.find_endpoint(tag, flow) is again
+
+
+def test_endpoint_that_changes_its_service_leaves_the_old_one() -> None:
+    """Guards against packets of one service at an endpoint of another."""
+    view = views.View()
+    view.list_endpoint(conftest.make_endpoint(1))
+    other = ids.ServiceId("intake")
+    view.list_endpoint(conftest.make_endpoint(1, service=other))
+    assert view.get_endpoints(conftest.SERVICE) == []
+    assert len(view.get_endpoints(other)) == 1
+
+
+@pytest.mark.parametrize("out", [True, False])
+def test_domain_state_is_reported_once(out: bool) -> None:
+    """Guards against a log line for each repeated record."""
+    view = views.View()
+    view.domains_out = set() if out else {ids.DomainId("b")}
+    change = views.DomainState(domain=ids.DomainId("b"), out=out)
+    assert view.apply(change, 0.0)
+    assert not view.apply(change, 0.0)
+
+
+def test_removal_of_an_unknown_endpoint_changes_nothing() -> None:
+    """Guards against a failure when an alien entry disappears."""
+    view = views.View()
+    change = views.RemovedEndpoint(endpoint_id=ids.EndpointId("x"))
+    assert not view.apply(change, 0.0)
