--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -1,6 +1,7 @@
 """Composition and lifetime of an edge balancer."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import http
 import importlib
@@ -10,6 +11,7 @@
 import socket
 import time
 
+from chivedoor import ids
 from chivedoor.edge import const
 from chivedoor.edge import exceptions
 from chivedoor.edge import figures as figure_tables
@@ -232,11 +234,7 @@
             before = now
             self.knowledge.check_age()
             self.steerer.budget.set_members(
-                [
-                    self._settings.vm,
-                    *(peer.vm for peer in self.peers.list_live(now)),
-                ],
-                self._settled_at,
+                self.peers.list_holders(now), self._settled_at
             )
             ticks += 1
             if ticks % const.SWEEP_TICKS == 0:
@@ -317,6 +315,7 @@
         )
 
     def _make_greeting(self) -> peer_sets.Greeting:
+        summed = self.peers.is_large() and self.peers.is_candidate()
         return peer_sets.Greeting(
             vm=self._settings.vm,
             domain=self._settings.domain,
@@ -326,14 +325,31 @@
             read_age_s=self._get_read_age_s(),
             revision=self.knowledge.table.revision,
             leaving=self._stopping.is_set(),
-            in_flight=self.steerer.flows.list_in_flight(),
+            in_flight=self._sum_in_flight()
+            if summed
+            else self.steerer.flows.list_in_flight(),
+            summed=summed,
         )
 
+    def _sum_in_flight(self) -> dict[ids.EndpointId, int]:
+        sums = collections.Counter(self.steerer.flows.list_in_flight())
+        sums.update(self.steerer.loads.list_in_flight())
+        return dict(sums)
+
     def _note_greeting(self, greeting: peer_sets.Greeting) -> None:
-        if greeting.domain == self._settings.domain:
-            self.steerer.loads.report(
-                greeting.vm, greeting.in_flight, self._clock()
-            )
+        """Takes a load report; a sum replaces the reports that it holds."""
+        now = self._clock()
+        if greeting.domain != self._settings.domain:
+            return
+        if greeting.summed:
+            first = self.peers.find_first(now)
+            if self.peers.is_candidate() or first is None:
+                return
+            if first.vm != greeting.vm:
+                return
+        elif self.peers.is_large() and not self.peers.is_candidate():
+            return
+        self.steerer.loads.report(greeting.vm, greeting.in_flight, now)
 
     def _handle_readiness(self, path: str) -> web.Page | None:
         if path != const.READINESS_PATH:
--- a/src/chivedoor/feed/const.py
+++ b/src/chivedoor/feed/const.py
@@ -22,13 +22,18 @@
 # Retries of all balancers are spread over this part of the delay.
 RETRY_JITTER: Final = 0.5
 
-# Greetings in a domain: load reports of this age still help placement. The
-# interval grows with the domain, so that a VM's greetings cost the same.
-GREETING_INTERVAL_S: Final = 0.1
-GREETING_INTERVAL_PER_PEER_S: Final = 0.02
+# Greetings in a small domain: load reports of this age still help placement.
+GREETING_INTERVAL_S: Final = 0.2
+# In a larger one they go to the first candidates for reading, which pass on
+# the sums: with 39 balancers all-to-all greetings took ten minutes a score.
+LARGE_DOMAIN_PEERS: Final = 8
+LARGE_GREETING_INTERVAL_S: Final = 0.5
+READING_CANDIDATES: Final = 2
 # Silence after which a peer counts as gone, in intervals and in seconds.
 PEER_SILENCE_INTERVALS: Final = 4.0
 PEER_SILENCE_MIN_S: Final = 0.8
+# A reader that stopped to deliver is passed over for this long.
+READER_FAILED_S: Final = 3.0
 # Peers that were silent for this long are not greeted any more.
 PEER_FORGOTTEN_S: Final = 20.0
 # How often a balancer asks another one for the peers of its domain.
@@ -37,9 +42,12 @@
 MAX_PEERS: Final = 1_000
 MAX_GREETING_BYTES: Final = 60_000
 
-# A balancer whose view was not confirmed for this long reads for itself: one
-# waiting read of its reader, the answer's way and a third of a second.
-SELF_READ_AGE_S: Final = 1.6
+# A reader is given up when it confirmed nothing for this long: one waiting
+# read, the answer's way and a fifth of a second.
+READER_SILENT_AGE_S: Final = 1.45
+# A balancer whose view was not confirmed for this long reads for itself; the
+# next reader has had a third of a second by then.
+SELF_READ_AGE_S: Final = 1.8
 # A reader that has not read for longer than this is passed over.
 READER_FIT_AGE_S: Final = 2.0
 # A balancer that reads for itself goes on for this long after its reader is
--- a/src/chivedoor/feed/coordinator.py
+++ b/src/chivedoor/feed/coordinator.py
@@ -98,6 +98,7 @@
         self._subscription: relay.Subscription | None = None
         self._opening: asyncio.Task[None] | None = None
         self._retry_at = 0.0
+        self._subscribed_at = 0.0
 
     async def async_run(self) -> None:
         """Reads until it is cancelled."""
@@ -115,6 +116,7 @@
         """Chooses the mode and puts it into force."""
         now = self._clock()
         age_s = self._get_age_s()
+        self._check_subscription(age_s, now)
         reader = self._peers.find_reader(now, self._get_read_age_s())
         self._choose_subscription(reader, now)
         mode = choose_mode(
@@ -133,6 +135,17 @@
             self.mode = mode
             self._note_mode(mode, reader.vm if reader is not None else "")
 
+    def _check_subscription(self, age_s: float | None, now: float) -> None:
+        """Gives up a reader that is silent while its connection is open."""
+        subscription = self._subscription
+        silent = age_s is not None and age_s > const.READER_SILENT_AGE_S
+        if subscription is None or not silent:
+            return
+        if now - self._subscribed_at > const.READER_SILENT_AGE_S:
+            self._peers.note_failed(subscription.host, now)
+            self._unsubscribe()
+            self._retry_at = 0.0
+
     def _choose_subscription(
         self, reader: peer_sets.Peer | None, now: float
     ) -> None:
@@ -146,6 +159,7 @@
             return
         self._unsubscribe()
         self._retry_at = now + const.SUBSCRIPTION_RETRY_S
+        self._subscribed_at = now
         self._subscription = relay.Subscription(
             host=reader.host,
             port=self._peer_port,
@@ -159,9 +173,10 @@
     def _note_end(self, subscription: relay.Subscription, reason: str) -> None:
         if subscription is self._subscription:
             self._subscription = None
+            self._peers.note_failed(subscription.host, self._clock())
+            self._retry_at = 0.0
             self._note_mode(self.mode, reason)
-            # Without a reader in touch, the store is read at once.
-            self._follow()
+            self.coordinate()
 
     def _unsubscribe(self) -> None:
         subscription, self._subscription = self._subscription, None
--- a/src/chivedoor/feed/greetings.py
+++ b/src/chivedoor/feed/greetings.py
@@ -84,7 +84,7 @@
     def greet(self) -> None:
         """Sends a greeting to the known peers of the domain."""
         data = messages.encode_message(self._make_greeting())
-        for peer in self._peers.iterate_domain():
+        for peer in self._peers.list_greeted():
             self._send(data, peer.host)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -125,35 +125,43 @@
             self._send(data, greeting.host)
 
     def _take_ask(self, ask: messages.Ask, host: str) -> None:
-        if ask.host != host:
+        sender = ask.sender
+        if sender.host != host:
             self.malformed += 1
             return
-        own = self._make_greeting()
-        named = tuple(
-            (peer.vm, peer.domain, peer.host)
-            for peer in self._peers.iterate_known(ask.domain)
-            if peer.vm != ask.vm
+        known = (
+            name
+            for name in self._peers.list_names(sender.domain)
+            if name.vm != sender.vm
         )
-        names = messages.Names(peers=((own.vm, own.domain, own.host), *named))
-        self._send(messages.encode_message(names), ask.host)
-        self._peers.note_ask(ask.vm, ask.domain, ask.host, self._clock())
+        names = messages.Names(names=(self._make_name(), *known))
+        self._send(messages.encode_message(names), sender.host)
+        self._peers.note_ask(sender, self._clock())
 
     def _take_names(self, names: messages.Names) -> None:
         now = self._clock()
-        for vm, domain, host in names.peers:
-            self._peers.note_named(vm, domain, host, now)
+        for name in names.names:
+            self._peers.note_named(name, now)
 
     def _ask(self) -> None:
-        own = self._make_greeting()
-        ask = messages.Ask(vm=own.vm, domain=own.domain, host=own.host)
-        data = messages.encode_message(ask)
+        sender = self._make_name()
+        data = messages.encode_message(messages.Ask(sender=sender))
         introducer = self._peers.choose_introducer()
         hosts = {*self._get_seeds()} | (
             {introducer.host} if introducer is not None else set()
         )
-        for host in hosts - {own.host}:
+        for host in hosts - {sender.host}:
             self._send(data, host)
 
+    def _make_name(self) -> peer_sets.Name:
+        own = self._make_greeting()
+        return peer_sets.Name(
+            vm=own.vm,
+            domain=own.domain,
+            host=own.host,
+            bandwidth_mbps=own.bandwidth_mbps,
+        )
+
     def _send(self, data: bytes, host: str) -> None:
         if self._transport is None or len(data) > const.MAX_GREETING_BYTES:
             return
--- a/src/chivedoor/feed/messages.py
+++ b/src/chivedoor/feed/messages.py
@@ -18,16 +18,18 @@
 _GREETING_FIELDS = tuple(
     field.name for field in dataclasses.fields(peers.Greeting)
 )
-_GREETING_TYPES = (str, str, str, int, float, float, int, bool, dict)
+_GREETING_TYPES = (str, str, str, int, float, float, int, bool, dict, bool)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Ask:
-    """Asks for the balancers of the sender's domain, and names the sender."""
+    """Asks for the balancers of the sender's domain.
 
-    vm: ids.VmId
-    domain: ids.DomainId
-    host: str
+    Attributes:
+        sender: The balancer that asks.
+    """
+
+    sender: peers.Name
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -35,10 +37,10 @@
     """Names balancers.
 
     Attributes:
-        peers: Id, failure domain and address of each.
+        names: The balancers.
     """
 
-    peers: tuple[tuple[ids.VmId, ids.DomainId, str], ...]
+    names: tuple[peers.Name, ...]
 
 
 Message = peers.Greeting | Ask | Names
@@ -74,12 +76,12 @@
 
 @encode_message.register
 def _(message: Ask) -> bytes:
-    return cbor2.dumps([_ASK, message.vm, message.domain, message.host])
+    return cbor2.dumps([_ASK, _encode_name(message.sender)])
 
 
 @encode_message.register
 def _(message: Names) -> bytes:
-    return cbor2.dumps([_NAMES, [list(peer) for peer in message.peers]])
+    return cbor2.dumps([_NAMES, [_encode_name(name) for name in message.names]])
 
 
 def decode_message(data: bytes) -> Message:
@@ -91,10 +93,10 @@
     match _load(data):
         case [int(kind), *values] if kind == _GREETING:
             return _decode_greeting(values)
-        case [int(kind), str(vm), str(domain), str(host)] if kind == _ASK:
-            return Ask(vm=ids.VmId(vm), domain=ids.DomainId(domain), host=host)
+        case [int(kind), sender] if kind == _ASK:
+            return Ask(sender=_decode_name(sender))
         case [int(kind), list(named)] if kind == _NAMES:
-            return Names(peers=tuple(map(_decode_name, named)))
+            return Names(names=tuple(map(_decode_name, named)))
     raise exceptions.MalformedAnswerError("unknown message")
 
 
@@ -177,7 +179,7 @@
             continue
         if type(value) is not expected:
             raise exceptions.MalformedAnswerError(name)
-    in_flight = values[-1]
+    in_flight = values[_GREETING_FIELDS.index("in_flight")]
     if not all(
         type(key) is str and type(count) is int
         for key, count in in_flight.items()
@@ -186,10 +188,19 @@
     return peers.Greeting(**dict(zip(_GREETING_FIELDS, values, strict=True)))
 
 
-def _decode_name(value: Any) -> tuple[ids.VmId, ids.DomainId, str]:
+def _encode_name(name: peers.Name) -> list[Any]:
+    return [name.vm, name.domain, name.host, float(name.bandwidth_mbps)]
+
+
+def _decode_name(value: Any) -> peers.Name:
     match value:
-        case [str(vm), str(domain), str(host)]:
-            return ids.VmId(vm), ids.DomainId(domain), host
+        case [str(vm), str(domain), str(host), float(bandwidth_mbps)]:
+            return peers.Name(
+                vm=ids.VmId(vm),
+                domain=ids.DomainId(domain),
+                host=host,
+                bandwidth_mbps=bandwidth_mbps,
+            )
     raise exceptions.MalformedAnswerError("name")
 
 
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -39,7 +39,7 @@
 # An endpoint under suspicion is used only when all others are as well.
 SUSPICION_PENALTY: Final = 100.0
 # Load reports of other balancers older than this are not used.
-LOAD_REPORT_LIFETIME_S: Final = 1.0
+LOAD_REPORT_LIFETIME_S: Final = 1.5
 # More endpoints than this are sampled instead of compared one by one.
 MAX_COMPARED_ENDPOINTS: Final = 24
 
--- a/src/chivedoor/steering/placement.py
+++ b/src/chivedoor/steering/placement.py
@@ -40,6 +40,10 @@
         """Returns the requests in flight through the other balancers."""
         return self._sums.get(endpoint_id, 0)
 
+    def list_in_flight(self) -> dict[ids.EndpointId, int]:
+        """Returns the requests in flight through the other balancers."""
+        return dict(self._sums)
+
     def expire(self, now: float) -> None:
         """Drops reports that are too old to be used."""
         oldest = now - const.LOAD_REPORT_LIFETIME_S
--- /dev/null
+++ b/tests/feed/conftest.py
@@ -0,0 +1,111 @@
+"""Builders of records, peers and greetings."""
+
+import asyncio
+import random
+
+import pytest
+
+from chivedoor import ids
+from chivedoor.feed import exceptions
+from chivedoor.feed import peers as peer_sets
+from chivedoor.feed import records
+
+DOMAIN = ids.DomainId("a")
+
+
+def make_record(key: str, value: bytes | None, revision: int) -> records.Record:
+    return records.Record(key=key, value=value, revision=ids.Revision(revision))
+
+
+def make_batch(
+    *items: records.Record, revision: int, complete: bool = False
+) -> records.Batch:
+    return records.Batch(
+        records=items, revision=ids.Revision(revision), complete=complete
+    )
+
+
+def make_greeting(
+    number: int,
+    *,
+    read_age_s: float | None = 0.1,
+    bandwidth_mbps: float = 100.0,
+    leaving: bool = False,
+    domain: ids.DomainId = DOMAIN,
+    host: str | None = None,
+) -> peer_sets.Greeting:
+    return peer_sets.Greeting(
+        vm=ids.VmId(f"vm-{number}"),
+        domain=domain,
+        host=host or f"10.0.0.{number}",
+        incarnation=1,
+        bandwidth_mbps=bandwidth_mbps,
+        read_age_s=read_age_s,
+        revision=ids.Revision(1),
+        leaving=leaving,
+        in_flight={},
+        summed=False,
+    )
+
+
+def make_name(number: int, bandwidth_mbps: float = 100.0) -> peer_sets.Name:
+    return peer_sets.Name(
+        vm=ids.VmId(f"vm-{number}"),
+        domain=DOMAIN,
+        host=f"10.0.0.{number}",
+        bandwidth_mbps=bandwidth_mbps,
+    )
+
+
+def make_peers(
+    number: int = 0, *, bandwidth_mbps: float = 100.0
+) -> peer_sets.Peers:
+    return peer_sets.Peers(
+        local=ids.VmId(f"vm-{number}"),
+        domain=DOMAIN,
+        host=f"10.0.0.{number}",
+        bandwidth_mbps=bandwidth_mbps,
+        generator=random.Random(1),
+    )
+
+
+class Source:
+    """A source whose answers a test sets.
+
+    Attributes:
+        answers: What the next calls return or raise; when it is empty, calls
+            wait.
+        calls: Revisions that were asked for; None for everything.
+    """
+
+    def __init__(self) -> None:
+        self.answers: list[records.Batch | exceptions.FeedError] = []
+        self.calls: list[ids.Revision | None] = []
+        self.closed = 0
+
+    async def async_read_all(self) -> records.Batch:
+        return await self._async_answer(None)
+
+    async def async_wait(
+        self, after: ids.Revision, wait_s: float
+    ) -> records.Batch:
+        return await self._async_answer(after)
+
+    def close(self) -> None:
+        self.closed += 1
+
+    async def _async_answer(
+        self, revision: ids.Revision | None
+    ) -> records.Batch:
+        self.calls.append(revision)
+        if not self.answers:
+            await asyncio.Event().wait()
+        answer = self.answers.pop(0)
+        if isinstance(answer, exceptions.FeedError):
+            raise answer
+        return answer
+
+
+@pytest.fixture
+def source() -> Source:
+    return Source()
--- /dev/null
+++ b/tests/feed/test_coordinator.py
@@ -0,0 +1,56 @@
+"""When a balancer reads the store itself."""
+
+import pytest
+
+from chivedoor.feed import const
+from chivedoor.feed import coordinator
+
+STORE = coordinator.ReadingMode.STORE
+PEER = coordinator.ReadingMode.PEER
+BOTH = coordinator.ReadingMode.BOTH
+LONG_S = const.SELF_READ_HOLD_S + 1.0
+OLD_S = const.SELF_READ_AGE_S + 0.1
+
+
+@pytest.mark.parametrize(
+    ("reader_known", "subscribed", "age_s", "reading_for_s", "expected"),
+    [
+        # Nobody else reads.
+        (False, False, 0.1, None, STORE),
+        (False, True, 0.1, LONG_S, STORE),
+        # A reader delivers.
+        (True, True, 0.1, None, PEER),
+        (True, True, 0.1, LONG_S, PEER),
+        # The reader is silent, or there is no view yet.
+        (True, True, OLD_S, None, BOTH),
+        (True, True, None, None, BOTH),
+        # The subscription is not there yet.
+        (True, False, 0.1, None, BOTH),
+        # A balancer that just began to read does not stop at once.
+        (True, True, 0.1, 0.5, BOTH),
+    ],
+)
+def test_mode(reader_known, subscribed, age_s, reading_for_s, expected) -> None:
+    """Guards against a view that grows old while a peer is trusted."""
+    mode = coordinator.choose_mode(
+        reader_known=reader_known,
+        subscribed=subscribed,
+        view_age_s=age_s,
+        reading_for_s=reading_for_s,
+    )
+    assert mode is expected
+
+
+def test_silent_reader_keeps_no_change_from_being_in_force() -> None:
+    """Guards against bounds of 3 s missed while two time-outs add up.
+
+    The bound on configurations of the known sites is 3 s. A reader that falls
+    silent right after a confirmation is noticed by the age of the view; the
+    read of one's own is then due within one interval and one time-out.
+    """
+    worst_s = (
+        const.SELF_READ_AGE_S
+        + const.COORDINATION_INTERVAL_S
+        + const.READ_TIMEOUT_S * 0.5
+    )
+    assert worst_s < 3.0
--- /dev/null
+++ b/tests/feed/test_follower.py
@@ -0,0 +1,98 @@
+"""The follower reads everything once and then the changes."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from chivedoor.feed import const
+from chivedoor.feed import exceptions
+from chivedoor.feed import follower as followers
+from tests.feed import conftest
+
+
+@pytest.fixture
+def events() -> list:
+    return []
+
+
+@pytest.fixture
+async def follow(source, events, monkeypatch):
+    monkeypatch.setattr(const, "RETRY_FIRST_S", 0.001)
+    monkeypatch.setattr(const, "RETRY_LIMIT_S", 0.002)
+    monkeypatch.setattr(const, "WATCH_PAUSE_S", 0.0)
+    follower = followers.Follower(
+        source=source,
+        deliver=lambda batch, at: events.append(batch.revision),
+        note_state=lambda state, reason: events.append(state),
+        clock=lambda: 1.0,
+        generator=random.Random(1),
+    )
+    tasks = []
+
+    def start() -> followers.Follower:
+        tasks.append(asyncio.create_task(follower.async_run()))
+        return follower
+
+    yield start
+    for task in tasks:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+    assert source.closed == len(tasks)
+
+
+async def test_changes_follow_the_full_read(
+    source, events, follow, async_wait_until
+) -> None:
+    """Guards against changes between the full read and the first wait."""
+    source.answers = [
+        conftest.make_batch(revision=5, complete=True),
+        conftest.make_batch(revision=6),
+    ]
+    follow()
+    await async_wait_until(lambda: len(source.calls) == 3)
+    assert source.calls == [None, 5, 6]
+    assert events == [5, followers.FollowerState.FOLLOWING, 6]
+
+
+async def test_lost_history_reads_everything(
+    source, events, follow, async_wait_until
+) -> None:
+    """Guards against a watch that goes on after the history was dropped."""
+    source.answers = [
+        conftest.make_batch(revision=5, complete=True),
+        exceptions.HistoryLostError("410"),
+        conftest.make_batch(revision=9, complete=True),
+    ]
+    follow()
+    await async_wait_until(lambda: len(source.calls) == 4)
+    assert source.calls == [None, 5, None, 9]
+
+
+async def test_source_that_fails_is_reported_once_and_retried(
+    source, events, follow, async_wait_until
+) -> None:
+    """Guards against a log line for each failed call of a long outage."""
+    lost = exceptions.SourceUnreachableError("timeout")
+    source.answers = [lost, exceptions.SourceRefusedError(503), lost]
+    source.answers.append(conftest.make_batch(revision=5, complete=True))
+    follow()
+    await async_wait_until(lambda: len(source.calls) == 5)
+    assert events == [
+        followers.FollowerState.LOST,
+        5,
+        followers.FollowerState.FOLLOWING,
+    ]
+
+
+async def test_follower_goes_on_from_a_known_revision(
+    source, follow, async_wait_until
+) -> None:
+    """Guards against a full read when a peer had passed on the changes."""
+    source.answers = [conftest.make_batch(revision=12)]
+    follower = follow()
+    follower.restart_at(11)
+    await async_wait_until(lambda: len(source.calls) == 2)
+    assert source.calls == [11, 12]
--- /dev/null
+++ b/tests/feed/test_messages.py
@@ -0,0 +1,86 @@
+"""Messages between balancers survive the wire, and only they do."""
+
+import contextlib
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from chivedoor import ids
+from chivedoor.feed import const
+from chivedoor.feed import exceptions
+from chivedoor.feed import messages
+from tests.feed import conftest
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        conftest.make_greeting(1),
+        conftest.make_greeting(1, read_age_s=None),
+        messages.Ask(sender=conftest.make_name(1)),
+        messages.Names(names=(conftest.make_name(1), conftest.make_name(2))),
+    ],
+)
+def test_message_returns_from_the_wire(message) -> None:
+    """Guards against fields that are lost or swapped."""
+    assert messages.decode_message(messages.encode_message(message)) == message
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_other_datagrams_are_refused(data: bytes) -> None:
+    """Guards against datagrams that raise out of the loop."""
+    with pytest.raises(exceptions.MalformedAnswerError):
+        messages.decode_message(data)
+
+
+@hypothesis.given(strategies.data())
+def test_damaged_message_is_refused_or_typed(data) -> None:
+    """Guards against a damaged greeting that is believed with other types."""
+    encoded = bytearray(messages.encode_message(conftest.make_greeting(1)))
+    position = data.draw(strategies.integers(0, len(encoded) - 1))
+    encoded[position] = data.draw(strategies.integers(0, 255))
+    with contextlib.suppress(exceptions.MalformedAnswerError):
+        messages.decode_message(bytes(encoded))
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.text(max_size=20),
+            strategies.none() | strategies.binary(max_size=50),
+            strategies.integers(0, 2**60),
+        ),
+        max_size=5,
+    ),
+    strategies.booleans(),
+)
+def test_frame_returns_from_the_wire(items, complete: bool) -> None:
+    """Guards against changes that differ after they were passed on."""
+    frame = messages.Frame(
+        batch=conftest.make_batch(
+            *(conftest.make_record(*item) for item in items),
+            revision=7,
+            complete=complete,
+        ),
+        age_s=0.5,
+        sent_at=12.25,
+    )
+    encoded = messages.encode_frame(frame)
+    assert messages.decode_frame(encoded[const.FRAME_HEAD_BYTES :]) == frame
+
+
+@hypothesis.given(strategies.binary(max_size=100))
+def test_other_frames_are_refused(data: bytes) -> None:
+    """Guards against a stream that ends the process."""
+    with pytest.raises(exceptions.MalformedAnswerError):
+        messages.decode_frame(data)
+
+
+def test_subscription_returns_from_the_wire() -> None:
+    """Guards against a subscriber that is sent everything again."""
+    encoded = messages.encode_subscription(ids.Revision(12))
+    body = encoded[const.FRAME_HEAD_BYTES :]
+    assert messages.decode_subscription(body) == 12
+    with pytest.raises(exceptions.MalformedAnswerError):
+        messages.decode_subscription(b"\xf5")
--- /dev/null
+++ b/tests/feed/test_peers.py
@@ -0,0 +1,145 @@
+"""Peers of a domain and the choice of the reader."""
+
+import itertools
+
+from chivedoor import ids
+from chivedoor.feed import const
+from chivedoor.feed import peers as peer_sets
+from tests.feed import conftest
+
+
+def make_domain(size: int) -> list[peer_sets.Peers]:
+    """Returns the views of balancers that all hear each other."""
+    domain = [conftest.make_peers(number) for number in range(size)]
+    for number, other in itertools.permutations(range(size), 2):
+        domain[number].note_greeting(conftest.make_greeting(other), 0.0)
+    return domain
+
+
+def test_one_balancer_of_a_domain_reads() -> None:
+    """Guards against a call of every balancer for each change."""
+    readers = [peers.find_reader(0.1, 0.1) for peers in make_domain(12)]
+    assert readers.count(None) == 1
+    assert len({reader.vm for reader in readers if reader}) == 1
+
+
+def test_balancer_alone_reads() -> None:
+    """Guards against a balancer that waits for peers it does not have."""
+    assert conftest.make_peers().find_reader(0.0, None) is None
+
+
+def test_reader_that_cannot_read_is_passed_over() -> None:
+    """Guards against a reader that the store refuses while it greets."""
+    peers = conftest.make_peers()
+    ages = {1: None, 2: 0.1, 3: const.READER_FIT_AGE_S + 1}
+    for number, age_s in ages.items():
+        greeting = conftest.make_greeting(number, read_age_s=age_s)
+        peers.note_greeting(greeting, 0.0)
+    reader = peers.find_reader(0.1, None)
+    assert reader is not None
+    assert reader.vm == "vm-2"
+
+
+def test_leaving_reader_is_passed_over() -> None:
+    """Guards against a planned stop that leaves a domain without changes."""
+    peers = conftest.make_peers()
+    peers.note_greeting(conftest.make_greeting(1, leaving=True), 0.0)
+    assert peers.find_reader(0.1, None) is None
+
+
+def test_silent_reader_is_passed_over() -> None:
+    """Guards against a reader that died without a word."""
+    peers = conftest.make_peers()
+    peers.note_greeting(conftest.make_greeting(1), 0.0)
+    assert peers.find_reader(0.1, None) is not None
+    assert peers.find_reader(const.PEER_SILENCE_MIN_S + 0.1, None) is None
+
+
+def test_failed_reader_is_passed_over_for_a_while() -> None:
+    """Guards against subscribing again to a reader that is stuck."""
+    peers = conftest.make_peers()
+    peers.note_greeting(conftest.make_greeting(1), 0.0)
+    peers.note_failed("10.0.0.1", 0.0)
+    assert peers.find_reader(0.1, None) is None
+    later = const.READER_FAILED_S + 0.1
+    peers.note_greeting(conftest.make_greeting(1), later)
+    assert peers.find_reader(later, None) is not None
+
+
+def test_first_in_rank_is_expected_to_read_after_a_death() -> None:
+    """Guards against a whole domain that reads when its reader dies."""
+    domain = make_domain(12)
+    reader = next(
+        reader for peers in domain if (reader := peers.find_reader(0.1, None))
+    )
+    dead = int(reader.vm.removeprefix("vm-"))
+    for number, other in itertools.permutations(range(12), 2):
+        domain[number].note_greeting(
+            conftest.make_greeting(other, read_age_s=9.0), 0.2
+        )
+    remaining = [peers for number, peers in enumerate(domain) if number != dead]
+    for peers in remaining:
+        peers.note_failed(reader.host, 0.2)
+    chosen = [peers.find_reader(0.3, 9.0) for peers in remaining]
+    assert chosen.count(None) == 1
+    assert len({peer.vm for peer in chosen if peer}) == 1
+
+
+def test_fast_links_read_first() -> None:
+    """Guards against a reader whose link its subscribers fill."""
+    peers = conftest.make_peers(bandwidth_mbps=5.0)
+    for number in range(1, 6):
+        peers.note_greeting(
+            conftest.make_greeting(
+                number, bandwidth_mbps=100.0 if number == 3 else 5.0
+            ),
+            0.0,
+        )
+    assert peers.find_reader(0.1, 0.1).vm == "vm-3"
+
+
+def test_greetings_of_a_large_domain_go_to_few() -> None:
+    """Guards against greetings that grow with the square of the domain."""
+    domain = make_domain(40)
+    sent = sum(len(peers.list_greeted()) for peers in domain)
+    others = 40 - const.READING_CANDIDATES
+    assert sum(peers.is_candidate() for peers in domain) == (
+        const.READING_CANDIDATES
+    )
+    assert sent <= (
+        const.READING_CANDIDATES * 39 + others * (const.READING_CANDIDATES + 1)
+    )
+
+
+def test_names_of_the_dead_do_not_go_round() -> None:
+    """Guards against peers that name a dead VM to each other for ever."""
+    peers = conftest.make_peers()
+    peers.note_named(conftest.make_name(1), 0.0)
+    peers.note_greeting(conftest.make_greeting(2), 0.0)
+    names = peers.list_names(conftest.DOMAIN)
+    assert [name.vm for name in names] == ["vm-2"]
+    peers.expire(const.PEER_FORGOTTEN_S + 1.0)
+    assert peers.list_names(conftest.DOMAIN) == []
+
+
+def test_number_of_peers_is_bounded() -> None:
+    """Guards against a sender that invents balancers."""
+    peers = conftest.make_peers()
+    for number in range(const.MAX_PEERS + 10):
+        peers.note_named(conftest.make_name(number + 1), 0.0)
+    assert sum(1 for _ in peers.iterate_domain()) == const.MAX_PEERS
+
+
+def test_holders_of_rates_agree_in_a_large_domain() -> None:
+    """Guards against forty balancers that each hold a cold target's rate."""
+    holders = {tuple(peers.list_holders(0.1)) for peers in make_domain(40)}
+    assert len(holders) == 1
+    assert len(next(iter(holders))) == const.READING_CANDIDATES
+
+
+def test_balancer_of_another_domain_is_known_but_not_followed() -> None:
+    """Guards against bytes between domains for each change."""
+    peers = conftest.make_peers()
+    far = conftest.make_greeting(1, domain=ids.DomainId("b"))
+    peers.note_greeting(far, 0.0)
+    assert peers.find_reader(0.1, None) is None
--- /dev/null
+++ b/tests/feed/test_relay.py
@@ -0,0 +1,148 @@
+"""Streams of changes between balancers."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from chivedoor import ids
+from chivedoor.feed import const
+from chivedoor.feed import messages
+from chivedoor.feed import relay
+from chivedoor.feed import table
+from tests.feed import conftest
+
+
+class Reader:
+    """A relay with a table."""
+
+    def __init__(self) -> None:
+        self.age_s = 0.25
+        self.now = 100.0
+        self.table = table.RecordTable()
+        self.relay = relay.Relay(
+            records_table=self.table,
+            get_age_s=lambda: self.age_s,
+            clock=lambda: self.now,
+        )
+        self.port = 0
+
+    def write(self, key: str, value: bytes | None, revision: int) -> None:
+        self.table.merge(
+            conftest.make_batch(
+                conftest.make_record(key, value, revision), revision=revision
+            )
+        )
+        self.relay.publish()
+
+
+@pytest.fixture
+async def reader():
+    made = Reader()
+    await made.relay.async_open("127.0.0.1", 0)
+    made.port = made.relay._server.sockets[0].getsockname()[1]
+    yield made
+    made.relay.close()
+
+
+@pytest.fixture
+def subscribe(reader):
+    opened = []
+
+    async def async_subscribe(revision: int, ends: list[str]):
+        taken = table.RecordTable()
+        ages: list[float] = []
+
+        def deliver(batch, confirmed_at) -> None:
+            taken.merge(batch)
+            ages.append(200.0 - confirmed_at)
+
+        subscription = relay.Subscription(
+            host="127.0.0.1",
+            port=reader.port,
+            revision=ids.Revision(revision),
+            deliver=deliver,
+            note_end=lambda _, reason: ends.append(reason),
+            clock=lambda: 200.0,
+        )
+        opened.append(subscription)
+        await subscription.async_open()
+        return taken, ages
+
+    yield async_subscribe
+    for subscription in opened:
+        subscription.close()
+
+
+async def test_subscriber_gets_state_and_changes(
+    reader, subscribe, async_wait_until
+) -> None:
+    """Guards against changes that never reach the other balancers."""
+    reader.write("a", b"1", 1)
+    taken, ages = await subscribe(0, [])
+    await async_wait_until(lambda: taken.revision == 1)
+    reader.write("b", b"2", 2)
+    reader.write("a", None, 3)
+    await async_wait_until(lambda: taken.revision == 3)
+    records = taken.list_since(ids.Revision(0)).records
+    assert [record.key for record in records if record.value] == ["b"]
+    assert ages[0] == pytest.approx(0.25)
+
+
+async def test_delay_on_the_way_counts_as_age(
+    reader, subscribe, async_wait_until
+) -> None:
+    """Guards against a stalled stream whose old frames look fresh."""
+    reader.write("a", b"1", 1)
+    _, ages = await subscribe(0, [])
+    await async_wait_until(lambda: len(ages) == 1)
+    # A frame that was sent 3 s before the clock of the first one allows.
+    reader.now -= 3.0
+    reader.write("b", b"2", 2)
+    await async_wait_until(lambda: len(ages) == 2)
+    assert ages[1] == pytest.approx(3.25)
+
+
+async def test_end_of_the_reader_is_reported_once(
+    reader, subscribe, async_wait_until
+) -> None:
+    """Guards against a subscriber that waits for a reader that is gone."""
+    ends: list[str] = []
+    reader.write("a", b"1", 1)
+    taken, _ = await subscribe(0, ends)
+    await async_wait_until(lambda: taken.revision == 1)
+    reader.relay.close()
+    await async_wait_until(lambda: bool(ends))
+    assert len(ends) == 1
+
+
+async def test_refused_connection_is_reported(reader, subscribe) -> None:
+    """Guards against a subscription that fails without a word."""
+    reader.relay.close()
+    ends: list[str] = []
+    await subscribe(0, ends)
+    assert len(ends) == 1
+
+
+@pytest.mark.parametrize(
+    "data", [b"\xff\xff\xff\xff", b"\x00\x00\x00\x01\xf5", b"GET / HTTP/1.1"]
+)
+async def test_alien_stream_is_closed(reader, data: bytes) -> None:
+    """Guards against a stranger that fills memory or ends the process."""
+    incoming, outgoing = await asyncio.open_connection("127.0.0.1", reader.port)
+    outgoing.write(data)
+    async with asyncio.timeout(10):
+        with contextlib.suppress(ConnectionResetError):
+            assert await incoming.read() == b""
+    outgoing.close()
+    assert reader.relay.subscribers == 0
+
+
+async def test_frame_without_a_view_is_not_sent(reader) -> None:
+    """Guards against a new balancer that passes on an empty view."""
+    reader.age_s = None
+    assert reader.relay.make_frame(ids.Revision(0)) is None
+    assert (
+        len(messages.encode_subscription(ids.Revision(0))) - 1
+        == const.FRAME_HEAD_BYTES
+    )
