Leave silent endpoints and dark domains after few repetitions; spare the store

Change: two silent endpoints cast doubt on their domain, balancers report what they suspect, samples hold both kinds, a new balancer takes its first view from a peer, and a pause gathers changes.

--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -143,15 +143,16 @@
             OSError: A port cannot be opened.
             PortError: The packet port cannot be opened.
         """
-        tasks = [asyncio.create_task(self._coordinator.async_run())]
+        tasks: list[asyncio.Task[object]] = []
         try:
-            await self._readiness.async_open()
             await self._async_open_internal()
-            tasks += [
+            tasks = [
                 asyncio.create_task(self._greetings.async_run()),
+                asyncio.create_task(self._coordinator.async_run()),
                 asyncio.create_task(self._async_tick()),
                 asyncio.create_task(self._stopping.wait()),
             ]
+            await self._readiness.async_open()
             done, _ = await asyncio.wait(
                 tasks, return_when=asyncio.FIRST_COMPLETED
             )
@@ -329,6 +330,7 @@
             if summed
             else self.steerer.flows.list_in_flight(),
             summed=summed,
+            silent=self.steerer.suspicions.list_suspects(self._clock()),
         )
 
     def _sum_in_flight(self) -> dict[ids.EndpointId, int]:
@@ -341,6 +343,7 @@
         now = self._clock()
         if greeting.domain != self._settings.domain:
             return
+        self.steerer.suspicions.note_reported(greeting.silent, now)
         if greeting.summed:
             first = self.peers.find_first(now)
             if self.peers.is_candidate() or first is None:
--- a/src/chivedoor/feed/const.py
+++ b/src/chivedoor/feed/const.py
@@ -13,8 +13,9 @@
 ANSWER_WAY_S: Final = 0.25
 READ_TIMEOUT_S: Final = 1.0
 CONNECT_TIMEOUT_S: Final = 0.5
-# Changes arrive in groups; a pause gathers a group into one call.
-WATCH_PAUSE_S: Final = 0.05
+# Changes arrive in groups; a pause gathers a group into one call. It delays a
+# change by a tenth of the tightest bound on the known sites.
+WATCH_PAUSE_S: Final = 0.25
 
 RETRY_FIRST_S: Final = 0.1
 RETRY_FACTOR: Final = 2.0
@@ -52,8 +53,14 @@
 READER_FIT_AGE_S: Final = 2.0
 # A balancer that reads for itself goes on for this long after its reader is
 # back, so that it does not switch with each delayed frame.
-SELF_READ_HOLD_S: Final = 3.0
+SELF_READ_HOLD_S: Final = 1.5
 COORDINATION_INTERVAL_S: Final = 0.25
+# A new balancer first looks for a peer that reads: two round trips in a
+# domain and the time to handle them.
+MEETING_S: Final = 0.04
+MEETING_CHECK_S: Final = 0.005
+# A peer passes on the first view within this time, or the store is read.
+FIRST_VIEW_S: Final = 0.3
 # Time for which a subscription may fail before it is tried again.
 SUBSCRIPTION_RETRY_S: Final = 1.0
 
--- a/src/chivedoor/feed/coordinator.py
+++ b/src/chivedoor/feed/coordinator.py
@@ -26,6 +26,7 @@
     subscribed: bool,
     view_age_s: float | None,
     reading_for_s: float | None,
+    expecting_view: bool = False,
 ) -> ReadingMode:
     """Returns where changes are taken from.
 
@@ -39,9 +40,13 @@
         view_age_s: Age of the own view, None without one.
         reading_for_s: For how long this balancer has read the store, None
             when it does not.
+        expecting_view: Whether a peer was asked for the first view a moment
+            ago.
     """
     if not reader_known:
         return ReadingMode.STORE
+    if subscribed and expecting_view and view_age_s is None:
+        return ReadingMode.PEER
     stale = view_age_s is None or view_age_s > const.SELF_READ_AGE_S
     if stale or not subscribed:
         return ReadingMode.BOTH
@@ -99,11 +104,13 @@
         self._opening: asyncio.Task[None] | None = None
         self._retry_at = 0.0
         self._subscribed_at = 0.0
+        # Time until which a peer may take to pass on the first view.
+        self._expecting_until = 0.0
 
     async def async_run(self) -> None:
         """Reads until it is cancelled."""
-        self._follow()
         try:
+            await self._async_meet()
             while True:
                 self.coordinate()
                 await asyncio.sleep(const.COORDINATION_INTERVAL_S)
@@ -112,6 +119,15 @@
             self._stop_following()
             self._unsubscribe()
 
+    async def _async_meet(self) -> None:
+        """Waits a moment for a peer that reads, which spares the store."""
+        ends_at = self._clock() + const.MEETING_S
+        while self._clock() < ends_at:
+            if self._peers.has_fit(self._clock()):
+                self._expecting_until = self._clock() + const.FIRST_VIEW_S
+                return
+            await asyncio.sleep(const.MEETING_CHECK_S)
+
     def coordinate(self) -> None:
         """Chooses the mode and puts it into force."""
         now = self._clock()
@@ -126,6 +142,7 @@
             reading_for_s=None
             if self._following_since is None
             else now - self._following_since,
+            expecting_view=now < self._expecting_until,
         )
         if mode is ReadingMode.PEER:
             self._stop_following()
--- a/src/chivedoor/feed/messages.py
+++ b/src/chivedoor/feed/messages.py
@@ -18,7 +18,19 @@
 _GREETING_FIELDS = tuple(
     field.name for field in dataclasses.fields(peers.Greeting)
 )
-_GREETING_TYPES = (str, str, str, int, float, float, int, bool, dict, bool)
+_GREETING_TYPES = (
+    str,
+    str,
+    str,
+    int,
+    float,
+    float,
+    int,
+    bool,
+    dict,
+    bool,
+    list,
+)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -185,6 +197,8 @@
         for key, count in in_flight.items()
     ):
         raise exceptions.MalformedAnswerError("in_flight")
+    if not all(type(endpoint_id) is str for endpoint_id in values[-1]):
+        raise exceptions.MalformedAnswerError("silent")
     return peers.Greeting(**dict(zip(_GREETING_FIELDS, values, strict=True)))
 
 
--- a/src/chivedoor/feed/peers.py
+++ b/src/chivedoor/feed/peers.py
@@ -32,6 +32,7 @@
         leaving: Whether it is being stopped.
         in_flight: Requests in flight through it, by endpoint.
         summed: Whether `in_flight` includes those through its peers.
+        silent: Endpoints that left handshakes through it unanswered.
     """
 
     vm: ids.VmId
@@ -44,6 +45,7 @@
     leaving: bool
     in_flight: dict[ids.EndpointId, int]
     summed: bool
+    silent: list[ids.EndpointId]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -248,6 +250,10 @@
             if peer.greeting is not None and peer.heard_at > oldest
         ]
 
+    def has_fit(self, now: float) -> bool:
+        """Returns whether a peer in view reads the store."""
+        return any(map(_is_fit, self.list_live(now)))
+
     def find_reader(self, now: float, read_age_s: float | None) -> Peer | None:
         """Returns the peer to take changes from; None to read the store.
 
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -38,6 +38,13 @@
 REMOTE_DOMAIN_PENALTY: Final = 1.5
 # An endpoint under suspicion is used only when all others are as well.
 SUSPICION_PENALTY: Final = 100.0
+# So is one in a domain in which several left handshakes unanswered.
+DOUBTED_DOMAIN_PENALTY: Final = 50.0
+DOUBTED_DOMAIN_ENDPOINTS: Final = 2
+# What others suspect is used before what this balancer suspects itself.
+REPORTED_PENALTY: Final = 10.0
+# Reports come every 0.2 s to 0.5 s; a suspicion that is not repeated ends.
+REPORTED_SUSPICION_S: Final = 1.2
 # Load reports of other balancers older than this are not used.
 LOAD_REPORT_LIFETIME_S: Final = 1.5
 # More endpoints than this are sampled instead of compared one by one.
--- a/src/chivedoor/steering/placement.py
+++ b/src/chivedoor/steering/placement.py
@@ -133,15 +133,20 @@
     def _sample(
         self, endpoints: Sequence[views.Endpoint]
     ) -> list[views.Endpoint]:
-        local = [
-            endpoint
-            for endpoint in endpoints
-            if endpoint.domain == self._domain
-        ]
+        """Returns some endpoints of the own domain and some of the others.
+
+        Those of the others are always among them, since the own domain may
+        be dark as a whole.
+        """
         half = const.MAX_COMPARED_ENDPOINTS // 2
+        groups = (
+            [e for e in endpoints if e.domain == self._domain],
+            [e for e in endpoints if e.domain != self._domain],
+        )
         return [
-            *self._generator.sample(local, min(half, len(local))),
-            *self._generator.sample(endpoints, half),
+            endpoint
+            for group in groups
+            for endpoint in self._generator.sample(group, min(half, len(group)))
         ]
 
     def _rank(self, endpoint: views.Endpoint, now: float) -> float:
@@ -151,9 +156,9 @@
         rank = (in_flight + 1) / endpoint.slots
         if endpoint.domain != self._domain:
             rank += const.REMOTE_DOMAIN_PENALTY
-        if self._suspicions.is_suspect(endpoint.id, now):
-            rank += const.SUSPICION_PENALTY
-        return rank
+        return rank + self._suspicions.get_penalty(
+            endpoint.id, endpoint.domain, now
+        )
 
     def _choose_cold(
         self,
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -122,7 +122,9 @@
         flow = self.flows.get(segment.flow)
         if flow is None or flow.state is not flow_tables.FlowState.OPENING:
             return None
-        self.suspicions.note_unanswered(flow.endpoint_id, now)
+        endpoint = self.view.endpoints.get(flow.endpoint_id)
+        if endpoint is not None:
+            self.suspicions.note_unanswered(endpoint.id, endpoint.domain, now)
         return flow.endpoint_id
 
     def _decide_established(
@@ -155,7 +157,7 @@
         if segment.kind is segments.SegmentKind.ESTABLISHED:
             opened = self.flows.note_segment(segment, endpoint.id, now)
             if opened:
-                self.suspicions.note_opened(endpoint.id)
+                self.suspicions.note_opened(endpoint.id, endpoint.domain)
         else:
             self.flows.close_flow(segment.flow)
 
--- a/tests/feed/conftest.py
+++ b/tests/feed/conftest.py
@@ -45,6 +45,7 @@
         leaving=leaving,
         in_flight={},
         summed=False,
+        silent=[],
     )
 
 
--- a/tests/steering/test_steerer.py
+++ b/tests/steering/test_steerer.py
@@ -129,7 +129,7 @@
     """Guards against a target that stays left out after one lost packet."""
     endpoint = conftest.make_endpoint(1)
     steerer = make_steerer(endpoint)
-    steerer.suspicions.note_unanswered(endpoint.id, 1.0)
+    steerer.suspicions.note_unanswered(endpoint.id, endpoint.domain, 1.0)
     tag = steerer.decide(conftest.make_opening(FLOW), 1.1).tag
     steerer.decide(conftest.make_segment(FLOW, tag=tag, acknowledged=1), 1.2)
     assert not steerer.suspicions.is_suspect(endpoint.id, 1.2)
--- /dev/null
+++ b/tests/steering/test_suspicion.py
@@ -0,0 +1,85 @@
+"""Suspicions come from handshakes and end by themselves."""
+
+from chivedoor import ids
+from chivedoor.steering import const
+from chivedoor.steering import suspicion
+from chivedoor.steering import verdicts
+from tests.steering import conftest
+
+A = ids.DomainId("a")
+ONE, TWO = ids.EndpointId("i-1"), ids.EndpointId("i-2")
+
+
+def test_suspicion_ends_by_itself() -> None:
+    """Guards against a wrong suspicion that lasts."""
+    suspicions = suspicion.Suspicions()
+    assert suspicions.note_unanswered(ONE, A, 1.0)
+    assert not suspicions.note_unanswered(ONE, A, 1.1)
+    assert suspicions.is_suspect(ONE, 1.2)
+    assert not suspicions.is_suspect(ONE, 1.1 + const.SUSPICION_S)
+
+
+def test_one_silent_endpoint_casts_no_doubt_on_its_domain() -> None:
+    """Guards against a domain that is left because of one target."""
+    suspicions = suspicion.Suspicions()
+    suspicions.note_unanswered(ONE, A, 1.0)
+    suspicions.note_unanswered(ONE, A, 1.2)
+    assert not suspicions.is_doubted(A, 1.3)
+
+
+def test_flow_that_opens_clears_its_domain() -> None:
+    """Guards against lost packets that add up to a doubted domain."""
+    suspicions = suspicion.Suspicions()
+    suspicions.note_unanswered(ONE, A, 1.0)
+    suspicions.note_opened(TWO, A)
+    suspicions.note_unanswered(TWO, A, 1.1)
+    assert not suspicions.is_doubted(A, 1.2)
+    suspicions.note_unanswered(ONE, A, 1.2)
+    assert suspicions.is_doubted(A, 1.3)
+
+
+def test_report_of_others_ends_when_it_is_not_repeated() -> None:
+    """Guards against suspicions that balancers keep alive for each other."""
+    suspicions = suspicion.Suspicions()
+    suspicions.note_reported([ONE], 1.0)
+    assert suspicions.list_suspects(1.1) == []
+    assert suspicions.get_penalty(ONE, A, 1.1) == const.REPORTED_PENALTY
+    late = 1.0 + const.REPORTED_SUSPICION_S
+    assert suspicions.get_penalty(ONE, A, late) == 0.0
+
+
+def test_dark_domain_of_many_targets_costs_two_repetitions(
+    make_steerer,
+) -> None:
+    """Guards against one slow handshake for each target of a dark domain.
+
+    Load: 25 targets of the own domain fall silent at once while 40 callers a
+    second go on opening flows; each repeats after 200 ms.
+    """
+    dark = [conftest.make_endpoint(n) for n in range(1, 26)]
+    other = [conftest.make_endpoint(n, domain="b") for n in range(26, 31)]
+    steerer = make_steerer(*dark, *other)
+    flows = [conftest.make_flow(number) for number in range(40)]
+    events = sorted(
+        (1.0 + number / 40 + delay_s, repetition, number)
+        for number in range(40)
+        for repetition, delay_s in enumerate((0.0, 0.2))
+    )
+    answered = {}
+    for now, repetition, number in events:
+        if number in answered:
+            continue
+        opening = conftest.make_opening(flows[number], repetition=repetition)
+        verdict = steerer.decide(opening, now)
+        assert isinstance(verdict, verdicts.Deliver)
+        if verdict.endpoint.domain == "b":
+            answered[number] = now
+    # Those that came before the second repetition may have waited for it; a
+    # single one may have met its second dark target.
+    assert len(answered) >= 39
+    late = [number for number in answered if answered[number] > 1.45]
+    assert all(
+        answered[number] - (1.0 + number / 40) < 0.01
+        for number in late
+        if number > 18
+    )
