Give up repeatable requests at silent endpoints

Change: data that comes again without progress marks its endpoint as silent; a request that may be repeated is reset, so that its caller tries elsewhere.

--- a/src/chivedoor/edge/process.py
+++ b/src/chivedoor/edge/process.py
@@ -4,6 +4,7 @@
 import gc
 import socket
 import sys
+from typing import Any
 
 from chivedoor.edge import application
 from chivedoor.edge import lines
@@ -38,6 +39,11 @@
         path=path, settings=settings, log=log, bound=bound
     )
     application.install_signals(balancer)
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _, context: log.write(
+            lines.Kind.FAULT, fault=_describe_fault(context)
+        )
+    )
     log.write(
         lines.Kind.STARTED,
         packets=f"{settings.packets.host}:{settings.packets.port}",
@@ -45,3 +51,17 @@
         source=f"{settings.source.host}:{settings.source.port}",
     )
     await balancer.async_run()
+
+
+def _describe_fault(context: dict[str, Any]) -> str:
+    """Returns an exception with the place that raised it, on one line."""
+    error = context.get("exception")
+    if error is None:
+        return str(context.get("message"))
+    place = ""
+    trace = error.__traceback__
+    while trace is not None:
+        code = trace.tb_frame.f_code
+        place = f"{code.co_filename}:{trace.tb_lineno} {code.co_name}"
+        trace = trace.tb_next
+    return f"{type(error).__name__}: {error} at {place}"
--- a/src/chivedoor/steering/flows.py
+++ b/src/chivedoor/steering/flows.py
@@ -35,6 +35,8 @@
         opened_at: Time of the packet that created the record.
         changed_at: Time of the last change of its state.
         seen_at: Time of its last packet.
+        sequence: Sequence number of its last packet with data.
+        repetitions: How often that packet came again without an answer.
     """
 
     __slots__ = (
@@ -42,7 +44,9 @@
         "changed_at",
         "endpoint_id",
         "opened_at",
+        "repetitions",
         "seen_at",
+        "sequence",
         "state",
     )
 
@@ -61,6 +65,8 @@
         self.opened_at = now
         self.changed_at = now
         self.seen_at = now
+        self.sequence: int | None = None
+        self.repetitions = 0
 
 
 class FlowTable:
@@ -135,6 +141,7 @@
             self._adopt(segment, endpoint_id, now)
             return False
         flow.seen_at = now
+        _note_data(flow, segment)
         if flow.state is FlowState.OPENING:
             flow.acknowledged = segment.acknowledged
             self._change(
@@ -196,6 +203,7 @@
         progressed = 0 < advance < _SEQUENCE_HALF
         if progressed:
             flow.acknowledged = segment.acknowledged
+            flow.repetitions = 0
         if segment.payload_bytes:
             if progressed or flow.state is FlowState.IDLE:
                 self._change(flow, FlowState.WORKING, now)
@@ -216,3 +224,13 @@
             self._in_flight[endpoint_id] = count
         else:
             self._in_flight.pop(endpoint_id, None)
+
+
+def _note_data(flow: Flow, segment: segments.Segment) -> None:
+    if not segment.payload_bytes:
+        return
+    if segment.sequence == flow.sequence:
+        flow.repetitions += 1
+    else:
+        flow.sequence = segment.sequence
+        flow.repetitions = 0
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -4,6 +4,7 @@
 import random
 
 from chivedoor import ids
+from chivedoor.steering import const
 from chivedoor.steering import flows as flow_tables
 from chivedoor.steering import placement
 from chivedoor.steering import segment as segments
@@ -146,6 +147,8 @@
         if segment.route not in self.view.routes and self.is_complete(now):
             return self._refuse(segment, verdicts.RefusalReason.ROUTE_REMOVED)
         self._note_segment(segment, endpoint, now)
+        if self._is_stranded(segment, endpoint, now):
+            return self._refuse(segment, verdicts.RefusalReason.ENDPOINT_SILENT)
         return verdicts.Deliver(endpoint=endpoint, tag=None)
 
     def _note_segment(
@@ -154,12 +157,48 @@
         endpoint: views.Endpoint,
         now: float,
     ) -> None:
-        if segment.kind is segments.SegmentKind.ESTABLISHED:
-            opened = self.flows.note_segment(segment, endpoint.id, now)
-            if opened:
-                self.suspicions.note_opened(endpoint.id, endpoint.domain)
-        else:
+        if segment.kind is not segments.SegmentKind.ESTABLISHED:
             self.flows.close_flow(segment.flow)
+            return
+        opened = self.flows.note_segment(segment, endpoint.id, now)
+        if opened:
+            self.suspicions.note_opened(endpoint.id, endpoint.domain)
+        elif self._is_silent(segment, endpoint, now):
+            self.suspicions.note_unanswered(endpoint.id, endpoint.domain, now)
+
+    def _is_silent(
+        self,
+        segment: segments.Segment,
+        endpoint: views.Endpoint,
+        now: float,
+    ) -> bool:
+        """Returns whether an endpoint leaves the data of a flow unanswered."""
+        flow = self.flows.get(segment.flow)
+        if flow is None or not flow.repetitions:
+            return False
+        doubted = self.suspicions.is_doubted(endpoint.domain, now)
+        needed = (
+            const.DOUBTED_REPETITIONS if doubted else const.SILENT_REPETITIONS
+        )
+        return flow.repetitions >= needed
+
+    def _is_stranded(
+        self,
+        segment: segments.Segment,
+        endpoint: views.Endpoint,
+        now: float,
+    ) -> bool:
+        """Returns whether a caller is better off with another endpoint.
+
+        Only requests that may be repeated are given up; the others may have
+        run, and their answer may still come.
+        """
+        route = self.view.routes.get(segment.route)
+        return (
+            route is not None
+            and route.repeatable
+            and self._is_silent(segment, endpoint, now)
+        )
 
     def _refuse(
         self, segment: segments.Segment, reason: verdicts.RefusalReason
--- a/tests/steering/conftest.py
+++ b/tests/steering/conftest.py
@@ -30,6 +30,7 @@
     repetition: int = 0,
     acknowledged: int = 0,
     payload_bytes: int = 0,
+    sequence: int = 0,
 ) -> segments.Segment:
     """Returns a packet of a flow."""
     return segments.Segment(
@@ -38,7 +39,7 @@
         kind=kind,
         tag=ids.Tag(tag),
         repetition=repetition,
-        sequence=0,
+        sequence=sequence,
         acknowledged=acknowledged,
         payload_bytes=payload_bytes,
     )
@@ -78,10 +79,16 @@
 
 
 def make_configuration(
-    version: int = 1, *, warmup_per_s: float = 8.0, routes: bool = True
+    version: int = 1,
+    *,
+    warmup_per_s: float = 8.0,
+    routes: bool = True,
+    repeatable: bool = True,
 ) -> views.Configuration:
     """Returns a configuration with one service and one route to it."""
-    route = views.Route(name="r", shares=((SERVICE, 1.0),))
+    route = views.Route(
+        name="r", repeatable=repeatable, shares=((SERVICE, 1.0),)
+    )
     return views.Configuration(
         version=ids.Version(version),
         routes={ROUTE: route} if routes else {},
--- a/tests/steering/test_steerer.py
+++ b/tests/steering/test_steerer.py
@@ -166,3 +166,51 @@
         assert verdict.endpoint.service == conftest.SERVICE or (
             tag == conftest.make_tag(verdict.endpoint, flow)
         )
+
+
+def send_data(steerer, endpoint, *, times: int, sequence: int = 100):
+    """Sends the same data of an open flow; returns the last verdict."""
+    tag = conftest.make_tag(endpoint, FLOW)
+    steerer.decide(conftest.make_segment(FLOW, tag=tag, acknowledged=1), 1.0)
+    data = conftest.make_segment(
+        FLOW, tag=tag, acknowledged=1, payload_bytes=50, sequence=sequence
+    )
+    return [steerer.decide(data, 1.0 + n / 10) for n in range(times)][-1]
+
+
+def test_request_at_a_silent_endpoint_is_given_up(make_steerer) -> None:
+    """Guards against callers that wait out their time limit."""
+    endpoint = conftest.make_endpoint(1)
+    steerer = make_steerer(endpoint, conftest.make_endpoint(2))
+    assert isinstance(send_data(steerer, endpoint, times=2), verdicts.Deliver)
+    steerer = make_steerer(endpoint, conftest.make_endpoint(2))
+    verdict = send_data(steerer, endpoint, times=3)
+    assert verdict.reason is verdicts.RefusalReason.ENDPOINT_SILENT
+    assert steerer.suspicions.is_suspect(endpoint.id, 1.3)
+
+
+def test_request_that_may_not_repeat_is_never_given_up(make_steerer) -> None:
+    """Guards against a confirmation that is cut and may have run."""
+    endpoint = conftest.make_endpoint(1)
+    steerer = make_steerer(endpoint)
+    steerer.view.apply(conftest.make_configuration(2, repeatable=False), 0.0)
+    verdict = send_data(steerer, endpoint, times=9)
+    assert isinstance(verdict, verdicts.Deliver)
+
+
+def test_progress_ends_the_count_of_repetitions(make_steerer) -> None:
+    """Guards against repetitions of an hour that add up."""
+    endpoint = conftest.make_endpoint(1)
+    steerer = make_steerer(endpoint)
+    tag = conftest.make_tag(endpoint, FLOW)
+    for turn in range(20):
+        data = conftest.make_segment(
+            FLOW,
+            tag=tag,
+            acknowledged=1000 * turn + 1,
+            payload_bytes=50,
+            sequence=50 * turn,
+        )
+        for copy in range(2):
+            verdict = steerer.decide(data, 1.0 + turn + copy / 5)
+            assert isinstance(verdict, verdicts.Deliver)
