Test the adapter, the feed and the real edge process

Cause: the metrics page failed, since prometheus-client imports ssl, whose absence had been faked for asyncio. Change: the name is free again once asyncio is loaded; a store stand-in with faults, fuzzed decoders and tests of the real process.

--- a/src/chivedoor/edge/__main__.py
+++ b/src/chivedoor/edge/__main__.py
@@ -35,6 +35,9 @@
     sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
     from chivedoor.edge import process
 
+    # What is imported later, such as the text of the metrics, may need it.
+    if sys.modules["ssl"] is None:
+        del sys.modules["ssl"]
     process.run(path, settings, bound)
     return 0
 
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,212 @@
+"""Stand-in for the users' store: range, watch, and switchable faults."""
+
+import asyncio
+import base64
+import dataclasses
+import enum
+import json
+from typing import Final
+
+from aiohttp import web
+
+# The store answers with at most about 500 items a page.
+PAGE_ITEMS: Final = 500
+SHUTDOWN_TIMEOUT_S: Final = 0.1
+
+
+class StoreFault(enum.Enum):
+    """How the store fails a call."""
+
+    BUSY = "busy"
+    MANY = "many"
+    CLOSE = "close"
+    SILENT = "silent"
+    BROKEN_BODY = "broken-body"
+    CUT_BODY = "cut-body"
+    ENDLESS_BODY = "endless-body"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Change:
+    key: str
+    value: bytes | None
+    revision: int
+    created: int
+
+
+class StoreStandIn:
+    """HTTP server with the store's protocol.
+
+    Attributes:
+        port: The port, set by `async_open`.
+        fault: How the next calls fail; None while the store is up.
+        calls: Number of calls by path.
+        page_items: Items in a page.
+    """
+
+    def __init__(self) -> None:
+        self.port = 0
+        self.fault: StoreFault | None = None
+        self.calls: list[str] = []
+        self.page_items = PAGE_ITEMS
+        self._items: dict[str, _Change] = {}
+        self._history: list[_Change] = []
+        self._revision = 1
+        self._oldest = 0
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+
+    async def async_open(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Starts to listen."""
+        app = web.Application()
+        app.router.add_get("/v1/kv-range", self._async_get_range)
+        app.router.add_get("/v1/kv-watch", self._async_get_watch)
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+        self.port = self._runner.addresses[0][1]
+
+    async def async_close(self) -> None:
+        """Stops listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    def put(self, key: str, value: object) -> int:
+        """Writes a value, as JSON unless it is bytes; returns its revision."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        former = self._items.get(key)
+        self._revision += 1
+        change = _Change(
+            key=key,
+            value=data,
+            revision=self._revision,
+            created=former.created if former else self._revision,
+        )
+        self._items[key] = change
+        self._append(change)
+        return self._revision
+
+    def remove(self, key: str) -> int:
+        """Removes a key; returns the revision of the removal."""
+        del self._items[key]
+        self._revision += 1
+        self._append(
+            _Change(key=key, value=None, revision=self._revision, created=0)
+        )
+        return self._revision
+
+    def forget_history(self) -> None:
+        """Drops the changes, so that watches have to read everything."""
+        self._history.clear()
+        self._oldest = self._revision
+        self._wake()
+
+    def _append(self, change: _Change) -> None:
+        self._history.append(change)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _async_get_range(
+        self, request: web.Request
+    ) -> web.StreamResponse:
+        self.calls.append("range")
+        failed = await self._async_fail(request)
+        if failed is not None:
+            return failed
+        after = request.query.get("after", "")
+        prefix = request.query["prefix"]
+        keys = sorted(
+            key for key in self._items if key.startswith(prefix) and key > after
+        )
+        page = keys[: self.page_items]
+        return web.json_response(
+            {
+                "items": [_encode(self._items[key]) for key in page],
+                "has_more": len(keys) > len(page),
+                "store_revision": self._revision,
+            }
+        )
+
+    async def _async_get_watch(
+        self, request: web.Request
+    ) -> web.StreamResponse:
+        self.calls.append("watch")
+        failed = await self._async_fail(request)
+        if failed is not None:
+            return failed
+        after = int(request.query["after"])
+        wait_s = int(request.query["wait_ms"]) / 1000
+        changed = self._changed
+        if after >= self._revision:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+        if after < self._oldest:
+            return web.json_response({"error": "gone"}, status=410)
+        events = [c for c in self._history if c.revision > after]
+        return web.json_response(
+            {
+                "events": [_encode(change) for change in events],
+                "store_revision": self._revision,
+            }
+        )
+
+    async def _async_fail(
+        self, request: web.Request
+    ) -> web.StreamResponse | None:
+        match self.fault:
+            case StoreFault.BUSY:
+                return web.json_response({"error": "busy"}, status=503)
+            case StoreFault.MANY:
+                return web.json_response({"error": "many"}, status=429)
+            case StoreFault.CLOSE:
+                assert request.transport is not None
+                request.transport.abort()
+                return web.Response()
+            case StoreFault.SILENT:
+                await asyncio.Event().wait()
+            case StoreFault.BROKEN_BODY:
+                return web.Response(body=b'{"items": [{"key": 1}]}')
+            case StoreFault.CUT_BODY | StoreFault.ENDLESS_BODY:
+                return await self._async_send_part(request)
+        return None
+
+    async def _async_send_part(
+        self, request: web.Request
+    ) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await response.write(b'{"items": [')
+        if self.fault is StoreFault.CUT_BODY:
+            assert request.transport is not None
+            request.transport.abort()
+            return response
+        while True:
+            await response.write(b" " * 65536)
+
+
+def _encode(change: _Change) -> dict[str, object]:
+    if change.value is None:
+        return {
+            "key": change.key,
+            "revision": change.revision,
+            "deleted": True,
+        }
+    return {
+        "key": change.key,
+        "value": base64.b64encode(change.value).decode(),
+        "revision": change.revision,
+        "created_rev": change.created,
+        "lease": 7,
+    }
--- /dev/null
+++ b/tests/edge/conftest.py
@@ -0,0 +1,198 @@
+"""A real edge balancer with the store stand-in and raw packets."""
+
+import asyncio
+import json
+import pathlib
+import socket
+import struct
+import sys
+
+import aiohttp
+import pytest
+
+from standins import processes
+from standins import store as store_stand_in
+
+CALLER = "127.0.0.7"
+ROUTE = ("198.18.0.1", 443)
+ENDPOINT_ID = "i-7f3a91c2"
+HEAD = struct.Struct(">IH4s4sHIIIBBH")
+SYN, ACK, FIN, RST = 128, 8, 64, 16
+RECEIVE_TIMEOUT_S = 10.0
+
+
+def find_free_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Packet:
+    """A packet as its ends see it."""
+
+    def __init__(self, data: bytes) -> None:
+        fields = HEAD.unpack_from(data)
+        self.sum, self.destination_port, self.destination = fields[:3]
+        self.source, self.source_port, self.tag = fields[3:6]
+        self.sequence, self.acknowledged, self.flags = fields[6:9]
+        self.payload = data[HEAD.size :]
+
+
+def make_packet(
+    port: int,
+    *,
+    flags: int,
+    tag: int = 0,
+    sequence: int = 1,
+    acknowledged: int = 0,
+    payload: bytes = b"",
+) -> bytes:
+    """Returns a packet of the caller with a port."""
+    head = HEAD.pack(
+        0xA1B2C3D5,
+        ROUTE[1],
+        socket.inet_aton(ROUTE[0]),
+        socket.inet_aton(CALLER),
+        port,
+        tag,
+        sequence,
+        acknowledged,
+        flags,
+        0,
+        len(payload),
+    )
+    return head + payload
+
+
+class Edge:
+    """One balancer as a process, its callers and one endpoint."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.store = store_stand_in.StoreStandIn()
+        self.packet_port = find_free_port()
+        self.metrics_port = find_free_port()
+        self.readiness_port = find_free_port()
+        self.settings_path = folder / "edge.ini"
+        self.child: asyncio.subprocess.Process | None = None
+        self.callers = self._open_socket(CALLER, self.packet_port)
+        self.endpoint = self._open_socket("127.0.0.9", 0)
+
+    async def async_open(self) -> None:
+        await self.store.async_open()
+        self.write_settings()
+
+    def write_settings(self, seeds: str = "") -> None:
+        host = "127.0.0.11"
+        self.settings_path.write_text(
+            f"[vm]\nid = vm-1\ndomain = a\nregion = r\naddress = {host}\n"
+            f"[packets]\naddress = {host}:{self.packet_port}\n"
+            f"[readiness]\naddress = {host}:{self.readiness_port}\n"
+            f"[peers]\nport = {find_free_port()}\nseeds = {seeds}\n"
+            f"[source]\naddress = 127.0.0.1:{self.store.port}\n"
+            "[limits]\ndescriptors = 1535\nbandwidth_mbps = 350\n"
+            "[stop]\ngrace_s = 6\n"
+            f"[metrics]\nport = {self.metrics_port}\n"
+        )
+
+    def publish(self, version: int = 1) -> None:
+        self.store.put(
+            "op/config",
+            {
+                "version": version,
+                "routes": [
+                    {
+                        "name": "r",
+                        "host": ROUTE[0],
+                        "prefix": f"/{ROUTE[1]}/",
+                        "type": "idempotent",
+                        "service": "s",
+                    }
+                ],
+                "services": [{"name": "s", "warmup_per_s": 0.0}],
+            },
+        )
+
+    def list_endpoint(self, state: str = "ready") -> None:
+        host, port = self.endpoint.getsockname()
+        self.store.put(
+            f"servers/{ENDPOINT_ID}",
+            {
+                "service": "s",
+                "address": f"{host}:{port}",
+                "zone": "a",
+                "concurrency": 4,
+                "state": state,
+                "warmup_left_ms": 0,
+                "sequence": 1,
+                "born": 1,
+            },
+        )
+
+    async def async_start(self) -> None:
+        environment = {
+            "PYTHONPATH": str(processes.ROOT / "src"),
+            "CHIVEDOOR_NODE_FILE": str(self.settings_path),
+        }
+        with (self.folder / "edge.log").open("ab") as log:
+            self.child = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "chivedoor.edge",
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+
+    async def async_get(self, port: int, path: str) -> tuple[int, str]:
+        url = f"http://127.0.0.11:{port}{path}"
+        async with aiohttp.ClientSession() as session:
+            try:
+                async with session.get(url) as response:
+                    return response.status, await response.text()
+            except aiohttp.ClientConnectionError:
+                return 0, ""
+
+    async def async_wait_ready(self, status: int = 200) -> None:
+        async with asyncio.timeout(20):
+            while True:
+                found, _ = await self.async_get(
+                    self.readiness_port, "/v1/readiness"
+                )
+                if found == status:
+                    return
+                await asyncio.sleep(0.02)
+
+    def send(self, data: bytes) -> None:
+        self.callers.sendto(data, ("127.0.0.11", self.packet_port))
+
+    async def async_receive(self, receiver: socket.socket) -> bytes:
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+            return await loop.sock_recv(receiver, 2048)
+
+    def read_lines(self) -> list[dict]:
+        text = (self.folder / "edge.log").read_text()
+        return [json.loads(line) for line in text.splitlines()]
+
+    async def async_close(self) -> None:
+        if self.child is not None and self.child.returncode is None:
+            self.child.kill()
+            await self.child.wait()
+        await self.store.async_close()
+        self.callers.close()
+        self.endpoint.close()
+
+    def _open_socket(self, host: str, port: int) -> socket.socket:
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.setblocking(False)
+        opened.bind((host, port))
+        return opened
+
+
+@pytest.fixture
+async def edge(tmp_path):
+    made = Edge(tmp_path)
+    await made.async_open()
+    yield made
+    await made.async_close()
--- /dev/null
+++ b/tests/edge/test_lines.py
@@ -0,0 +1,89 @@
+"""Log lines never block, never raise and stay bounded."""
+
+import json
+import os
+
+import pytest
+
+from chivedoor import ids
+from chivedoor.edge import const
+from chivedoor.edge import lines
+
+
+@pytest.fixture
+def pipe():
+    reading, writing = os.pipe()
+    yield reading, writing
+    os.close(reading)
+    os.close(writing)
+
+
+def make_lines(descriptor: int, now: list[float]) -> lines.Lines:
+    return lines.Lines(
+        vm=ids.VmId("vm-1"),
+        domain=ids.DomainId("a"),
+        descriptor=descriptor,
+        clock=lambda: now[0],
+        wall_clock=lambda: 1.5,
+    )
+
+
+def test_line_is_json_with_its_source(pipe) -> None:
+    """Guards against lines that on-call cannot search."""
+    log = make_lines(pipe[1], [0.0])
+    log.write(lines.Kind.FLOW_PLACED, flow="a:1>b:2", endpoint="i-1")
+    log.flush()
+    assert json.loads(os.read(pipe[0], 4096)) == {
+        "timestamp": 1.5,
+        "message_type": "flow-placed",
+        "vm": "vm-1",
+        "domain": "a",
+        "flow": "a:1>b:2",
+        "endpoint": "i-1",
+    }
+
+
+def test_rate_is_bounded_and_missed_lines_are_counted(pipe) -> None:
+    """Guards against a flood of lines under a flood of packets."""
+    now = [0.0]
+    log = make_lines(pipe[1], now)
+    for _ in range(const.LOG_BURST_LINES + 100):
+        log.write(lines.Kind.PACKET_DROPPED, reason="x")
+    log.flush()
+    now[0] = 1.0
+    log.write(lines.Kind.PACKET_DROPPED, reason="x")
+    log.flush()
+    written = os.read(pipe[0], 1_000_000).decode().splitlines()
+    suppressed = [
+        json.loads(line) for line in written if "lines-suppressed" in line
+    ]
+    assert [line["count"] for line in suppressed] == [100]
+
+
+def test_full_pipe_does_not_block(pipe) -> None:
+    """Guards against a process that stands still with its log's reader."""
+    log = make_lines(pipe[1], [0.0])
+    for number in range(5000):
+        log.write(list(lines.Kind)[number % len(lines.Kind)], pad="x" * 400)
+        log.flush()
+    assert log.suppressed > 0
+    read = 0
+    while True:
+        log.flush()
+        os.set_blocking(pipe[0], False)
+        try:
+            read += len(os.read(pipe[0], 1_000_000))
+        except BlockingIOError:
+            break
+    assert read < 2 * const.LOG_BUFFER_BYTES + const.LOG_BUFFER_LINES * 700
+
+
+def test_closed_pipe_does_not_raise() -> None:
+    """Guards against a process that ends with its log's reader."""
+    reading, writing = os.pipe()
+    log = make_lines(writing, [0.0])
+    os.close(reading)
+    log.write(lines.Kind.STARTED)
+    log.flush()
+    os.close(writing)
+    assert log.failed == 1
--- /dev/null
+++ b/tests/edge/test_settings.py
@@ -0,0 +1,86 @@
+"""Settings are checked, and all faults are listed."""
+
+import pytest
+
+from chivedoor.edge import exceptions
+from chivedoor.edge import settings as settings_module
+
+VALID = {
+    "vm": {"id": "x", "domain": "a", "region": "r", "address": "10.0.0.1"},
+    "packets": {"address": "10.0.0.1:8172"},
+    "readiness": {"address": "10.0.0.1:8167"},
+    "peers": {"port": "7720", "seeds": "10.0.0.2:1, 10.0.0.3:2"},
+    "source": {"address": "10.0.0.9:8169"},
+    "limits": {"descriptors": "1535", "bandwidth_mbps": "350.0"},
+    "stop": {"grace_s": "6"},
+    "metrics": {"port": "9464"},
+}
+
+
+def load(tmp_path, sections):
+    path = tmp_path / "edge.ini"
+    path.write_text(
+        "\n".join(
+            f"[{name}]\n"
+            + "\n".join(f"{key} = {value}" for key, value in options.items())
+            for name, options in sections.items()
+        )
+    )
+    return settings_module.load_settings(str(path))
+
+
+def test_valid_settings(tmp_path) -> None:
+    """Guards against options that end in the wrong field."""
+    settings = load(tmp_path, VALID)
+    assert settings.packets == ("10.0.0.1", 8172)
+    assert [seed.host for seed in settings.seeds] == ["10.0.0.2", "10.0.0.3"]
+    assert settings.grace_s == 6.0
+
+
+def test_no_seeds(tmp_path) -> None:
+    """Guards against a lone balancer that does not start."""
+    sections = VALID | {"peers": {"port": "7720", "seeds": ""}}
+    assert load(tmp_path, sections).seeds == ()
+
+
+@pytest.mark.parametrize(
+    ("section", "option", "value"),
+    [
+        ("vm", "id", ""),
+        ("vm", "address", "host"),
+        ("packets", "address", "10.0.0.1"),
+        ("packets", "address", "10.0.0.1:0"),
+        ("readiness", "address", "10.0.0.1:70000"),
+        ("peers", "seeds", "10.0.0.2"),
+        ("peers", "port", "x"),
+        ("limits", "descriptors", "-1"),
+        ("limits", "bandwidth_mbps", "nan"),
+        ("limits", "bandwidth_mbps", "inf"),
+        ("stop", "grace_s", "0"),
+    ],
+)
+def test_faulty_option_is_named(tmp_path, section, option, value) -> None:
+    """Guards against a fault that operators have to search for."""
+    sections = VALID | {section: VALID[section] | {option: value}}
+    with pytest.raises(exceptions.SettingsError) as caught:
+        load(tmp_path, sections)
+    assert len(caught.value.faults) == 1
+    assert caught.value.faults[0].startswith(f"{section}.{option}: ")
+
+
+def test_all_faults_are_listed(tmp_path) -> None:
+    """Guards against one fault a restart."""
+    with pytest.raises(exceptions.SettingsError) as caught:
+        load(tmp_path, {"vm": {"id": "x"}})
+    assert len(caught.value.faults) == 12
+
+
+@pytest.mark.parametrize("text", ["no section", "[vm\nid", "\x00"])
+def test_unreadable_file_is_a_fault(tmp_path, text) -> None:
+    """Guards against another kind of error from the parser."""
+    path = tmp_path / "edge.ini"
+    path.write_text(text)
+    with pytest.raises(exceptions.SettingsError):
+        settings_module.load_settings(str(path))
+    with pytest.raises(exceptions.SettingsError):
+        settings_module.load_settings(str(tmp_path / "missing.ini"))
--- /dev/null
+++ b/tests/platform/test_items.py
@@ -0,0 +1,193 @@
+"""Values of the store become changes, and broken ones change nothing."""
+
+import contextlib
+import json
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from chivedoor import ids
+from chivedoor.feed import records
+from chivedoor.platform import items
+from chivedoor.platform import packets
+from chivedoor.steering import view as views
+
+ENTRY = {
+    "service": "s1",
+    "address": "10.128.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "concurrency": 4,
+    "state": "ready",
+    "warmup_left_ms": 0,
+    "sequence": 4,
+    "born": 1700000000000,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "198.18.0.1",
+            "prefix": "/8443/",
+            "type": "idempotent",
+            "backends": [
+                {"service": "s1", "weight": 90},
+                {"service": "s2", "weight": 10},
+                {"service": "s3", "weight": 0},
+            ],
+        },
+        {
+            "name": "r2",
+            "host": "198.18.0.2",
+            "prefix": "/80/",
+            "type": "upload",
+            "service": "s2",
+        },
+    ],
+    "services": [{"name": "s1", "warmup_per_s": 12.5}, {"name": "s2"}],
+    "limits": {},
+}
+
+
+def decode(key: str, value: object, now: float = 50.0) -> views.Change | None:
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    record = records.Record(key=key, value=data, revision=ids.Revision(3))
+    return items.decode_record(record, now)
+
+
+def test_entry_of_an_endpoint() -> None:
+    """Guards against fields of an entry that are mixed up."""
+    change = decode("servers/i-7f3a91c2", ENTRY)
+    assert isinstance(change, views.ListedEndpoint)
+    endpoint = change.endpoint
+    assert endpoint.number == 0x7F3A91C2
+    assert endpoint.address == ("10.128.0.9", 8080)
+    assert endpoint.slots == 4
+    assert not endpoint.draining
+    assert endpoint.cold_until == 0.0
+    assert endpoint.incarnation == 1700000000000
+
+
+def test_cold_and_draining_entries() -> None:
+    """Guards against load on a cold target, and flows on one that leaves."""
+    change = decode("servers/i-1", ENTRY | {"warmup_left_ms": 1500})
+    assert change.endpoint.cold_until == 51.5
+    change = decode("servers/i-1", ENTRY | {"state": "draining"})
+    assert change.endpoint.draining
+
+
+def test_removed_entry() -> None:
+    """Guards against an endpoint that stays after its entry is gone."""
+    record = records.Record(
+        key="servers/i-1", value=None, revision=ids.Revision(3)
+    )
+    change = items.decode_record(record, 0.0)
+    assert change == views.RemovedEndpoint(endpoint_id=ids.EndpointId("i-1"))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": None},
+        {"service": 5},
+        {"address": "nowhere"},
+        {"address": "10.0.0.1"},
+        {"address": "10.0.0.1:99999"},
+        {"zone": ""},
+        {"state": "paused"},
+        {"state": ["ready"]},
+        {"concurrency": "4"},
+        {"concurrency": True},
+        {"warmup_left_ms": -5},
+        {"warmup_left_ms": float("nan")},
+        {"born": "yesterday"},
+    ],
+)
+def test_alien_entry_is_refused(change: dict) -> None:
+    """Guards against entries of other writers that are believed."""
+    with pytest.raises(items.UnusableValueError):
+        decode("servers/i-1", ENTRY | change)
+
+
+@pytest.mark.parametrize("endpoint_id", ["", "xyz", "i-" + "f" * 17])
+def test_id_without_a_number_is_refused(endpoint_id: str) -> None:
+    """Guards against packets that address any endpoint."""
+    with pytest.raises(items.UnusableValueError):
+        decode(f"servers/{endpoint_id}", ENTRY)
+
+
+def test_configuration() -> None:
+    """Guards against routes, weights or kinds that are read wrongly."""
+    change = decode("op/config", CONFIGURATION)
+    assert isinstance(change, views.Configuration)
+    first = change.routes[packets.make_route_key("198.18.0.1", 8443)]
+    assert first.shares == (("s1", 90), ("s2", 10))
+    assert first.repeatable
+    second = change.routes[packets.make_route_key("198.18.0.2", 80)]
+    assert second.shares == (("s2", 1.0),)
+    assert not second.repeatable
+    assert change.services["s1"].warmup_per_s == 12.5
+    assert change.version == 7
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\xfe",
+        b"[]",
+        b"[" * 100_000,
+        {},
+        CONFIGURATION | {"version": "7"},
+        CONFIGURATION | {"version": True},
+        CONFIGURATION | {"routes": {}},
+        CONFIGURATION | {"routes": [5]},
+        CONFIGURATION | {"services": None},
+        CONFIGURATION | {"routes": [{"name": "r"}]},
+    ],
+)
+def test_partial_configuration_is_refused(value: object) -> None:
+    """Guards against a configuration that is in force in part."""
+    with pytest.raises(items.UnusableValueError):
+        decode("op/config", value)
+
+
+def test_domain_commands() -> None:
+    """Guards against a domain that stays out after it was taken back."""
+    change = decode("op/evacuate/a", {})
+    assert change == views.DomainState(domain=ids.DomainId("a"), out=True)
+    record = records.Record(
+        key="op/evacuate/a", value=None, revision=ids.Revision(3)
+    )
+    change = items.decode_record(record, 0.0)
+    assert change == views.DomainState(domain=ids.DomainId("a"), out=False)
+
+
+def test_unknown_key_means_nothing() -> None:
+    """Guards against keys of others that end the process."""
+    assert decode("my/leader", b"node-1") is None
+
+
+@hypothesis.given(
+    strategies.sampled_from(["servers/i-1", "op/config", "op/evacuate/a"]),
+    strategies.binary(max_size=60)
+    | strategies.recursive(
+        strategies.none()
+        | strategies.booleans()
+        | strategies.floats()
+        | strategies.text(max_size=5),
+        lambda children: (
+            strategies.lists(children, max_size=3)
+            | strategies.dictionaries(
+                strategies.sampled_from([*ENTRY, *CONFIGURATION]),
+                children,
+                max_size=6,
+            )
+        ),
+    ),
+)
+def test_any_value_is_decoded_or_refused(key: str, value: object) -> None:
+    """Guards against values that raise another error."""
+    with contextlib.suppress(items.UnusableValueError):
+        decode(key, value)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,118 @@
+"""The client of the store, against the stand-in and its faults."""
+
+import pytest
+
+from chivedoor.feed import const
+from chivedoor.feed import exceptions
+from chivedoor.platform import const as platform_const
+from chivedoor.platform import store as stores
+from standins import store as store_stand_in
+
+StoreFault = store_stand_in.StoreFault
+
+
+@pytest.fixture
+async def stand_in():
+    made = store_stand_in.StoreStandIn()
+    await made.async_open()
+    yield made
+    await made.async_close()
+
+
+@pytest.fixture
+async def store(stand_in, monkeypatch):
+    monkeypatch.setattr(const, "READ_TIMEOUT_S", 0.5)
+    monkeypatch.setattr(const, "WATCH_SLACK_S", 0.3)
+    made = stores.Store(host="127.0.0.1", port=stand_in.port)
+    yield made
+    made.close()
+
+
+async def test_all_pages_are_read(store, stand_in) -> None:
+    """Guards against endpoints beyond the first page."""
+    stand_in.page_items = 3
+    for number in range(10):
+        stand_in.put(f"servers/i-{number}", {"n": number})
+    batch = await store.async_read_all()
+    assert len(batch.records) == 10
+    assert batch.complete
+    assert batch.revision == 11
+    assert stand_in.calls == ["range"] * 4
+
+
+async def test_changes_arrive_with_removals(store, stand_in) -> None:
+    """Guards against removals that are read as empty values."""
+    stand_in.put("a", {"n": 1})
+    batch = await store.async_read_all()
+    stand_in.put("b", {"n": 2})
+    stand_in.remove("a")
+    batch = await store.async_wait(batch.revision, 1.0)
+    assert [(r.key, r.value) for r in batch.records] == [
+        ("b", b'{"n": 2}'),
+        ("a", None),
+    ]
+    assert not batch.complete
+
+
+async def test_wait_without_changes_returns(store, stand_in) -> None:
+    """Guards against a watch whose silence cannot be told from a loss."""
+    batch = await store.async_read_all()
+    again = await store.async_wait(batch.revision, 0.05)
+    assert again.records == ()
+    assert again.revision == batch.revision
+
+
+async def test_lost_history_is_told_apart(store, stand_in) -> None:
+    """Guards against retries of a watch that can never succeed."""
+    batch = await store.async_read_all()
+    stand_in.put("a", {})
+    stand_in.forget_history()
+    with pytest.raises(exceptions.HistoryLostError):
+        await store.async_wait(batch.revision, 0.05)
+
+
+@pytest.mark.parametrize(
+    ("fault", "error"),
+    [
+        (StoreFault.BUSY, exceptions.SourceRefusedError),
+        (StoreFault.MANY, exceptions.SourceRefusedError),
+        (StoreFault.CLOSE, exceptions.SourceUnreachableError),
+        (StoreFault.SILENT, exceptions.SourceUnreachableError),
+        (StoreFault.BROKEN_BODY, exceptions.MalformedAnswerError),
+        (StoreFault.CUT_BODY, exceptions.SourceUnreachableError),
+    ],
+)
+async def test_fault_raises_and_the_next_call_succeeds(
+    store, stand_in, fault, error
+) -> None:
+    """Guards against a connection that is used again after it failed."""
+    stand_in.put("a", {"n": 1})
+    stand_in.fault = fault
+    with pytest.raises(error):
+        await store.async_read_all()
+    stand_in.fault = None
+    batch = await store.async_read_all()
+    assert len(batch.records) == 1
+
+
+async def test_endless_body_is_bounded(store, stand_in, monkeypatch) -> None:
+    """Guards against a store that fills the memory of a VM."""
+    monkeypatch.setattr(platform_const, "MAX_BODY_BYTES", 1_000_000)
+    stand_in.fault = StoreFault.ENDLESS_BODY
+    with pytest.raises(exceptions.FeedError):
+        await store.async_read_all()
+
+
+async def test_watch_that_hangs_ends_in_time(store, stand_in) -> None:
+    """Guards against a view that grows old behind a silent connection."""
+    batch = await store.async_read_all()
+    stand_in.fault = StoreFault.SILENT
+    with pytest.raises(exceptions.SourceUnreachableError):
+        await store.async_wait(batch.revision, 0.1)
+
+
+async def test_refused_connection_is_unreachable(store, stand_in) -> None:
+    """Guards against another kind of error when the store is down."""
+    await stand_in.async_close()
+    with pytest.raises(exceptions.SourceUnreachableError):
+        await store.async_read_all()
