--- a/bench/capacity/control.py
+++ b/bench/capacity/control.py
@@ -13,10 +13,10 @@
 from bench.capacity import samples
 from chivedoor import ids
 from chivedoor.balancer import balancer as balancers
+from chivedoor.configservice import client as clients
 from chivedoor.configuration import document as documents
 from chivedoor.control import board as boards
 from chivedoor.daemon import health
-from chivedoor.configservice import client as clients
 
 _MODES = 4_600
 _GENERATION = 0x123456789ABCDEF
--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -16,11 +16,11 @@
 from typing import Any
 
 from bench.capacity import fleet as fleets
+from chivedoor.configservice import const as platform_const
 from chivedoor.control import const as control_const
 from chivedoor.daemon import const as daemon_const
 from chivedoor.flows import const as flow_const
 from chivedoor.membership import const as member_const
-from chivedoor.configservice import const as platform_const
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 FIGURES = _ROOT / "docs" / "capacity.json"
--- a/src/chivedoor/cli/control.py
+++ b/src/chivedoor/cli/control.py
@@ -5,6 +5,7 @@
 import dataclasses
 import functools
 import ipaddress
+import itertools
 import os
 import pathlib
 import socket
@@ -20,6 +21,7 @@
 from chivedoor.cli import const
 from chivedoor.cli import exceptions
 from chivedoor.cli import fleet
+from chivedoor.cli import flows
 from chivedoor.cli import reports
 from chivedoor.configuration import checks
 from chivedoor.configuration import document as documents
@@ -184,6 +186,41 @@
 ]
 
 
+@cappa.command(
+    help="Show the story of a flow, from logs of edge balancers.",
+    description="""Prints what balancers decided on the packets of a flow and
+what they believed at that time, oldest first.
+
+```
+chivedoorctl flow vm-1.log vm-2.log --flow 100.64.0.4:1056
+```""",
+)
+@dataclasses.dataclass
+class Flow:
+    """Arguments of `flow`."""
+
+    files: Annotated[
+        list[pathlib.Path],
+        cappa.Arg(value_name="LOG", help="Logs of edge balancers."),
+    ]
+    flow: Annotated[
+        str,
+        cappa.Arg(
+            long="--flow",
+            value_name="CALLER:PORT",
+            help="The flow's id or its beginning.",
+        ),
+    ]
+    margin_s: Annotated[
+        float,
+        cappa.Arg(
+            long="--margin-s",
+            value_name="SECONDS",
+            help="Seconds around the flow from which beliefs are shown.",
+        ),
+    ] = 5.0
+
+
 @cappa.command(
     help="Check a document and list every fault.",
     description="""With `--previous` the document must also be allowed to
@@ -270,7 +307,7 @@
     """Arguments of `chivedoorctl`."""
 
     command: cappa.Subcommands[
-        Status | Dump | Domain | Validate | Diff | Completion
+        Status | Dump | Domain | Flow | Validate | Diff | Completion
     ]
 
 
@@ -338,6 +375,22 @@
     return _set_domain(command, out=False)
 
 
+@run_command.register
+def _(command: Flow) -> const.ExitCode:
+    lines = itertools.chain.from_iterable(
+        _read_file(path).decode(errors="replace").splitlines()
+        for path in command.files
+    )
+    events = flows.select_events(
+        flows.parse_lines(lines), command.flow, command.margin_s
+    )
+    if not events:
+        _print_error(f"chivedoorctl: no line of the flow {command.flow}")
+        return ExitCode.USAGE
+    print(flows.format_events(events))
+    return ExitCode.FINE
+
+
 @run_command.register
 def _(command: Validate) -> const.ExitCode:
     document = _read_document(command.file)
--- /dev/null
+++ b/src/chivedoor/cli/flows.py
@@ -0,0 +1,102 @@
+"""The story of one flow, from the log lines of edge balancers."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import json
+from typing import Any
+
+# Kinds of lines that tell what a balancer believed while a flow was served.
+_BELIEFS = frozenset(
+    {
+        "configuration-applied",
+        "domain-in",
+        "domain-out",
+        "paused",
+        "ready",
+        "source-lost",
+        "source-regained",
+        "started",
+        "stopping",
+        "view-current",
+        "view-stale",
+    }
+)
+_COMMON = frozenset({"timestamp", "message_type", "vm", "domain", "flow"})
+
+
+def parse_lines(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Returns the log lines that are JSON objects with a kind and a time."""
+    for line in lines:
+        try:
+            event = json.loads(line)
+        except ValueError:
+            continue
+        if not isinstance(event, dict):
+            continue
+        if isinstance(event.get("timestamp"), int | float) and isinstance(
+            event.get("message_type"), str
+        ):
+            yield event
+
+
+def select_events(
+    events: Iterable[dict[str, Any]], flow: str, margin_s: float
+) -> list[dict[str, Any]]:
+    """Returns the events of a flow and what its balancers believed then.
+
+    Args:
+        events: Events of all balancers.
+        flow: The beginning of the flow's id, such as the caller's address and
+            port.
+        margin_s: Seconds before the first and after the last event of the
+            flow from which beliefs are shown.
+    """
+    ordered = sorted(events, key=lambda event: event["timestamp"])
+    own = [event for event in ordered if is_of_flow(event, flow)]
+    if not own:
+        return []
+    vms = {event.get("vm") for event in own}
+    endpoints = {event["endpoint"] for event in own if "endpoint" in event}
+    begin = own[0]["timestamp"] - margin_s
+    end = own[-1]["timestamp"] + margin_s
+    return [
+        event
+        for event in ordered
+        if is_of_flow(event, flow)
+        or (
+            begin <= event["timestamp"] <= end
+            and event.get("vm") in vms
+            and (
+                event["message_type"] in _BELIEFS
+                or ("flow" not in event and event.get("endpoint") in endpoints)
+            )
+        )
+    ]
+
+
+def is_of_flow(event: dict[str, Any], flow: str) -> bool:
+    """Returns whether an event belongs to a flow, by the start of its id."""
+    found = event.get("flow")
+    if not isinstance(found, str) or not found.startswith(flow):
+        return False
+    # A port must not match the beginning of a longer one.
+    return found == flow or not found[len(flow)].isdigit()
+
+
+def format_events(events: Iterable[dict[str, Any]]) -> str:
+    """Returns one line for each event, with times from the first one."""
+    lines = []
+    first: float | None = None
+    for event in events:
+        if first is None:
+            first = event["timestamp"]
+        details = " ".join(
+            f"{name}={value}"
+            for name, value in event.items()
+            if name not in _COMMON
+        )
+        lines.append(
+            f"{event['timestamp'] - first:+9.3f} s  {event.get('vm', '?'):20} "
+            f"{event['message_type']:22} {event.get('flow', '-')}  {details}"
+        )
+    return "\n".join(lines)
--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -18,6 +18,7 @@
 from chivedoor.edge import forwarder as forwarders
 from chivedoor.edge import knowledge as knowledge_module
 from chivedoor.edge import lines
+from chivedoor.edge import observer
 from chivedoor.edge import settings as settings_module
 from chivedoor.edge import web
 from chivedoor.feed import coordinator
@@ -63,7 +64,10 @@
         generator = random.Random()
         self.figures = figure_tables.Figures()
         self.steerer = steerers.Steerer(
-            local=settings.vm, domain=settings.domain, generator=generator
+            local=settings.vm,
+            domain=settings.domain,
+            generator=generator,
+            observer=observer.Observer(log=log, figures=self.figures),
         )
         self.forwarder = forwarders.Forwarder(
             address=settings.packets.host,
@@ -83,7 +87,12 @@
         )
         self.forwarder.knowledge = self.knowledge
         self._store = store.Store(
-            host=settings.source.host, port=settings.source.port
+            host=settings.source.host,
+            port=settings.source.port,
+            observe_call=self.figures.timings[
+                figure_tables.Timing.SOURCE_CALL
+            ].observe,
+            clock=clock,
         )
         self._source_lost = False
         # Time at which the store confirmed the view to this balancer itself.
--- a/src/chivedoor/platform/store.py
+++ b/src/chivedoor/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import binascii
+from collections.abc import Callable
 from collections.abc import Mapping
 import json
 import socket
@@ -32,9 +33,25 @@
         calls: Calls made, also those that failed.
     """
 
-    def __init__(self, *, host: str, port: int) -> None:
-        """Creates a client that is not connected."""
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        observe_call: Callable[[float], None],
+        clock: Callable[[], float],
+    ) -> None:
+        """Creates a client that is not connected.
+
+        Args:
+            host: The store's address.
+            port: The store's port.
+            observe_call: Called with the duration of each call in seconds.
+            clock: Returns seconds.
+        """
         self.calls = 0
+        self._observe_call = observe_call
+        self._clock = clock
         self._host = host
         self._port = port
         self._connection: _Connection | None = None
@@ -106,6 +123,7 @@
         self, path: str, query: Mapping[str, str], timeout_s: float
     ) -> Mapping[str, Any]:
         self.calls += 1
+        sent_at = self._clock()
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._async_connect()
@@ -120,6 +138,8 @@
         except BaseException:
             self.close()
             raise
+        finally:
+            self._observe_call(self._clock() - sent_at)
         if status == _GONE:
             raise exceptions.HistoryLostError(path)
         if status != _OK:
--- a/src/chivedoor/steering/flows.py
+++ b/src/chivedoor/steering/flows.py
@@ -11,6 +11,7 @@
 
 from chivedoor import ids
 from chivedoor.steering import const
+from chivedoor.steering import observer as observers
 from chivedoor.steering import segment as segments
 
 _SEQUENCE_MASK = 0xFFFFFFFF
@@ -72,7 +73,9 @@
 class FlowTable:
     """The flows that this balancer sees, and the requests in flight."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, observer: observers.Observer) -> None:
+        """Creates an empty table that tells durations to `observer`."""
+        self._observer = observer
         self._flows: dict[segments.FlowId, Flow] = {}
         self._in_flight: dict[ids.EndpointId, int] = {}
 
@@ -144,6 +147,7 @@
         _note_data(flow, segment)
         if flow.state is FlowState.OPENING:
             flow.acknowledged = segment.acknowledged
+            self._observer.note_handshake(now - flow.opened_at)
             self._change(
                 flow,
                 FlowState.WORKING if segment.payload_bytes else FlowState.IDLE,
@@ -204,6 +208,8 @@
         if progressed:
             flow.acknowledged = segment.acknowledged
             flow.repetitions = 0
+        if progressed and flow.state is FlowState.WORKING:
+            self._observer.note_reply(now - flow.changed_at)
         if segment.payload_bytes:
             if progressed or flow.state is FlowState.IDLE:
                 self._change(flow, FlowState.WORKING, now)
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -6,6 +6,7 @@
 from chivedoor import ids
 from chivedoor.steering import const
 from chivedoor.steering import flows as flow_tables
+from chivedoor.steering import observer as observers
 from chivedoor.steering import placement
 from chivedoor.steering import segment as segments
 from chivedoor.steering import suspicion
@@ -39,10 +40,12 @@
         local: ids.VmId,
         domain: ids.DomainId,
         generator: random.Random,
+        observer: observers.Observer | None = None,
     ) -> None:
         """Creates a steerer without a view."""
+        self._observer = observer or observers.SilentObserver()
         self.view = views.View()
-        self.flows = flow_tables.FlowTable()
+        self.flows = flow_tables.FlowTable(observer=self._observer)
         self.suspicions = suspicion.Suspicions()
         self.budget = warmup.WarmupBudget(local=local)
         self.loads = placement.PeerLoads()
@@ -125,9 +128,15 @@
             return None
         endpoint = self.view.endpoints.get(flow.endpoint_id)
         if endpoint is not None:
-            self.suspicions.note_unanswered(endpoint.id, endpoint.domain, now)
+            self._suspect(endpoint, now)
         return flow.endpoint_id
 
+    def _suspect(self, endpoint: views.Endpoint, now: float) -> None:
+        new = self.suspicions.note_unanswered(endpoint.id, endpoint.domain, now)
+        if new:
+            doubted = self.suspicions.is_doubted(endpoint.domain, now)
+            self._observer.note_suspected(endpoint.id, doubted)
+
     def _decide_established(
         self, segment: segments.Segment, now: float
     ) -> verdicts.Verdict:
@@ -162,9 +171,10 @@
             return
         opened = self.flows.note_segment(segment, endpoint.id, now)
         if opened:
-            self.suspicions.note_opened(endpoint.id, endpoint.domain)
+            if self.suspicions.note_opened(endpoint.id, endpoint.domain):
+                self._observer.note_cleared(endpoint.id)
         elif self._is_silent(segment, endpoint, now):
-            self.suspicions.note_unanswered(endpoint.id, endpoint.domain, now)
+            self._suspect(endpoint, now)
 
     def _is_silent(
         self,
--- a/tests/edge/test_process.py
+++ b/tests/edge/test_process.py
@@ -166,6 +166,12 @@
     assert status == 200
     assert "chivedoor_batch_seconds_bucket" in text
     assert "chivedoor_flows_placed_total" in text
+    counts = [
+        line
+        for line in text.splitlines()
+        if "source_call_seconds_count" in line
+    ]
+    assert float(counts[0].split()[-1]) > 0
 
 
 async def test_faults_in_the_settings_end_the_start(edge) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,7 @@
 """The client of the store, against the stand-in and its faults."""
 
+import time
+
 import pytest
 
 from chivedoor.feed import const
@@ -20,10 +22,20 @@
 
 
 @pytest.fixture
-async def store(stand_in, monkeypatch):
+def durations() -> list[float]:
+    return []
+
+
+@pytest.fixture
+async def store(stand_in, monkeypatch, durations):
     monkeypatch.setattr(const, "READ_TIMEOUT_S", 0.5)
     monkeypatch.setattr(const, "WATCH_SLACK_S", 0.3)
-    made = stores.Store(host="127.0.0.1", port=stand_in.port)
+    made = stores.Store(
+        host="127.0.0.1",
+        port=stand_in.port,
+        observe_call=durations.append,
+        clock=time.monotonic,
+    )
     yield made
     made.close()
 
@@ -103,12 +115,15 @@
         await store.async_read_all()
 
 
-async def test_watch_that_hangs_ends_in_time(store, stand_in) -> None:
+async def test_watch_that_hangs_ends_in_time(
+    store, stand_in, durations
+) -> None:
     """Guards against a view that grows old behind a silent connection."""
     batch = await store.async_read_all()
     stand_in.fault = StoreFault.SILENT
     with pytest.raises(exceptions.SourceUnreachableError):
         await store.async_wait(batch.revision, 0.1)
+    assert durations[-1] < 0.1 + const.WATCH_SLACK_S + 1.0
 
 
 async def test_refused_connection_is_unreachable(store, stand_in) -> None:
--- a/tests/steering/test_flows.py
+++ b/tests/steering/test_flows.py
@@ -7,6 +7,7 @@
 from chivedoor import ids
 from chivedoor.steering import const
 from chivedoor.steering import flows as flow_tables
+from chivedoor.steering import observer
 from tests.steering import conftest
 
 ENDPOINT = ids.EndpointId("i-1")
@@ -35,7 +36,7 @@
 
 def test_request_counts_from_its_data_to_the_reply() -> None:
     """Guards against load that stays after the reply arrived."""
-    table = flow_tables.FlowTable()
+    table = flow_tables.FlowTable(observer=observer.SilentObserver())
     open_flow(table, 1)
     assert table.count_in_flight(ENDPOINT) == 1
     assert note(table, 1, acknowledged=1000)
@@ -48,7 +49,7 @@
 
 def test_acknowledgement_wraps_around() -> None:
     """Guards against a request that never ends after 4 GiB."""
-    table = flow_tables.FlowTable()
+    table = flow_tables.FlowTable(observer=observer.SilentObserver())
     open_flow(table, 1)
     note(table, 1, acknowledged=0xFFFFFF00, payload_bytes=10)
     note(table, 1, acknowledged=0x00000100)
@@ -57,7 +58,7 @@
 
 def test_repeated_old_packet_does_not_end_a_request() -> None:
     """Guards against a late copy that is taken for progress."""
-    table = flow_tables.FlowTable()
+    table = flow_tables.FlowTable(observer=observer.SilentObserver())
     open_flow(table, 1)
     note(table, 1, acknowledged=5000, payload_bytes=10)
     note(table, 1, acknowledged=4000)
@@ -66,7 +67,7 @@
 
 def test_overdue_request_stops_counting() -> None:
     """Guards against an endpoint that looks busy after a lost reply."""
-    table = flow_tables.FlowTable()
+    table = flow_tables.FlowTable(observer=observer.SilentObserver())
     open_flow(table, 1)
     note(table, 1, acknowledged=1, payload_bytes=10)
     table.expire(0.1 + const.REQUEST_LIFETIME_S + 0.1)
@@ -76,7 +77,7 @@
 
 def test_handshake_without_an_answer_expires() -> None:
     """Guards against load left by callers that gave up."""
-    table = flow_tables.FlowTable()
+    table = flow_tables.FlowTable(observer=observer.SilentObserver())
     open_flow(table, 1)
     table.expire(const.HANDSHAKE_LIFETIME_S + 0.1)
     assert len(table) == 0
@@ -85,7 +86,7 @@
 
 def test_flow_that_moved_here_is_adopted() -> None:
     """Guards against flows of other balancers that are never counted."""
-    table = flow_tables.FlowTable()
+    table = flow_tables.FlowTable(observer=observer.SilentObserver())
     assert not note(table, 1, acknowledged=1, payload_bytes=10)
     assert table.count_in_flight(ENDPOINT) == 1
 
@@ -95,7 +96,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.table = flow_tables.FlowTable()
+        self.table = flow_tables.FlowTable(observer=observer.SilentObserver())
         self.now = 0.0
 
     @stateful.rule(
