Notice endpoints that refuse handshakes; count repetitions of adopted flows

Change: a handshake that is neither answered nor repeated in 250 ms makes its endpoint suspect; adoption notes the data.

--- a/src/chivedoor/edge/forwarder.py
+++ b/src/chivedoor/edge/forwarder.py
@@ -111,6 +111,7 @@
                 self._figures.count("malformed_packets", error.reason)
                 continue
             self._carry_out(decide(segment, now), segment, datagram)
+        self._steerer.check_handshakes(now)
         duration_s = self._clock() - now
         self._figures.timings[figure_tables.Timing.BATCH].observe(duration_s)
 
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -20,6 +20,11 @@
 
 # A caller repeats its SYN after 200 ms and 600 ms and gives up after 1.4 s.
 HANDSHAKE_LIFETIME_S: Final = 1.5
+# A caller whose handshake is neither answered nor repeated in this time was
+# refused by its endpoint; the first repetition is due after 200 ms.
+HANDSHAKE_REPETITION_S: Final = 0.25
+# A balancer that stood still for this long does not judge what it missed.
+HANDSHAKE_JUDGED_S: Final = 1.0
 # Two of the callers' repetitions fall into this time.
 SUSPICION_S: Final = 2.0
 # A caller repeats data after 200 ms and 600 ms. Once that often without an
--- a/src/chivedoor/steering/flows.py
+++ b/src/chivedoor/steering/flows.py
@@ -191,12 +191,14 @@
         if len(self._flows) >= const.MAX_FLOWS:
             return
         working = segment.payload_bytes > 0
-        self._flows[segment.flow] = Flow(
+        flow = Flow(
             endpoint_id=endpoint_id,
             state=FlowState.WORKING if working else FlowState.IDLE,
             acknowledged=segment.acknowledged,
             now=now,
         )
+        _note_data(flow, segment)
+        self._flows[segment.flow] = flow
         if working:
             self._count(endpoint_id, 1)
 
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -1,5 +1,6 @@
 """All decisions on the packets of callers."""
 
+import collections
 from collections.abc import Iterator
 import random
 
@@ -58,6 +59,10 @@
             loads=self.loads,
             generator=generator,
         )
+        # First opening packets in the order of their time.
+        self._openings: collections.deque[tuple[float, segments.FlowId]] = (
+            collections.deque()
+        )
         # Time from which a missing entry means that the endpoint is gone;
         # None while the view is incomplete or not confirmed.
         self._complete_from: float | None = None
@@ -89,6 +94,26 @@
             self.flows.close_flow(flow_id)
             yield flow_id, flow
 
+    def check_handshakes(self, now: float) -> None:
+        """Suspects endpoints that refused a handshake; called often.
+
+        An endpoint whose process ended refuses with a reset that goes past
+        this balancer. Its caller then neither answers nor repeats.
+        """
+        due = now - const.HANDSHAKE_REPETITION_S
+        while self._openings and self._openings[0][0] <= due:
+            opened_at, flow_id = self._openings.popleft()
+            flow = self.flows.get(flow_id)
+            if flow is None or flow.opened_at != opened_at:
+                continue
+            if flow.state is not flow_tables.FlowState.OPENING:
+                continue
+            self.flows.close_flow(flow_id)
+            endpoint = self.view.endpoints.get(flow.endpoint_id)
+            judged = now - opened_at < const.HANDSHAKE_JUDGED_S
+            if endpoint is not None and judged:
+                self._suspect(endpoint, now)
+
     def expire(self, now: float) -> None:
         """Drops state that is out of date; called once a second."""
         self.flows.expire(now)
@@ -112,6 +137,8 @@
         if endpoint is None:
             return _REFUSALS[verdicts.RefusalReason.NO_ENDPOINT]
         self.flows.open_flow(segment.flow, endpoint.id, now)
+        if not segment.repetition:
+            self._openings.append((now, segment.flow))
         return verdicts.Deliver(
             endpoint=endpoint,
             tag=tags.make_tag(endpoint.slot, endpoint.number, segment.flow),
--- a/tests/steering/test_steerer.py
+++ b/tests/steering/test_steerer.py
@@ -214,3 +214,61 @@
         for copy in range(2):
             verdict = steerer.decide(data, 1.0 + turn + copy / 5)
             assert isinstance(verdict, verdicts.Deliver)
+
+
+def test_endpoint_that_refuses_handshakes_is_left(make_steerer) -> None:
+    """Guards against three tries of one caller at an ended process.
+
+    Its resets go past the balancer: callers neither answer nor repeat.
+    """
+    ended, other = conftest.make_endpoint(1), conftest.make_endpoint(2)
+    steerer = make_steerer(ended, other)
+    refused = 0
+    for number in range(100):
+        now = 1.0 + number / 50
+        steerer.check_handshakes(now)
+        flow = conftest.make_flow(number)
+        verdict = steerer.decide(conftest.make_opening(flow), now)
+        if verdict.endpoint is ended:
+            refused += 1
+            continue
+        tag = conftest.make_tag(other, flow)
+        steerer.decide(
+            conftest.make_segment(flow, tag=tag, acknowledged=1), now + 0.002
+        )
+    # Half of those within the first quarter of a second.
+    assert refused <= 8
+
+
+def test_handshakes_missed_in_a_pause_cast_no_suspicion(make_steerer) -> None:
+    """Guards against a balancer that wakes up and suspects everything."""
+    steerer = make_steerer(conftest.make_endpoint(1))
+    steerer.decide(conftest.make_opening(FLOW), 1.0)
+    steerer.check_handshakes(5.0)
+    assert steerer.suspicions.list_suspects(5.0) == []
+
+
+def test_repeated_handshake_is_not_taken_for_refused(make_steerer) -> None:
+    """Guards against two suspicions for one lost packet."""
+    one, two = conftest.make_endpoint(1), conftest.make_endpoint(2)
+    steerer = make_steerer(one, two)
+    first = steerer.decide(conftest.make_opening(FLOW), 1.0)
+    steerer.decide(conftest.make_opening(FLOW, repetition=1), 1.2)
+    steerer.check_handshakes(1.5)
+    assert steerer.suspicions.list_suspects(1.5) == [first.endpoint.id]
+
+
+def test_flow_that_moved_here_is_given_up_as_soon(make_steerer) -> None:
+    """Guards against a repetition that is not counted after an adoption."""
+    endpoint = conftest.make_endpoint(1)
+    steerer = make_steerer(endpoint, conftest.make_endpoint(2))
+    data = conftest.make_segment(
+        FLOW,
+        tag=conftest.make_tag(endpoint, FLOW),
+        acknowledged=1,
+        payload_bytes=50,
+        sequence=100,
+    )
+    seen = [steerer.decide(data, 1.0 + n / 5) for n in range(3)]
+    assert isinstance(seen[1], verdicts.Deliver)
+    assert seen[2].reason is verdicts.RefusalReason.ENDPOINT_SILENT
