Keep using endpoints whose entries lapsed with the store

Cause: entries lapse while the store is away and return within two seconds after it; until then a service had no endpoint and callers were refused. Change: while missing entries cannot be trusted, endpoints that were removed a moment ago are used after the listed ones.

--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -46,6 +46,9 @@
 # Flows elsewhere break or wait when the domains are cut off from each other,
 # so the own targets are used until each slot has a request and a half waiting.
 REMOTE_DOMAIN_PENALTY: Final = 1.5
+# An endpoint whose entry may only have lapsed is used when the listed ones
+# have a request more for each slot.
+LAPSED_PENALTY: Final = 1.0
 # An endpoint under suspicion is used only when all others are as well.
 SUSPICION_PENALTY: Final = 100.0
 # So is one in a domain in which several left handshakes unanswered.
--- a/src/chivedoor/steering/placement.py
+++ b/src/chivedoor/steering/placement.py
@@ -86,6 +86,7 @@
         route: views.Route,
         now: float,
         avoided: ids.EndpointId | None = None,
+        lapsed_since: float | None = None,
     ) -> views.Endpoint | None:
         """Returns the endpoint of a new flow.
 
@@ -94,6 +95,10 @@
             now: The time, in seconds.
             avoided: An endpoint that left this flow's first opening packet
                 unanswered; chosen only when there is no other.
+            lapsed_since: Time from which removed endpoints are still used,
+                None while missing entries can be trusted. Entries lapse with
+                the store and return after it, and a service must not end
+                meanwhile.
 
         Returns:
             The endpoint; None when no endpoint may take a flow.
@@ -101,7 +106,7 @@
         service = self._choose_service(route)
         usable = [
             endpoint
-            for endpoint in self._view.get_endpoints(service)
+            for endpoint in self._list_endpoints(service, lapsed_since)
             if not endpoint.draining
             and endpoint.domain not in self._view.domains_out
         ]
@@ -113,6 +118,21 @@
             return self._choose_least_loaded(others, now)
         return self._choose_cold(service, usable, now)
 
+    def _list_endpoints(
+        self, service: ids.ServiceId, lapsed_since: float | None
+    ) -> list[views.Endpoint]:
+        listed = self._view.get_endpoints(service)
+        if lapsed_since is None:
+            return listed
+        lapsed = (
+            endpoint
+            for endpoint in self._view.iterate_removed()
+            if endpoint.service == service
+            and endpoint.removed_at is not None
+            and endpoint.removed_at >= lapsed_since
+        )
+        return [*listed, *lapsed]
+
     def _choose_service(self, route: views.Route) -> ids.ServiceId:
         if len(route.shares) == 1:
             return route.shares[0][0]
@@ -156,6 +176,8 @@
         rank = (in_flight + 1) / endpoint.slots
         if endpoint.domain != self._domain:
             rank += const.REMOTE_DOMAIN_PENALTY
+        if endpoint.removed_at is not None:
+            rank += const.LAPSED_PENALTY
         return rank + self._suspicions.get_penalty(
             endpoint.id, endpoint.domain, now
         )
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -133,7 +133,12 @@
                 return _REFUSALS[verdicts.RefusalReason.NO_ROUTE]
             return _DROPS[verdicts.DropReason.STALE_VIEW]
         unanswered = self._find_unanswered(segment, now)
-        endpoint = self.placement.choose_endpoint(route, now, unanswered)
+        lapsed_since = (
+            None if self.is_complete(now) else now - const.LAPSED_ENTRY_RETURN_S
+        )
+        endpoint = self.placement.choose_endpoint(
+            route, now, unanswered, lapsed_since
+        )
         if endpoint is None:
             return _REFUSALS[verdicts.RefusalReason.NO_ENDPOINT]
         self.flows.open_flow(segment.flow, endpoint.id, now)
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -181,3 +181,36 @@
     }
     counts = place(steerer, range(2000))
     assert counts["i-00000002"] == pytest.approx(200, abs=60)
+
+
+def test_entries_that_lapsed_with_the_store_are_still_used(
+    make_steerer,
+) -> None:
+    """Guards against a service that ends when its store returns.
+
+    Load: all entries lapse while the store is away; they return within two
+    seconds of its return, and callers go on opening flows.
+    """
+    endpoints = [conftest.make_endpoint(n) for n in (1, 2, 3)]
+    steerer = make_steerer(*endpoints)
+    steerer.set_complete_from(12.5)
+    for endpoint in endpoints:
+        removal = views.RemovedEndpoint(endpoint_id=endpoint.id)
+        steerer.view.apply(removal, 10.0)
+    assert sum(place(steerer, range(30), now=10.1).values()) == 30
+    # Back in the store, one of them takes new flows before those that are not.
+    back = conftest.make_endpoint(1)
+    steerer.view.apply(views.ListedEndpoint(endpoint=back), 11.0)
+    steerer.flows.expire(12.0)
+    assert place(steerer, range(100, 103), now=12.0)[back.id] == 3
+    # Those that are missing after that are gone.
+    counts = place(steerer, range(200, 230), now=12.6)
+    assert counts == {back.id: 30}
+
+
+def test_removed_endpoint_is_not_used_by_a_complete_view(make_steerer) -> None:
+    """Guards against flows to a target that has left."""
+    gone, staying = conftest.make_endpoint(1), conftest.make_endpoint(2)
+    steerer = make_steerer(gone, staying)
+    steerer.view.apply(views.RemovedEndpoint(endpoint_id=gone.id), 1.0)
+    assert place(steerer, range(9), now=1.1) == {staying.id: 9}
