--- a/src/chivedoor/edge/const.py
+++ b/src/chivedoor/edge/const.py
@@ -23,7 +23,6 @@
 HTTP_CONNECTIONS: Final = 64
 HTTP_TARGET_BYTES: Final = 1024
 
-LOG_FLUSH_S: Final = 0.2
 # About 300 bytes a line; half a megabyte while nobody reads the pipe.
 LOG_BUFFER_LINES: Final = 2_000
 LOG_BUFFER_BYTES: Final = 512 * 1024
--- a/src/chivedoor/edge/forwarder.py
+++ b/src/chivedoor/edge/forwarder.py
@@ -15,8 +15,6 @@
 from chivedoor.steering import steerer as steerers
 from chivedoor.steering import verdicts
 
-_ROUTE_BYTES = 6
-
 
 def format_flow(flow: segments.FlowId) -> str:
     """Returns a flow as `caller:port>route:port`, its id in the logs."""
--- a/src/chivedoor/feed/const.py
+++ b/src/chivedoor/feed/const.py
@@ -14,7 +14,7 @@
 READ_TIMEOUT_S: Final = 1.0
 CONNECT_TIMEOUT_S: Final = 0.5
 # Changes arrive in groups; a pause gathers a group into one call. It delays a
-# change by a tenth of the tightest bound on the known sites.
+# change by a twelfth of the tightest bound on the known sites.
 WATCH_PAUSE_S: Final = 0.25
 
 RETRY_FIRST_S: Final = 0.1
--- a/src/chivedoor/platform/const.py
+++ b/src/chivedoor/platform/const.py
@@ -3,8 +3,6 @@
 from typing import Final
 
 HEAD_BYTES: Final = 32
-MAX_PAYLOAD_BYTES: Final = 1200
-MAX_SEGMENT_BYTES: Final = HEAD_BYTES + MAX_PAYLOAD_BYTES
 
 FLAG_OPEN: Final = 128
 FLAG_FINISH: Final = 64
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -34,8 +34,6 @@
 # on the known sites is 15 s.
 FLOW_IDLE_S: Final = 20.0
 MAX_FLOWS: Final = 200_000
-# The table of flows is swept for expired entries this often.
-SWEEP_INTERVAL_S: Final = 1.0
 
 # Penalty of an endpoint in another failure domain, in parts of a full target.
 # Flows elsewhere break or wait when the domains are cut off from each other,
