Share the rate of cold endpoints among failure domains; let signals wait

Cause: balancers know the members of their own domain only, and each domain gave a cold endpoint the whole rate. With all endpoints of a service cold, three domains opened 12 to 13 flows in a second to an endpoint that bears 4 (allowed: 4 x 1.5 + 5 = 11).

Change: the signals are blocked until their handlers are installed. test_signal_during_the_start_waits failed before.

The settings also take the address at which peers reach a balancer, and subscriptions come from the balancer's own address.

--- a/src/chivedoor/edge/__main__.py
+++ b/src/chivedoor/edge/__main__.py
@@ -1,6 +1,7 @@
 """Runs an edge balancer: `python -m chivedoor.edge [settings file]`."""
 
 import os
+import signal
 import sys
 
 # Imported first: a socket that is bound queues the packets that arrive while
@@ -19,6 +20,9 @@
     Raises:
         PortError: The packet port cannot be bound.
     """
+    # Signals that arrive before their handlers are installed wait. By default
+    # a change of the settings (SIGHUP) would end a process that starts.
+    signal.pthread_sigmask(signal.SIG_BLOCK, const.HANDLED_SIGNALS)
     path = (
         sys.argv[1]
         if len(sys.argv) > 1
--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -66,6 +66,7 @@
         self.steerer = steerers.Steerer(
             local=settings.vm,
             domain=settings.domain,
+            domains=settings.domains,
             generator=generator,
             observer=observer.Observer(log=log, figures=self.figures),
         )
@@ -103,7 +104,7 @@
         self.peers = peer_sets.Peers(
             local=settings.vm,
             domain=settings.domain,
-            host=settings.address,
+            host=settings.peer_host,
             bandwidth_mbps=settings.bandwidth_mbps,
             generator=generator,
         )
@@ -128,6 +129,7 @@
             get_read_age_s=self._get_read_age_s,
             get_revision=lambda: self.knowledge.table.revision,
             note_mode=self._note_mode,
+            local_host=settings.address,
             peer_port=settings.peer_port,
             clock=clock,
         )
@@ -329,7 +331,7 @@
         return peer_sets.Greeting(
             vm=self._settings.vm,
             domain=self._settings.domain,
-            host=self._settings.address,
+            host=self._settings.peer_host,
             incarnation=self._incarnation,
             bandwidth_mbps=self._settings.bandwidth_mbps,
             read_age_s=self._get_read_age_s(),
@@ -421,8 +423,12 @@
 
 
 def install_signals(application: Application) -> None:
-    """Connects SIGTERM and SIGINT to a planned stop, SIGHUP to a reload."""
+    """Connects SIGTERM and SIGINT to a planned stop, SIGHUP to a reload.
+
+    Signals that waited for their handlers are delivered.
+    """
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, application.stop)
     loop.add_signal_handler(signal.SIGINT, application.stop)
     loop.add_signal_handler(signal.SIGHUP, application.reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, const.HANDLED_SIGNALS)
--- a/src/chivedoor/edge/const.py
+++ b/src/chivedoor/edge/const.py
@@ -1,7 +1,10 @@
 """Constants of the package."""
 
+import signal
 from typing import Final
 
+HANDLED_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 # Names the INI file of a process.
 SETTINGS_VARIABLE: Final = "CHIVEDOOR_NODE_FILE"
 
--- a/src/chivedoor/edge/settings.py
+++ b/src/chivedoor/edge/settings.py
@@ -28,11 +28,13 @@
     Attributes:
         vm: Id of this VM.
         domain: Its failure domain.
+        domains: All failure domains; none when the deployment has one.
         region: Its region.
         packets: Address that packets arrive at; callers get theirs at the
             same port.
         readiness: Address of the readiness endpoint.
         peer_port: Port between balancers, the same on all VMs.
+        peer_host: Address at which the other balancers reach this one.
         seeds: Balancers to ask for others; may be stale.
         source: Address of the store.
         descriptors: Descriptors that the process may open.
@@ -43,11 +45,13 @@
 
     vm: ids.VmId
     domain: ids.DomainId
+    domains: tuple[ids.DomainId, ...]
     region: ids.RegionId
     address: str
     packets: Address
     readiness: Address
     peer_port: int
+    peer_host: str
     seeds: tuple[Address, ...]
     source: Address
     descriptors: int
@@ -69,14 +73,17 @@
     except (OSError, ValueError, configparser.Error) as error:
         raise exceptions.SettingsError([f"{path}: {error}"]) from error
     reader = _Reader(parser=parser)
+    address = reader.read("vm", "address", _parse_host)
     settings = Settings(
         vm=ids.VmId(reader.read("vm", "id", _parse_text)),
         domain=ids.DomainId(reader.read("vm", "domain", _parse_text)),
+        domains=reader.read("vm", "domains", _parse_domains, ()),
         region=ids.RegionId(reader.read("vm", "region", _parse_text)),
-        address=reader.read("vm", "address", _parse_host),
+        address=address,
         packets=reader.read("packets", "address", parse_address),
         readiness=reader.read("readiness", "address", parse_address),
         peer_port=reader.read("peers", "port", _parse_port),
+        peer_host=reader.read("peers", "address", _parse_host, address or ""),
         seeds=reader.read("peers", "seeds", _parse_addresses),
         source=reader.read("source", "address", parse_address),
         descriptors=reader.read("limits", "descriptors", _parse_count),
@@ -84,6 +91,8 @@
         grace_s=reader.read("stop", "grace_s", _parse_size),
         metrics_port=reader.read("metrics", "port", _parse_port),
     )
+    if settings.domains and settings.domain not in settings.domains:
+        reader.faults.append("vm.domains: does not name the own domain")
     if reader.faults:
         raise exceptions.SettingsError(reader.faults)
     return settings
@@ -107,12 +116,17 @@
         self._parser = parser
 
     def read(
-        self, section: str, option: str, parse: Callable[[str], Value]
+        self,
+        section: str,
+        option: str,
+        parse: Callable[[str], Value],
+        default: Value | None = None,
     ) -> Value | Any:
         text = self._parser.get(section, option, fallback=None)
         if text is None:
-            self.faults.append(f"{section}.{option}: missing")
-            return None
+            if default is None:
+                self.faults.append(f"{section}.{option}: missing")
+            return default
         try:
             return parse(text.strip())
         except ValueError as error:
@@ -126,6 +140,11 @@
     return text
 
 
+def _parse_domains(text: str) -> tuple[ids.DomainId, ...]:
+    parts = (part.strip() for part in text.split(","))
+    return tuple(ids.DomainId(part) for part in parts if part)
+
+
 def _parse_host(text: str) -> str:
     try:
         return socket.inet_ntoa(socket.inet_pton(socket.AF_INET, text))
--- a/src/chivedoor/feed/coordinator.py
+++ b/src/chivedoor/feed/coordinator.py
@@ -72,6 +72,7 @@
         get_read_age_s: Callable[[], float | None],
         get_revision: Callable[[], ids.Revision],
         note_mode: Callable[[ReadingMode, str], None],
+        local_host: str,
         peer_port: int,
         clock: Callable[[], float],
     ) -> None:
@@ -85,6 +86,7 @@
             get_read_age_s: Returns the time since the last own read.
             get_revision: Returns the revision that the view has reached.
             note_mode: Called when the mode or the reader changes.
+            local_host: The address that subscriptions come from.
             peer_port: The port of the relays.
             clock: Returns seconds.
         """
@@ -96,6 +98,7 @@
         self._get_read_age_s = get_read_age_s
         self._get_revision = get_revision
         self._note_mode = note_mode
+        self._local_host = local_host
         self._peer_port = peer_port
         self._clock = clock
         self._following: asyncio.Task[None] | None = None
@@ -180,6 +183,7 @@
         self._subscription = relay.Subscription(
             host=reader.host,
             port=self._peer_port,
+            local_host=self._local_host,
             revision=self._get_revision(),
             deliver=self._deliver,
             note_end=self._note_end,
--- a/src/chivedoor/feed/relay.py
+++ b/src/chivedoor/feed/relay.py
@@ -164,6 +164,7 @@
         *,
         host: str,
         port: int,
+        local_host: str,
         revision: ids.Revision,
         deliver: Callable[[records.Batch, float], None],
         note_end: Callable[["Subscription", str], None],
@@ -174,6 +175,7 @@
         Args:
             host: The reader's address.
             port: The reader's port.
+            local_host: The address to connect from.
             revision: The revision that is known.
             deliver: Called with each batch and the time at which it was
                 known to be current.
@@ -182,6 +184,7 @@
         """
         self.host = host
         self._port = port
+        self._local_host = local_host
         self._revision = revision
         self._deliver = deliver
         self._note_end = note_end
@@ -199,7 +202,11 @@
         try:
             async with asyncio.timeout(const.CONNECT_TIMEOUT_S):
                 await loop.create_connection(
-                    lambda: self, self.host, self._port, family=socket.AF_INET
+                    lambda: self,
+                    self.host,
+                    self._port,
+                    family=socket.AF_INET,
+                    local_addr=(self._local_host, 0),
                 )
         except (OSError, TimeoutError) as error:
             self._end(f"{type(error).__name__}: {error}")
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -56,6 +56,7 @@
 # More endpoints than this are sampled instead of compared one by one.
 MAX_COMPARED_ENDPOINTS: Final = 24
 
-# Balancers that may open flows to one cold endpoint. Each holds a bucket of
-# one flow, so that together they stay below the fixed allowance of five.
-WARMUP_HOLDERS: Final = 2
+# Balancers of all failure domains that may open flows to one cold endpoint.
+# Each holds a bucket of one flow, so that together they stay below the fixed
+# allowance of five, with one to spare while two views of a domain differ.
+WARMUP_HOLDERS: Final = 4
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Iterator
+from collections.abc import Sequence
 import random
 
 from chivedoor import ids
@@ -40,15 +41,26 @@
         *,
         local: ids.VmId,
         domain: ids.DomainId,
+        domains: Sequence[ids.DomainId] = (),
         generator: random.Random,
         observer: observers.Observer | None = None,
     ) -> None:
-        """Creates a steerer without a view."""
+        """Creates a steerer without a view.
+
+        Args:
+            local: This balancer.
+            domain: Its failure domain.
+            domains: All failure domains; only its own when empty.
+            generator: Breaks ties.
+            observer: Is told of durations and changed beliefs.
+        """
         self._observer = observer or observers.SilentObserver()
         self.view = views.View()
         self.flows = flow_tables.FlowTable(observer=self._observer)
         self.suspicions = suspicion.Suspicions()
-        self.budget = warmup.WarmupBudget(local=local)
+        self.budget = warmup.WarmupBudget(
+            local=local, domain=domain, domains=domains
+        )
         self.loads = placement.PeerLoads()
         self.placement = placement.Placement(
             domain=domain,
--- a/src/chivedoor/steering/warmup.py
+++ b/src/chivedoor/steering/warmup.py
@@ -8,19 +8,38 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Sequence
+from typing import TypeVar
 
 import xxhash
 
 from chivedoor import ids
 from chivedoor.steering import const
 
+Name = TypeVar("Name", ids.VmId, ids.DomainId)
+
 
 class WarmupBudget:
     """The part of the rates that this balancer may use."""
 
-    def __init__(self, *, local: ids.VmId) -> None:
-        """Creates a budget for the balancer `local`."""
+    def __init__(
+        self,
+        *,
+        local: ids.VmId,
+        domain: ids.DomainId,
+        domains: Sequence[ids.DomainId],
+    ) -> None:
+        """Creates a budget.
+
+        Args:
+            local: This balancer.
+            domain: Its failure domain.
+            domains: All failure domains. Members are known of the own domain
+                only, so that each domain has its fixed part of a rate.
+        """
         self._local = local
+        self._domain = domain
+        self._domains = tuple(domains) or (domain,)
         self._members: tuple[ids.VmId, ...] = ()
         self._settled_at: float | None = None
         # Time at which the next flow may open, by endpoint.
@@ -32,7 +51,7 @@
         """Sets the balancers that may open flows to cold endpoints.
 
         Args:
-            members: All balancers in view, this one included.
+            members: The balancers of the domain in view, this one included.
             settled_at: Time from which this balancer knows the others well
                 enough to count itself as a holder.
         """
@@ -47,14 +66,19 @@
             return False
         if rate_per_s <= 0.0 or now < self._next_at.get(endpoint_id, now):
             return False
-        return self._local in self._rank_holders(endpoint_id)
+        domains = _rank(endpoint_id, self._domains)[: const.WARMUP_HOLDERS]
+        if self._domain not in domains:
+            return False
+        holders = _rank(endpoint_id, self._members)[: self._count_holders()]
+        return self._local in holders
 
     def take(
         self, endpoint_id: ids.EndpointId, rate_per_s: float, now: float
     ) -> None:
         """Notes that a flow opens on a cold endpoint."""
-        holders = min(const.WARMUP_HOLDERS, len(self._members))
-        self._next_at[endpoint_id] = now + holders / rate_per_s
+        holders = min(self._count_holders(), len(self._members))
+        domains = min(len(self._domains), const.WARMUP_HOLDERS)
+        self._next_at[endpoint_id] = now + holders * domains / rate_per_s
 
     def expire(self, now: float) -> None:
         """Drops the times that have passed."""
@@ -64,11 +88,16 @@
             if next_at > now
         }
 
-    def _rank_holders(self, endpoint_id: ids.EndpointId) -> list[ids.VmId]:
-        ranked = sorted(
-            self._members,
-            key=lambda member: xxhash.xxh32_intdigest(
-                f"{endpoint_id}/{member}".encode()
-            ),
-        )
-        return ranked[: const.WARMUP_HOLDERS]
+    def _count_holders(self) -> int:
+        """Returns the holders of an endpoint in each domain."""
+        return max(1, const.WARMUP_HOLDERS // len(self._domains))
+
+
+def _rank(endpoint_id: ids.EndpointId, names: Iterable[Name]) -> list[Name]:
+    """Orders names by a hash, the same on all balancers."""
+    return sorted(
+        names,
+        key=lambda name: xxhash.xxh32_intdigest(
+            f"{endpoint_id}/{name}".encode()
+        ),
+    )
--- a/tests/edge/conftest.py
+++ b/tests/edge/conftest.py
@@ -4,7 +4,6 @@
 import json
 import pathlib
 import socket
-import struct
 import sys
 
 import aiohttp
@@ -12,11 +11,11 @@
 
 from standins import processes
 from standins import store as store_stand_in
+from standins.echo import packets
 
 CALLER = "127.0.0.7"
 ROUTE = ("198.18.0.1", 443)
 ENDPOINT_ID = "i-7f3a91c2"
-HEAD = struct.Struct(">IH4s4sHIIIBBH")
 SYN, ACK, FIN, RST = 128, 8, 64, 16
 RECEIVE_TIMEOUT_S = 10.0
 
@@ -27,17 +26,6 @@
         return probe.getsockname()[1]
 
 
-class Packet:
-    """A packet as its ends see it."""
-
-    def __init__(self, data: bytes) -> None:
-        fields = HEAD.unpack_from(data)
-        self.sum, self.destination_port, self.destination = fields[:3]
-        self.source, self.source_port, self.tag = fields[3:6]
-        self.sequence, self.acknowledged, self.flags = fields[6:9]
-        self.payload = data[HEAD.size :]
-
-
 def make_packet(
     port: int,
     *,
@@ -48,20 +36,15 @@
     payload: bytes = b"",
 ) -> bytes:
     """Returns a packet of the caller with a port."""
-    head = HEAD.pack(
-        0xA1B2C3D5,
-        ROUTE[1],
-        socket.inet_aton(ROUTE[0]),
-        socket.inet_aton(CALLER),
-        port,
-        tag,
-        sequence,
-        acknowledged,
-        flags,
-        0,
-        len(payload),
-    )
-    return head + payload
+    return packets.Packet(
+        source=(CALLER, port),
+        destination=ROUTE,
+        flags=packets.Flags(flags),
+        tag=tag,
+        sequence=sequence,
+        acknowledged=acknowledged,
+        payload=payload,
+    ).encode()
 
 
 class Edge:
--- a/tests/edge/test_process.py
+++ b/tests/edge/test_process.py
@@ -2,19 +2,23 @@
 
 import asyncio
 import signal
+import socket
+
+import pytest
 
 from standins import store as store_stand_in
+from standins.echo import packets
 from tests.edge import conftest
 
 PORT = 40001
 
 
-async def open_flow(edge) -> conftest.Packet:
+async def open_flow(edge) -> packets.Packet:
     """Opens a flow; returns the packet that the endpoint got."""
     edge.send(conftest.make_packet(PORT, flags=conftest.SYN))
     data = await edge.async_receive(edge.endpoint)
     assert data[:8] == bytes.fromhex("000000007f3a91c2")
-    return conftest.Packet(data[8:])
+    return packets.decode_packet(data[8:])
 
 
 async def start(edge) -> None:
@@ -73,9 +77,9 @@
         )
         await edge.async_receive(edge.endpoint)
         edge.store.remove(f"servers/{conftest.ENDPOINT_ID}")
-        reset = conftest.Packet(await edge.async_receive(edge.callers))
+        reset = packets.decode_packet(await edge.async_receive(edge.callers))
     assert reset.flags == conftest.RST
-    assert reset.destination_port == PORT
+    assert reset.destination[1] == PORT
     await asyncio.sleep(0.5)
     events = [line["message_type"] for line in lines()]
     assert "endpoint-removed" in events
@@ -174,6 +178,41 @@
     assert float(counts[0].split()[-1]) > 0
 
 
+@pytest.mark.parametrize(
+    ("number", "kind"),
+    [
+        (signal.SIGHUP, "settings-reloaded"),
+        (signal.SIGTERM, "stopped"),
+    ],
+)
+async def test_signal_during_the_start_waits(edge, number, kind) -> None:
+    """Guards against a process that a signal ends before it serves.
+
+    Soak, seed 46: a balancer was stopped 60 ms after its start and ended
+    without a line.
+    """
+    edge.publish()
+    edge.list_endpoint()
+    await edge.async_start()
+    # The packet port is bound before the signal handlers exist.
+    async with asyncio.timeout(20):
+        while not is_bound("127.0.0.11", edge.packet_port):
+            await asyncio.sleep(0.001)
+    edge.child.send_signal(number)
+    async with asyncio.timeout(10):
+        while kind not in {line["message_type"] for line in edge.read_lines()}:
+            await asyncio.sleep(0.05)
+
+
+def is_bound(host: str, port: int) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return True
+    return False
+
+
 async def test_faults_in_the_settings_end_the_start(edge) -> None:
     """Guards against a process that runs with half of its settings."""
     edge.settings_path.write_text("[vm]\nid = x\n")
--- a/tests/edge/test_settings.py
+++ b/tests/edge/test_settings.py
@@ -37,6 +37,18 @@
     assert settings.grace_s == 6.0
 
 
+def test_domains_and_peer_address(tmp_path) -> None:
+    """Guards against rates of cold endpoints that one domain takes alone."""
+    settings = load(tmp_path, VALID)
+    assert settings.domains == ()
+    assert settings.peer_host == "10.0.0.1"
+    vm = VALID["vm"] | {"domains": "a, b,c"}
+    peers = VALID["peers"] | {"address": "10.9.0.1"}
+    settings = load(tmp_path, VALID | {"vm": vm, "peers": peers})
+    assert settings.domains == ("a", "b", "c")
+    assert settings.peer_host == "10.9.0.1"
+
+
 def test_no_seeds(tmp_path) -> None:
     """Guards against a lone balancer that does not start."""
     sections = VALID | {"peers": {"port": "7720", "seeds": ""}}
@@ -48,6 +60,7 @@
     [
         ("vm", "id", ""),
         ("vm", "address", "host"),
+        ("vm", "domains", "b,c"),
         ("packets", "address", "10.0.0.1"),
         ("packets", "address", "10.0.0.1:0"),
         ("readiness", "address", "10.0.0.1:70000"),
--- a/tests/feed/test_relay.py
+++ b/tests/feed/test_relay.py
@@ -60,6 +60,7 @@
         subscription = relay.Subscription(
             host="127.0.0.1",
             port=reader.port,
+            local_host="127.0.0.1",
             revision=ids.Revision(revision),
             deliver=deliver,
             note_end=lambda _, reason: ends.append(reason),
--- a/tests/steering/test_warmup.py
+++ b/tests/steering/test_warmup.py
@@ -1,12 +1,12 @@
 """Rates of cold endpoints over all balancers together."""
 
+from collections.abc import Sequence
 import itertools
 import random
 
 import pytest
 
 from chivedoor import ids
-from chivedoor.steering import const
 from chivedoor.steering import warmup
 
 ENDPOINT = ids.EndpointId("i-1")
@@ -16,24 +16,40 @@
 SLACK = 5
 
 
+DOMAIN = ids.DomainId("d0")
+
+
 def make_fleet(
-    members: list[ids.VmId], views: list[list[ids.VmId]]
+    members: list[ids.VmId],
+    views: list[list[ids.VmId]],
+    domain: ids.DomainId = DOMAIN,
+    domains: Sequence[ids.DomainId] = (DOMAIN,),
 ) -> list[warmup.WarmupBudget]:
     fleet = []
     for member, view in zip(members, views, strict=True):
-        budget = warmup.WarmupBudget(local=member)
+        budget = warmup.WarmupBudget(
+            local=member, domain=domain, domains=domains
+        )
         budget.set_members(view, settled_at=0.0)
         fleet.append(budget)
     return fleet
 
 
-def count_worst_second(fleet: list[warmup.WarmupBudget]) -> int:
+def make_single() -> warmup.WarmupBudget:
+    return warmup.WarmupBudget(
+        local=ids.VmId("vm-1"), domain=DOMAIN, domains=(DOMAIN,)
+    )
+
+
+def count_worst_second(
+    fleet: list[warmup.WarmupBudget], rate_per_s: float = RATE_PER_S
+) -> int:
     """Offers a flow to each balancer every 10 ms for 4 seconds."""
     opened: list[float] = []
     for step, budget in itertools.product(range(400), fleet):
         now = step / 100
-        if budget.may_open(ENDPOINT, RATE_PER_S, now):
-            budget.take(ENDPOINT, RATE_PER_S, now)
+        if budget.may_open(ENDPOINT, rate_per_s, now):
+            budget.take(ENDPOINT, rate_per_s, now)
             opened.append(now)
     return max(
         (sum(start <= at < start + 1.0 for at in opened) for start in opened),
@@ -60,9 +76,28 @@
     assert count_worst_second(fleet) <= RATE_PER_S * TOLERANCE + SLACK
 
 
+@pytest.mark.parametrize("rate_per_s", [1.0, 4.0, RATE_PER_S, 40.0])
+@pytest.mark.parametrize("domains", [1, 2, 3, 4, 7])
+def test_domains_share_the_rate(domains: int, rate_per_s: float) -> None:
+    """Guards against each failure domain taking the whole rate.
+
+    Balancers know the members of their own domain only. Three domains opened
+    12 flows in a second to an endpoint that bears 4 (soak, seed 7).
+    """
+    names = [ids.DomainId(f"d{number}") for number in range(domains)]
+    fleet = [
+        budget
+        for name in names
+        for members in [[ids.VmId(f"{name}-{n}") for n in range(4)]]
+        for budget in make_fleet(members, [members] * 4, name, names)
+    ]
+    worst = count_worst_second(fleet, rate_per_s)
+    assert 0 < worst <= rate_per_s * TOLERANCE + SLACK
+
+
 def test_balancer_that_just_started_opens_nothing() -> None:
     """Guards against newcomers that know nobody and take the whole rate."""
-    budget = warmup.WarmupBudget(local=ids.VmId("vm-1"))
+    budget = make_single()
     assert not budget.may_open(ENDPOINT, RATE_PER_S, 1.0)
     budget.set_members([ids.VmId("vm-1")], settled_at=2.0)
     assert not budget.may_open(ENDPOINT, RATE_PER_S, 1.9)
@@ -71,10 +106,10 @@
 
 def test_flow_over_the_rate_is_not_opened() -> None:
     """Guards against a burst to one cold endpoint."""
-    budget = warmup.WarmupBudget(local=ids.VmId("vm-1"))
+    budget = make_single()
     budget.set_members([ids.VmId("vm-1")], settled_at=0.0)
     budget.take(ENDPOINT, RATE_PER_S, 1.0)
     assert not budget.may_open(ENDPOINT, RATE_PER_S, 1.05)
     assert budget.may_open(ENDPOINT, RATE_PER_S, 1.0 + 1 / RATE_PER_S + 0.01)
     budget.expire(10.0)
-    assert const.WARMUP_HOLDERS >= 1
+    assert budget.may_open(ENDPOINT, RATE_PER_S, 10.0)
