Give up repeatable requests at endpoints that nobody reaches

Cause: a request on an open flow of an endpoint that fell silent waits until the entry goes, 2.3 to 3.6 s later, which is past the time limit of 2.5 s. Repeated data alone is no evidence, and placement avoids a dead endpoint so soon that one to three handshakes stay unanswered.

Change: an unanswered handshake, four flows with repeated packets of several callers and 1 s without any progress make an endpoint unreachable; greetings carry the counts. An endpoint that lacks only the handshake gets one flow a second as a trial. Large domains use handshakes only. A target elsewhere is used once the own slots have one request waiting instead of one and a half.

--- a/bench/steering.py
+++ b/bench/steering.py
@@ -246,7 +246,8 @@
         leaving=False,
         in_flight={ids.EndpointId(f"i-{n:08x}"): 1 for n in range(10)},
         summed=False,
-        silent=[],
+        suspects={},
+        stalled={},
     )
 
 
--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -28,6 +28,7 @@
 from chivedoor.feed import records
 from chivedoor.feed import relay
 from chivedoor.platform import store
+from chivedoor.steering import reachability
 from chivedoor.steering import steerer as steerers
 
 
@@ -245,6 +246,7 @@
                 )
             before = now
             self.knowledge.check_age()
+            self.steerer.reachability.set_domain_size(self.peers.is_large())
             self.steerer.budget.set_members(
                 self.peers.list_holders(now), self._settled_at
             )
@@ -341,20 +343,34 @@
             if summed
             else self.steerer.flows.list_in_flight(),
             summed=summed,
-            silent=self.steerer.suspicions.list_suspects(self._clock()),
+            suspects=self._list_suspects(summed),
+            stalled={}
+            if self.peers.is_large()
+            else self.steerer.reachability.list_counts(
+                reachability.Evidence.REQUEST, self._clock(), summed=False
+            ),
         )
 
     def _sum_in_flight(self) -> dict[ids.EndpointId, int]:
         sums = collections.Counter(self.steerer.flows.list_in_flight())
-        sums.update(self.steerer.loads.list_in_flight())
+        sums.update(self.steerer.loads.list())
         return dict(sums)
 
+    def _list_suspects(self, summed: bool) -> dict[ids.EndpointId, int]:
+        now = self._clock()
+        suspects = self.steerer.suspicions.list_suspects(now)
+        return dict.fromkeys(
+            suspects, 0
+        ) | self.steerer.reachability.list_counts(
+            reachability.Evidence.HANDSHAKE, now, summed=summed
+        )
+
     def _note_greeting(self, greeting: peer_sets.Greeting) -> None:
         """Takes a load report; a sum replaces the reports that it holds."""
         now = self._clock()
         if greeting.domain != self._settings.domain:
             return
-        self.steerer.suspicions.note_reported(greeting.silent, now)
+        self.steerer.suspicions.note_reported(greeting.suspects, now)
         if greeting.summed:
             first = self.peers.find_first(now)
             if self.peers.is_candidate() or first is None:
@@ -364,6 +380,13 @@
         elif self.peers.is_large() and not self.peers.is_candidate():
             return
         self.steerer.loads.report(greeting.vm, greeting.in_flight, now)
+        for evidence, counts in (
+            (reachability.Evidence.HANDSHAKE, greeting.suspects),
+            (reachability.Evidence.REQUEST, greeting.stalled),
+        ):
+            self.steerer.reachability.note_reported(
+                greeting.vm, evidence, counts, now, summed=greeting.summed
+            )
 
     def _handle_readiness(self, path: str) -> web.Page | None:
         if path != const.READINESS_PATH:
--- a/src/chivedoor/edge/forwarder.py
+++ b/src/chivedoor/edge/forwarder.py
@@ -88,16 +88,27 @@
             if flow.state is flow_tables.FlowState.IDLE:
                 # Nothing waits there; the next packet is answered.
                 continue
-            self._send_reset(flow_id, flow.acknowledged)
-            self._log.write(
-                lines.Kind.FLOW_RESET,
-                flow=format_flow(flow_id),
-                endpoint=endpoint_id,
-                state=flow.state.value,
-                open_s=round(self._clock() - flow.opened_at, 3),
-                view_age_s=self._get_view_age_s(),
+            self._reset_flow(
+                flow_id, flow, verdicts.RefusalReason.ENDPOINT_REMOVED
             )
 
+    def _reset_flow(
+        self,
+        flow_id: segments.FlowId,
+        flow: flow_tables.Flow,
+        reason: verdicts.RefusalReason,
+    ) -> None:
+        self._send_reset(flow_id, flow.acknowledged)
+        self._log.write(
+            lines.Kind.FLOW_RESET,
+            flow=format_flow(flow_id),
+            reason=reason.value,
+            endpoint=flow.endpoint_id,
+            state=flow.state.value,
+            open_s=round(self._clock() - flow.opened_at, 3),
+            view_age_s=self._get_view_age_s(),
+        )
+
     def _handle_batch(self, batch: list[memoryview]) -> None:
         now = self._clock()
         self.packet_at = now
@@ -112,6 +123,10 @@
                 continue
             self._carry_out(decide(segment, now), segment, datagram)
         self._steerer.check_handshakes(now)
+        for flow_id, flow in self._steerer.take_given_up_flows(now):
+            self._reset_flow(
+                flow_id, flow, verdicts.RefusalReason.ENDPOINT_UNREACHABLE
+            )
         duration_s = self._clock() - now
         self._figures.timings[figure_tables.Timing.BATCH].observe(duration_s)
 
@@ -159,9 +174,7 @@
             tag=verdict.tag,
             repetition=segment.repetition,
             in_flight=self._steerer.flows.count_in_flight(endpoint.id),
-            in_flight_elsewhere=self._steerer.loads.count_in_flight(
-                endpoint.id
-            ),
+            in_flight_elsewhere=self._steerer.loads.get(endpoint.id),
             version=self._steerer.view.version,
             view_age_s=self._get_view_age_s(),
         )
--- a/src/chivedoor/edge/knowledge.py
+++ b/src/chivedoor/edge/knowledge.py
@@ -121,6 +121,7 @@
                     endpoint=endpoint.id,
                     service=endpoint.service,
                     endpoint_domain=endpoint.domain,
+                    address="{}:{}".format(*endpoint.address),
                     draining=endpoint.draining,
                     incarnation=endpoint.incarnation,
                 )
--- a/src/chivedoor/edge/lines.py
+++ b/src/chivedoor/edge/lines.py
@@ -38,6 +38,7 @@
     ENDPOINT_LISTED = "endpoint-listed"
     ENDPOINT_REMOVED = "endpoint-removed"
     ENDPOINT_SUSPECTED = "endpoint-suspected"
+    ENDPOINT_UNREACHABLE = "endpoint-unreachable"
     ENDPOINT_ANSWERED = "endpoint-answered"
     FLOW_PLACED = "flow-placed"
     FLOW_REFUSED = "flow-refused"
--- a/src/chivedoor/edge/observer.py
+++ b/src/chivedoor/edge/observer.py
@@ -36,6 +36,16 @@
             domain_doubted=domain_doubted,
         )
 
+    def note_unreachable(
+        self, endpoint_id: ids.EndpointId, evidence: dict[str, int]
+    ) -> None:
+        """Reports an endpoint whose repeatable requests are given up."""
+        self._log.write(
+            lines.Kind.ENDPOINT_UNREACHABLE,
+            endpoint=endpoint_id,
+            unanswered_flows=evidence,
+        )
+
     def note_cleared(self, endpoint_id: ids.EndpointId) -> None:
         """Reports an endpoint that answers again."""
         self._log.write(lines.Kind.ENDPOINT_ANSWERED, endpoint=endpoint_id)
--- a/src/chivedoor/feed/messages.py
+++ b/src/chivedoor/feed/messages.py
@@ -29,7 +29,8 @@
     bool,
     dict,
     bool,
-    list,
+    dict,
+    dict,
 )
 
 
@@ -191,14 +192,13 @@
             continue
         if type(value) is not expected:
             raise exceptions.MalformedAnswerError(name)
-    in_flight = values[_GREETING_FIELDS.index("in_flight")]
-    if not all(
-        type(key) is str and type(count) is int
-        for key, count in in_flight.items()
-    ):
-        raise exceptions.MalformedAnswerError("in_flight")
-    if not all(type(endpoint_id) is str for endpoint_id in values[-1]):
-        raise exceptions.MalformedAnswerError("silent")
+    for name in ("in_flight", "suspects", "stalled"):
+        counts = values[_GREETING_FIELDS.index(name)]
+        if not all(
+            type(key) is str and type(count) is int
+            for key, count in counts.items()
+        ):
+            raise exceptions.MalformedAnswerError(name)
     return peers.Greeting(**dict(zip(_GREETING_FIELDS, values, strict=True)))
 
 
--- a/src/chivedoor/feed/peers.py
+++ b/src/chivedoor/feed/peers.py
@@ -32,7 +32,9 @@
         leaving: Whether it is being stopped.
         in_flight: Requests in flight through it, by endpoint.
         summed: Whether `in_flight` includes those through its peers.
-        silent: Endpoints that left handshakes through it unanswered.
+        suspects: Endpoints that it avoids, with the number of handshakes that
+            they left unanswered in a row.
+        stalled: Flows whose requests wait at an endpoint that shows no life.
     """
 
     vm: ids.VmId
@@ -45,7 +47,8 @@
     leaving: bool
     in_flight: dict[ids.EndpointId, int]
     summed: bool
-    silent: list[ids.EndpointId]
+    suspects: dict[ids.EndpointId, int]
+    stalled: dict[ids.EndpointId, int]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/chivedoor/platform/items.py
+++ b/src/chivedoor/platform/items.py
@@ -108,6 +108,7 @@
     return key, views.Route(
         name=_get_text(route, "name"),
         shares=_decode_shares(route),
+        repeatable=route.get("type") == "idempotent",
     )
 
 
--- a/src/chivedoor/platform/packets.py
+++ b/src/chivedoor/platform/packets.py
@@ -106,7 +106,7 @@
 
 def get_caller_host(flow: segments.FlowId) -> str:
     """Returns the address of a flow's caller as text."""
-    return ".".join(map(str, flow[6:10]))
+    return ".".join(map(str, flow[segments.CALLER_ADDRESS]))
 
 
 def get_caller_port(flow: segments.FlowId) -> int:
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -37,8 +37,8 @@
 
 # Penalty of an endpoint in another failure domain, in parts of a full target.
 # Flows elsewhere break or wait when the domains are cut off from each other,
-# so the own targets are used until each slot has a request and a half waiting.
-REMOTE_DOMAIN_PENALTY: Final = 1.5
+# so the own targets are used until each of their slots has a request waiting.
+REMOTE_DOMAIN_PENALTY: Final = 1.0
 # An endpoint whose entry may only have lapsed is used when the listed ones
 # have a request more for each slot.
 LAPSED_PENALTY: Final = 1.0
@@ -53,6 +53,31 @@
 REPORTED_SUSPICION_S: Final = 1.2
 # Load reports of other balancers older than this are not used.
 LOAD_REPORT_LIFETIME_S: Final = 1.5
+# An endpoint counts as unreachable after this many flows with a repeated
+# packet, of which one is a handshake. With one packet in forty lost, one
+# handshake in twenty stays unanswered, and four in a row without any progress
+# are one in 160,000.
+UNANSWERED_FLOWS: Final = 4
+# In a large domain a balancer sees a flow of an endpoint every few seconds, so
+# that its requests say little; only handshakes count there.
+UNANSWERED_HANDSHAKES_LARGE: Final = 6
+# Callers repeat data after 200, 600 and 1,400 ms.
+UNANSWERED_S: Final = 1.5
+# An endpoint whose requests take five times their time still ends several a
+# second before each balancer of a small domain.
+SILENT_S: Final = 1.0
+# An endpoint whose requests wait gets one new flow after this time without
+# progress, at most once an interval, to see whether it answers a handshake.
+# Its caller repeats the handshake after 200 ms and is then placed elsewhere.
+DOUBTFUL_S: Final = 0.4
+TRIAL_INTERVAL_S: Final = 1.0
+# Entries of endpoints that are gone disappear within this time on the known
+# sites; an endpoint that is still listed is tried again after it.
+UNREACHABLE_S: Final = 4.0
+# Callers repeat an opening packet after 200 ms. One that arrives sooner after
+# the first one waited with it while this balancer stood still.
+OPENING_REPETITION_MIN_S: Final = 0.1
+
 # More endpoints than this are sampled instead of compared one by one.
 MAX_COMPARED_ENDPOINTS: Final = 24
 
--- a/src/chivedoor/steering/flows.py
+++ b/src/chivedoor/steering/flows.py
@@ -26,6 +26,16 @@
     WORKING = "working"
 
 
+class SegmentEffect(enum.Enum):
+    """What a packet of the caller shows."""
+
+    NONE = "none"
+    OPENED = "opened"
+    PROGRESSED = "progressed"
+    # Data came again that the caller had sent before.
+    REPEATED = "repeated"
+
+
 class Flow:
     """A flow that this balancer has seen packets of.
 
@@ -33,6 +43,7 @@
         endpoint_id: The endpoint that it was placed on.
         state: Its progress.
         acknowledged: What the caller acknowledged last.
+        sent: Sequence number after the last data that the caller sent.
         opened_at: Time of the packet that created the record.
         changed_at: Time of the last change of its state.
         seen_at: Time of its last packet.
@@ -44,6 +55,7 @@
         "endpoint_id",
         "opened_at",
         "seen_at",
+        "sent",
         "state",
     )
 
@@ -59,6 +71,7 @@
         self.endpoint_id = endpoint_id
         self.state = state
         self.acknowledged = acknowledged
+        self.sent: int | None = None
         self.opened_at = now
         self.changed_at = now
         self.seen_at = now
@@ -126,18 +139,15 @@
         segment: segments.Segment,
         endpoint_id: ids.EndpointId,
         now: float,
-    ) -> bool:
-        """Notes a packet of an established flow.
-
-        Returns:
-            Whether this is the first packet after the handshake.
-        """
+    ) -> SegmentEffect:
+        """Notes a packet of an established flow."""
         flow = self._flows.get(segment.flow)
         if flow is None or flow.endpoint_id != endpoint_id:
             self.close_flow(segment.flow)
             self._adopt(segment, endpoint_id, now)
-            return False
+            return SegmentEffect.NONE
         flow.seen_at = now
+        repeated = _note_data(flow, segment)
         if flow.state is FlowState.OPENING:
             flow.acknowledged = segment.acknowledged
             self._observer.note_handshake(now - flow.opened_at)
@@ -146,9 +156,10 @@
                 FlowState.WORKING if segment.payload_bytes else FlowState.IDLE,
                 now,
             )
-            return True
-        self._note_progress(flow, segment, now)
-        return False
+            return SegmentEffect.OPENED
+        if self._note_progress(flow, segment, now):
+            return SegmentEffect.PROGRESSED
+        return SegmentEffect.REPEATED if repeated else SegmentEffect.NONE
 
     def close_flow(self, flow_id: segments.FlowId) -> None:
         """Drops the record of a flow."""
@@ -190,13 +201,15 @@
             acknowledged=segment.acknowledged,
             now=now,
         )
+        _note_data(flow, segment)
         self._flows[segment.flow] = flow
         if working:
             self._count(endpoint_id, 1)
 
     def _note_progress(
         self, flow: Flow, segment: segments.Segment, now: float
-    ) -> None:
+    ) -> bool:
+        """Returns whether the caller has more of the reply than before."""
         advance = (segment.acknowledged - flow.acknowledged) & _SEQUENCE_MASK
         progressed = 0 < advance < _SEQUENCE_HALF
         if progressed:
@@ -208,6 +221,7 @@
                 self._change(flow, FlowState.WORKING, now)
         elif progressed:
             self._change(flow, FlowState.IDLE, now)
+        return progressed
 
     def _change(self, flow: Flow, state: FlowState, now: float) -> None:
         was_idle = flow.state is FlowState.IDLE
@@ -223,3 +237,16 @@
             self._in_flight[endpoint_id] = count
         else:
             self._in_flight.pop(endpoint_id, None)
+
+
+def _note_data(flow: Flow, segment: segments.Segment) -> bool:
+    """Returns whether the caller had sent all data of a packet before."""
+    if not segment.payload_bytes:
+        return False
+    end = (segment.sequence + segment.payload_bytes) & _SEQUENCE_MASK
+    if flow.sent is not None:
+        advance = (end - flow.sent) & _SEQUENCE_MASK
+        if not 0 < advance < _SEQUENCE_HALF:
+            return True
+    flow.sent = end
+    return False
--- a/src/chivedoor/steering/observer.py
+++ b/src/chivedoor/steering/observer.py
@@ -22,6 +22,11 @@
     def note_cleared(self, endpoint_id: ids.EndpointId) -> None:
         """A flow opened on an endpoint that was under suspicion."""
 
+    def note_unreachable(
+        self, endpoint_id: ids.EndpointId, evidence: dict[str, int]
+    ) -> None:
+        """An endpoint counts as unreachable, by these counts of flows."""
+
 
 class SilentObserver:
     """Tells nobody."""
@@ -39,3 +44,8 @@
 
     def note_cleared(self, endpoint_id: ids.EndpointId) -> None:
         """Does nothing."""
+
+    def note_unreachable(
+        self, endpoint_id: ids.EndpointId, evidence: dict[str, int]
+    ) -> None:
+        """Does nothing."""
--- a/src/chivedoor/steering/placement.py
+++ b/src/chivedoor/steering/placement.py
@@ -13,51 +13,13 @@
 from chivedoor import ids
 from chivedoor.steering import const
 from chivedoor.steering import flows as flow_tables
+from chivedoor.steering import reachability as reachability_module
+from chivedoor.steering import reports
 from chivedoor.steering import suspicion
 from chivedoor.steering import view as views
 from chivedoor.steering import warmup
 
 
-class PeerLoads:
-    """Requests in flight that other balancers reported."""
-
-    def __init__(self) -> None:
-        self._reports: dict[
-            ids.VmId, tuple[float, dict[ids.EndpointId, int]]
-        ] = {}
-        self._sums: dict[ids.EndpointId, int] = {}
-
-    def report(
-        self, vm: ids.VmId, in_flight: dict[ids.EndpointId, int], now: float
-    ) -> None:
-        """Replaces the report of a balancer."""
-        self._withdraw(vm)
-        self._reports[vm] = (now, in_flight)
-        for endpoint_id, count in in_flight.items():
-            self._sums[endpoint_id] = self._sums.get(endpoint_id, 0) + count
-
-    def count_in_flight(self, endpoint_id: ids.EndpointId) -> int:
-        """Returns the requests in flight through the other balancers."""
-        return self._sums.get(endpoint_id, 0)
-
-    def list_in_flight(self) -> dict[ids.EndpointId, int]:
-        """Returns the requests in flight through the other balancers."""
-        return dict(self._sums)
-
-    def expire(self, now: float) -> None:
-        """Drops reports that are too old to be used."""
-        oldest = now - const.LOAD_REPORT_LIFETIME_S
-        for vm in [vm for vm, (at, _) in self._reports.items() if at < oldest]:
-            self._withdraw(vm)
-
-    def _withdraw(self, vm: ids.VmId) -> None:
-        _, in_flight = self._reports.pop(vm, (0.0, {}))
-        for endpoint_id, count in in_flight.items():
-            self._sums[endpoint_id] -= count
-            if not self._sums[endpoint_id]:
-                del self._sums[endpoint_id]
-
-
 class Placement:
     """Chooses endpoints for new flows."""
 
@@ -68,8 +30,9 @@
         view: views.View,
         flows: flow_tables.FlowTable,
         suspicions: suspicion.Suspicions,
+        reachability: reachability_module.Reachability,
         budget: warmup.WarmupBudget,
-        loads: PeerLoads,
+        loads: reports.PeerCounts,
         generator: random.Random,
     ) -> None:
         """Creates a placement for a balancer in `domain`."""
@@ -77,6 +40,7 @@
         self._view = view
         self._flows = flows
         self._suspicions = suspicions
+        self._reachability = reachability
         self._budget = budget
         self._loads = loads
         self._generator = generator
@@ -115,7 +79,8 @@
             endpoint for endpoint in warm if endpoint.id != avoided
         ] or warm
         if others:
-            return self._choose_least_loaded(others, now)
+            trial = None if avoided else self._choose_trial(others, now)
+            return trial or self._choose_least_loaded(others, now)
         return self._choose_cold(service, usable, now)
 
     def _list_endpoints(
@@ -139,6 +104,17 @@
         services, weights = zip(*route.shares, strict=True)
         return self._generator.choices(services, weights)[0]
 
+    def _choose_trial(
+        self, endpoints: Sequence[views.Endpoint], now: float
+    ) -> views.Endpoint | None:
+        """Returns an endpoint of which a handshake shows whether it lives."""
+        doubtful = self._reachability.find_doubtful(now)
+        for endpoint in endpoints if doubtful else ():
+            if endpoint.id in doubtful:
+                self._reachability.note_trial(endpoint.id, now)
+                return endpoint
+        return None
+
     def _choose_least_loaded(
         self, endpoints: Sequence[views.Endpoint], now: float
     ) -> views.Endpoint:
@@ -170,9 +146,9 @@
         ]
 
     def _rank(self, endpoint: views.Endpoint, now: float) -> float:
-        in_flight = self._flows.count_in_flight(
+        in_flight = self._flows.count_in_flight(endpoint.id) + self._loads.get(
             endpoint.id
-        ) + self._loads.count_in_flight(endpoint.id)
+        )
         rank = (in_flight + 1) / endpoint.slots
         if endpoint.domain != self._domain:
             rank += const.REMOTE_DOMAIN_PENALTY
--- /dev/null
+++ b/src/chivedoor/steering/reachability.py
@@ -0,0 +1,219 @@
+"""Endpoints that nobody reaches, learned from what callers repeat.
+
+A live endpoint answers an opening packet at once, however long its requests
+take. A handshake that stays unanswered, requests of several callers that wait,
+and no progress of any flow on the endpoint meanwhile show that it is gone or
+cut off, seconds before its entry disappears. Repeated data alone shows
+nothing: ends acknowledge every second packet, so that a request of one packet
+is repeated whenever its reply is slow.
+"""
+
+import enum
+
+from chivedoor import ids
+from chivedoor.steering import const
+from chivedoor.steering import reports
+from chivedoor.steering import segment as segments
+
+
+class Evidence(enum.Enum):
+    """What callers repeat."""
+
+    HANDSHAKE = "handshake"
+    REQUEST = "request"
+
+
+class Reachability:
+    """Counts what callers repeat since an endpoint last showed life."""
+
+    def __init__(self) -> None:
+        # Time of the last repetition, by endpoint and flow.
+        self._repeated: dict[
+            Evidence, dict[ids.EndpointId, dict[segments.FlowId, float]]
+        ] = {kind: {} for kind in Evidence}
+        self._reports = {kind: _make_reports() for kind in Evidence}
+        # Sums of a whole domain, which include the own counts.
+        self._sums = {kind: _make_reports() for kind in Evidence}
+        self._progress_at: dict[ids.EndpointId, float] = {}
+        self._unreachable_until: dict[ids.EndpointId, float] = {}
+        # Time of the last flow that was placed to learn more.
+        self._trial_at: dict[ids.EndpointId, float] = {}
+        self._large = False
+
+    def set_domain_size(self, large: bool) -> None:
+        """Sets which evidence is used.
+
+        In a large domain each balancer sees little of an endpoint's progress,
+        so that slow requests and lost packets add up to more.
+        """
+        self._large = large
+
+    def note_repeated(
+        self,
+        evidence: Evidence,
+        endpoint_id: ids.EndpointId,
+        flow: segments.FlowId,
+        now: float,
+    ) -> None:
+        """Notes that a caller repeated a packet to an endpoint."""
+        self._repeated[evidence].setdefault(endpoint_id, {})[flow] = now
+
+    def note_progress(self, endpoint_id: ids.EndpointId, now: float) -> None:
+        """Notes that a caller heard of an endpoint."""
+        self._progress_at[endpoint_id] = now
+        self._unreachable_until.pop(endpoint_id, None)
+        for repeated in self._repeated.values():
+            repeated.pop(endpoint_id, None)
+
+    def note_reported(
+        self,
+        vm: ids.VmId,
+        evidence: Evidence,
+        counts: dict[ids.EndpointId, int],
+        now: float,
+        *,
+        summed: bool,
+    ) -> None:
+        """Takes the counts of another balancer, or the sum of a domain."""
+        table = self._sums if summed else self._reports
+        table[evidence].report(vm, counts, now)
+
+    def check(self, endpoint_id: ids.EndpointId, now: float) -> bool:
+        """Returns whether an endpoint has become unreachable just now."""
+        if not self._is_enough(endpoint_id, now):
+            return False
+        known = self.is_unreachable(endpoint_id, now)
+        self._unreachable_until[endpoint_id] = now + const.UNREACHABLE_S
+        return not known
+
+    def is_unreachable(self, endpoint_id: ids.EndpointId, now: float) -> bool:
+        """Returns whether an endpoint counts as unreachable."""
+        return self._unreachable_until.get(endpoint_id, now) > now
+
+    def count(
+        self, evidence: Evidence, endpoint_id: ids.EndpointId, now: float
+    ) -> int:
+        """Returns the flows with this evidence that are known of."""
+        own = len(self._list_recent(evidence, endpoint_id, now))
+        return max(
+            own + self._reports[evidence].get(endpoint_id),
+            self._sums[evidence].get(endpoint_id),
+        )
+
+    def find_doubtful(self, now: float) -> list[ids.EndpointId]:
+        """Returns endpoints that lack only a handshake to be judged.
+
+        Placement avoids an endpoint whose requests wait, so that no handshake
+        may reach it by itself.
+        """
+        if self._large:
+            return []
+        return [
+            endpoint_id
+            for endpoint_id in self._repeated[Evidence.REQUEST]
+            if self._lacks_handshake(endpoint_id, now)
+        ]
+
+    def note_trial(self, endpoint_id: ids.EndpointId, now: float) -> None:
+        """Notes that a flow was placed to see whether an endpoint answers."""
+        self._trial_at[endpoint_id] = now
+
+    def list_waiting(
+        self, endpoint_id: ids.EndpointId, now: float
+    ) -> list[segments.FlowId]:
+        """Returns the flows whose requests were repeated of late."""
+        return list(self._list_recent(Evidence.REQUEST, endpoint_id, now))
+
+    def list_counts(
+        self, evidence: Evidence, now: float, *, summed: bool
+    ) -> dict[ids.EndpointId, int]:
+        """Returns the counts to report, with those of others if summed."""
+        counts = self._reports[evidence].list() if summed else {}
+        for endpoint_id in self._repeated[evidence]:
+            own = len(self._list_recent(evidence, endpoint_id, now))
+            if own:
+                counts[endpoint_id] = counts.get(endpoint_id, 0) + own
+        return counts
+
+    def expire(self, now: float) -> None:
+        """Drops what is out of date."""
+        for kind in Evidence:
+            self._reports[kind].expire(now)
+            self._sums[kind].expire(now)
+            self._repeated[kind] = {
+                endpoint_id: recent
+                for endpoint_id in self._repeated[kind]
+                if (recent := self._list_recent(kind, endpoint_id, now))
+            }
+        self._unreachable_until = {
+            endpoint_id: until
+            for endpoint_id, until in self._unreachable_until.items()
+            if until > now
+        }
+        self._trial_at = {
+            endpoint_id: at
+            for endpoint_id, at in self._trial_at.items()
+            if at >= now - const.TRIAL_INTERVAL_S
+        }
+        oldest = now - const.SILENT_S
+        self._progress_at = {
+            endpoint_id: at
+            for endpoint_id, at in self._progress_at.items()
+            if at >= oldest
+        }
+
+    def _is_enough(self, endpoint_id: ids.EndpointId, now: float) -> bool:
+        progress_at = self._progress_at.get(endpoint_id)
+        if progress_at is not None and now - progress_at < const.SILENT_S:
+            return False
+        handshakes = self.count(Evidence.HANDSHAKE, endpoint_id, now)
+        if not handshakes or self._is_one_caller(endpoint_id, now):
+            return False
+        if self._large:
+            return handshakes >= const.UNANSWERED_HANDSHAKES_LARGE
+        requests = self.count(Evidence.REQUEST, endpoint_id, now)
+        return handshakes + requests >= const.UNANSWERED_FLOWS
+
+    def _lacks_handshake(self, endpoint_id: ids.EndpointId, now: float) -> bool:
+        progress_at = self._progress_at.get(endpoint_id)
+        trial_at = self._trial_at.get(endpoint_id)
+        return (
+            (progress_at is None or now - progress_at >= const.DOUBTFUL_S)
+            and (trial_at is None or now - trial_at >= const.TRIAL_INTERVAL_S)
+            and self.count(Evidence.REQUEST, endpoint_id, now)
+            >= const.UNANSWERED_FLOWS - 1
+            and not self.count(Evidence.HANDSHAKE, endpoint_id, now)
+        )
+
+    def _is_one_caller(self, endpoint_id: ids.EndpointId, now: float) -> bool:
+        """Returns whether all evidence comes from one caller.
+
+        That one may be cut off itself.
+        """
+        callers = {
+            flow[segments.CALLER_ADDRESS]
+            for kind in Evidence
+            for flow in self._list_recent(kind, endpoint_id, now)
+        }
+        reported = any(
+            table[kind].get(endpoint_id)
+            for table in (self._reports, self._sums)
+            for kind in Evidence
+        )
+        return len(callers) < 2 and not reported
+
+    def _list_recent(
+        self, evidence: Evidence, endpoint_id: ids.EndpointId, now: float
+    ) -> dict[segments.FlowId, float]:
+        oldest = now - const.UNANSWERED_S
+        return {
+            flow: at
+            for flow, at in self._repeated[evidence]
+            .get(endpoint_id, {})
+            .items()
+            if at >= oldest
+        }
+
+
+def _make_reports() -> reports.PeerCounts:
+    return reports.PeerCounts(lifetime_s=const.REPORTED_SUSPICION_S)
--- /dev/null
+++ b/src/chivedoor/steering/reports.py
@@ -0,0 +1,45 @@
+"""Counts by endpoint that other balancers reported."""
+
+from chivedoor import ids
+
+
+class PeerCounts:
+    """The newest report of each balancer, and their sums."""
+
+    def __init__(self, *, lifetime_s: float) -> None:
+        """Creates an empty table whose reports are used for a time."""
+        self._lifetime_s = lifetime_s
+        self._reports: dict[
+            ids.VmId, tuple[float, dict[ids.EndpointId, int]]
+        ] = {}
+        self._sums: dict[ids.EndpointId, int] = {}
+
+    def report(
+        self, vm: ids.VmId, counts: dict[ids.EndpointId, int], now: float
+    ) -> None:
+        """Replaces the report of a balancer."""
+        self._withdraw(vm)
+        self._reports[vm] = (now, counts)
+        for endpoint_id, count in counts.items():
+            self._sums[endpoint_id] = self._sums.get(endpoint_id, 0) + count
+
+    def get(self, endpoint_id: ids.EndpointId) -> int:
+        """Returns the sum of the reports for an endpoint."""
+        return self._sums.get(endpoint_id, 0)
+
+    def list(self) -> dict[ids.EndpointId, int]:
+        """Returns the sums by endpoint."""
+        return dict(self._sums)
+
+    def expire(self, now: float) -> None:
+        """Drops reports that are too old to be used."""
+        oldest = now - self._lifetime_s
+        for vm in [vm for vm, (at, _) in self._reports.items() if at < oldest]:
+            self._withdraw(vm)
+
+    def _withdraw(self, vm: ids.VmId) -> None:
+        _, counts = self._reports.pop(vm, (0.0, {}))
+        for endpoint_id, count in counts.items():
+            self._sums[endpoint_id] -= count
+            if not self._sums[endpoint_id]:
+                del self._sums[endpoint_id]
--- a/src/chivedoor/steering/segment.py
+++ b/src/chivedoor/steering/segment.py
@@ -5,12 +5,20 @@
 
 from chivedoor import ids
 
-# The two addresses and ports of a flow, packed.
+# The two ends of a flow, packed: the route's port and address, the caller's
+# address and port.
 FlowId = NewType("FlowId", bytes)
+_ROUTE = slice(0, 6)
+CALLER_ADDRESS = slice(6, 10)
 # Packed address and port of a route.
 RouteKey = NewType("RouteKey", bytes)
 
 
+def get_route(flow: FlowId) -> RouteKey:
+    """Returns the route that a flow's caller called."""
+    return RouteKey(flow[_ROUTE])
+
+
 class SegmentKind(enum.Enum):
     """What a packet of a caller does to its flow."""
 
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -10,6 +10,8 @@
 from chivedoor.steering import flows as flow_tables
 from chivedoor.steering import observer as observers
 from chivedoor.steering import placement
+from chivedoor.steering import reachability
+from chivedoor.steering import reports
 from chivedoor.steering import segment as segments
 from chivedoor.steering import suspicion
 from chivedoor.steering import tags
@@ -17,6 +19,10 @@
 from chivedoor.steering import view as views
 from chivedoor.steering import warmup
 
+_SIGNS_OF_LIFE = (
+    flow_tables.SegmentEffect.OPENED,
+    flow_tables.SegmentEffect.PROGRESSED,
+)
 _DROPS = {
     reason: verdicts.Drop(reason=reason) for reason in verdicts.DropReason
 }
@@ -32,6 +38,7 @@
         view: Routes and endpoints.
         flows: Requests in flight.
         suspicions: Endpoints that do not answer.
+        reachability: Endpoints that nobody reaches.
         budget: This balancer's part of the rates of cold endpoints.
         loads: What other balancers reported.
     """
@@ -58,15 +65,17 @@
         self.view = views.View()
         self.flows = flow_tables.FlowTable(observer=self._observer)
         self.suspicions = suspicion.Suspicions()
+        self.reachability = reachability.Reachability()
         self.budget = warmup.WarmupBudget(
             local=local, domain=domain, domains=domains
         )
-        self.loads = placement.PeerLoads()
+        self.loads = reports.PeerCounts(lifetime_s=const.LOAD_REPORT_LIFETIME_S)
         self.placement = placement.Placement(
             domain=domain,
             view=self.view,
             flows=self.flows,
             suspicions=self.suspicions,
+            reachability=self.reachability,
             budget=self.budget,
             loads=self.loads,
             generator=generator,
@@ -75,6 +84,8 @@
         self._openings: collections.deque[tuple[float, segments.FlowId]] = (
             collections.deque()
         )
+        # Endpoints whose waiting requests are still to be given up.
+        self._unreachable: list[ids.EndpointId] = []
         # Time from which a missing entry means that the endpoint is gone;
         # None while the view is incomplete or not confirmed.
         self._complete_from: float | None = None
@@ -106,6 +117,27 @@
             self.flows.close_flow(flow_id)
             yield flow_id, flow
 
+    def take_given_up_flows(
+        self, now: float
+    ) -> list[tuple[segments.FlowId, flow_tables.Flow]]:
+        """Returns and forgets flows whose callers wait in vain.
+
+        These are the flows on endpoints that have become unreachable, whose
+        callers have repeated a request that may run again. Called often.
+        """
+        endpoint_ids, self._unreachable = self._unreachable, []
+        given_up = [
+            (flow_id, flow)
+            for endpoint_id in endpoint_ids
+            for flow_id in self.reachability.list_waiting(endpoint_id, now)
+            if self._is_repeatable(flow_id)
+            and (flow := self.flows.get(flow_id)) is not None
+            and flow.endpoint_id == endpoint_id
+        ]
+        for flow_id, _ in given_up:
+            self.flows.close_flow(flow_id)
+        return given_up
+
     def check_handshakes(self, now: float) -> None:
         """Suspects endpoints that refused a handshake; called often.
 
@@ -130,6 +162,7 @@
         """Drops state that is out of date; called once a second."""
         self.flows.expire(now)
         self.suspicions.expire(now)
+        self.reachability.expire(now)
         self.budget.expire(now)
         self.loads.expire(now)
         self.view.forget_removed(now)
@@ -173,8 +206,29 @@
         endpoint = self.view.endpoints.get(flow.endpoint_id)
         if endpoint is not None:
             self._suspect(endpoint, now)
+            if now - flow.opened_at >= const.OPENING_REPETITION_MIN_S:
+                self.reachability.note_repeated(
+                    reachability.Evidence.HANDSHAKE,
+                    endpoint.id,
+                    segment.flow,
+                    now,
+                )
+                self._check_reachability(endpoint.id, now)
         return flow.endpoint_id
 
+    def _check_reachability(
+        self, endpoint_id: ids.EndpointId, now: float
+    ) -> None:
+        if self.reachability.check(endpoint_id, now):
+            self._unreachable.append(endpoint_id)
+            self._observer.note_unreachable(
+                endpoint_id,
+                {
+                    kind.value: self.reachability.count(kind, endpoint_id, now)
+                    for kind in reachability.Evidence
+                },
+            )
+
     def _suspect(self, endpoint: views.Endpoint, now: float) -> None:
         new = self.suspicions.note_unanswered(endpoint.id, endpoint.domain, now)
         if new:
@@ -199,7 +253,11 @@
             )
         if segment.route not in self.view.routes and self.is_complete(now):
             return self._refuse(segment, verdicts.RefusalReason.ROUTE_REMOVED)
-        self._note_segment(segment, endpoint, now)
+        effect = self._note_segment(segment, endpoint, now)
+        if self._is_stranded(effect, segment.flow, endpoint, now):
+            return self._refuse(
+                segment, verdicts.RefusalReason.ENDPOINT_UNREACHABLE
+            )
         return verdicts.Deliver(endpoint=endpoint, tag=None)
 
     def _note_segment(
@@ -207,15 +265,43 @@
         segment: segments.Segment,
         endpoint: views.Endpoint,
         now: float,
-    ) -> None:
+    ) -> flow_tables.SegmentEffect:
         if segment.kind is not segments.SegmentKind.ESTABLISHED:
             self.flows.close_flow(segment.flow)
-            return
-        opened = self.flows.note_segment(segment, endpoint.id, now)
-        if not opened:
-            return
-        if self.suspicions.note_opened(endpoint.id, endpoint.domain):
+            return flow_tables.SegmentEffect.NONE
+        effect = self.flows.note_segment(segment, endpoint.id, now)
+        if effect in _SIGNS_OF_LIFE:
+            self.reachability.note_progress(endpoint.id, now)
+        opened = effect is flow_tables.SegmentEffect.OPENED
+        if opened and self.suspicions.note_opened(endpoint.id, endpoint.domain):
             self._observer.note_cleared(endpoint.id)
+        return effect
+
+    def _is_stranded(
+        self,
+        effect: flow_tables.SegmentEffect,
+        flow_id: segments.FlowId,
+        endpoint: views.Endpoint,
+        now: float,
+    ) -> bool:
+        """Returns whether a caller is better off with another endpoint.
+
+        Only requests that may be repeated are given up. The others may have
+        run, and their callers would not repeat them.
+        """
+        if effect is not flow_tables.SegmentEffect.REPEATED:
+            return False
+        self.reachability.note_repeated(
+            reachability.Evidence.REQUEST, endpoint.id, flow_id, now
+        )
+        if not self._is_repeatable(flow_id):
+            return False
+        self._check_reachability(endpoint.id, now)
+        return self.reachability.is_unreachable(endpoint.id, now)
+
+    def _is_repeatable(self, flow_id: segments.FlowId) -> bool:
+        route = self.view.routes.get(segments.get_route(flow_id))
+        return route is not None and route.repeatable
 
     def _refuse(
         self, segment: segments.Segment, reason: verdicts.RefusalReason
--- a/src/chivedoor/steering/verdicts.py
+++ b/src/chivedoor/steering/verdicts.py
@@ -22,6 +22,7 @@
     NO_ROUTE = "no-route"
     NO_ENDPOINT = "no-endpoint"
     ENDPOINT_REMOVED = "endpoint-removed"
+    ENDPOINT_UNREACHABLE = "endpoint-unreachable"
     ROUTE_REMOVED = "route-removed"
     UNKNOWN_ENDPOINT = "unknown-endpoint"
 
--- a/src/chivedoor/steering/view.py
+++ b/src/chivedoor/steering/view.py
@@ -77,10 +77,13 @@
     Attributes:
         name: The operators' name of the route.
         shares: Services with their weights.
+        repeatable: Whether callers repeat requests that failed, whatever
+            became of them.
     """
 
     name: str
     shares: tuple[tuple[ids.ServiceId, float], ...]
+    repeatable: bool
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/tests/feed/conftest.py
+++ b/tests/feed/conftest.py
@@ -45,7 +45,8 @@
         leaving=leaving,
         in_flight={},
         summed=False,
-        silent=[],
+        suspects={},
+        stalled={},
     )
 
 
--- a/tests/steering/conftest.py
+++ b/tests/steering/conftest.py
@@ -83,9 +83,12 @@
     *,
     warmup_per_s: float = 8.0,
     routes: bool = True,
+    repeatable: bool = False,
 ) -> views.Configuration:
     """Returns a configuration with one service and one route to it."""
-    route = views.Route(name="r", shares=((SERVICE, 1.0),))
+    route = views.Route(
+        name="r", shares=((SERVICE, 1.0),), repeatable=repeatable
+    )
     return views.Configuration(
         version=ids.Version(version),
         routes={ROUTE: route} if routes else {},
--- a/tests/steering/test_flows.py
+++ b/tests/steering/test_flows.py
@@ -87,7 +87,8 @@
 def test_flow_that_moved_here_is_adopted() -> None:
     """Guards against flows of other balancers that are never counted."""
     table = flow_tables.FlowTable(observer=observer.SilentObserver())
-    assert not note(table, 1, acknowledged=1, payload_bytes=10)
+    effect = note(table, 1, acknowledged=1, payload_bytes=10)
+    assert effect is flow_tables.SegmentEffect.NONE
     assert table.count_in_flight(ENDPOINT) == 1
 
 
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -71,7 +71,7 @@
     steerer = make_steerer(busy, idle)
     steerer.loads.report(ids.VmId("vm-2"), {busy.id: 4}, 1.0)
     steerer.expire(1.0 + const.LOAD_REPORT_LIFETIME_S + 0.1)
-    assert steerer.loads.count_in_flight(busy.id) == 0
+    assert steerer.loads.get(busy.id) == 0
 
 
 def test_half_of_the_targets_slow(make_steerer) -> None:
@@ -176,7 +176,9 @@
         conftest.make_endpoint(1), conftest.make_endpoint(2, service=other)
     )
     shares = ((conftest.SERVICE, 90.0), (other, 10.0))
-    steerer.view.routes = {conftest.ROUTE: views.Route(name="r", shares=shares)}
+    steerer.view.routes = {
+        conftest.ROUTE: views.Route(name="r", shares=shares, repeatable=False)
+    }
     counts = place(steerer, range(2000))
     assert counts["i-00000002"] == pytest.approx(200, abs=60)
 
