Count repeated first packets towards the ramp of a restarted target

Cause: the owner passed a repeated SYN of a recorded flow on to its target at any time.

Change: since the target became bad or cold, a repeated first packet of a flow that it never answered needs a token of the ramp; none while it is bad.

--- a/src/chivedoor/admission/target.py
+++ b/src/chivedoor/admission/target.py
@@ -56,6 +56,8 @@
         self._draining = False
         self._granted: tuple[document.PortKind, float] | None = None
         self._ejectable = True
+        # Time at which the target last became bad or cold.
+        self._worsened_at = now
 
     @property
     def connections(self) -> int:
@@ -142,6 +144,27 @@
         self._ramp.start_flow(now)
         self._health.start_flow(now)
 
+    def repeat(self, admitted_at: float, share: float, now: float) -> bool:
+        """Returns whether a flow's first packet may go to the target again.
+
+        A target that has restarted takes the repeated packets of flows that
+        its former process never answered as new flows. Those count towards
+        the ramp.
+
+        Args:
+            admitted_at: When the flow was admitted, in monotonic seconds.
+            share: The part of the limits that this owner may use, 0 to 1.
+            now: Monotonic time in seconds.
+        """
+        if admitted_at >= self._worsened_at:
+            return True
+        if self._ejectable and self._health.estimate is health.Estimate.BAD:
+            return False
+        if not self._ramp.can_start(share=share, now=now):
+            return False
+        self._ramp.start_flow(now)
+        return True
+
     def adopt(self, kind: document.PortKind) -> None:
         """Counts a flow that exists already, also beyond the limits."""
         self._limits.adopt(kind)
@@ -167,7 +190,7 @@
         """
         if self._health.note_success(now):
             # A target that was unreachable has probably restarted.
-            self._ramp.restart(now)
+            self._restart_ramp(now)
         if duration_s is None:
             return
         if self._handshakes.note_handshake(duration_s, now):
@@ -182,32 +205,34 @@
             now: Monotonic time in seconds.
         """
         if not established:
-            self._health.note_failure(now)
+            self._note_failure(now)
             return
         likely = self._resets.note_reset(self._limits.connections, now)
         # Flows from before a restart are reset for as long as they live; the
         # ramp that the first of them started must not start again each time.
         if likely and not self._ramp.is_cold(now):
-            self._ramp.restart(now)
+            self._restart_ramp(now)
 
     def note_timeout(self, now: float) -> None:
         """Notes that the target did not answer a new flow in time."""
-        self._health.note_failure(now)
+        self._note_failure(now)
 
     def note_report(self, report: health.Report, now: float) -> None:
         """Notes a report of the target's health endpoint."""
+        former = self._health.estimate
         self._health.note_report(report, now)
+        self._note_estimate(former, now)
         # Only the first of a series starts the ramp: an endpoint that always
         # reports to be cold must not keep its target at the first level.
         is_cold = report is health.Report.COLD
         if is_cold and self._last_report is not health.Report.COLD:
-            self._ramp.restart(now)
+            self._restart_ramp(now)
         self._last_report = report
 
     def become_cold(self, now: float) -> None:
         """Starts the ramp from its first level."""
         self._granted = None
-        self._ramp.restart(now)
+        self._restart_ramp(now)
 
     def begin_recovery(self, now: float) -> None:
         """Closes the slots after a takeover without the former records.
@@ -257,4 +282,18 @@
         if self._ramp.is_cold(now):
             self._ramp.hold(now)
         else:
-            self._ramp.restart(now)
+            self._restart_ramp(now)
+
+    def _restart_ramp(self, now: float) -> None:
+        self._worsened_at = now
+        self._ramp.restart(now)
+
+    def _note_failure(self, now: float) -> None:
+        former = self._health.estimate
+        self._health.note_failure(now)
+        self._note_estimate(former, now)
+
+    def _note_estimate(self, former: health.Estimate, now: float) -> None:
+        bad = health.Estimate.BAD
+        if self._health.estimate is bad and former is not bad:
+            self._worsened_at = now
--- a/src/chivedoor/balancer/actions.py
+++ b/src/chivedoor/balancer/actions.py
@@ -19,6 +19,7 @@
     DUPLICATE_REQUEST = "duplicate_request"
     DUPLICATE_ANSWER = "duplicate_answer"
     UNCERTAIN = "uncertain"
+    TARGET_COLD = "target_cold"
     NOT_ALIVE = "not_alive"
     DOCUMENT_TOO_OLD = "document_too_old"
     RATE_EXCEEDED = "rate_exceeded"
--- a/src/chivedoor/balancer/owned_flows.py
+++ b/src/chivedoor/balancer/owned_flows.py
@@ -120,8 +120,10 @@
         packets of both reach the target that can tell them apart.
         """
         target = self._context.targets[endpoint.number]
+        share = self._context.find_share(endpoint.domain)
+        if not target.may_repeat(key, share, now):
+            return [actions.Drop(actions.RoutingDrop.TARGET_COLD)]
         if target.flows.get_state(key) is records.FlowState.CLOSED:
-            share = self._context.find_share(endpoint.domain)
             verdict = target.admit(key, entry.port.kind, share, now)
             if verdict is not admissions.Verdict.ADMIT:
                 # It may be a late copy of the SYN that the target had, which
--- a/src/chivedoor/flows/owner.py
+++ b/src/chivedoor/flows/owner.py
@@ -141,6 +141,19 @@
             self._opened_at_s[key] = now
         return verdict
 
+    def may_repeat(self, key: ids.FlowKey, share: float, now: float) -> bool:
+        """Returns whether a first packet that came again may be passed on.
+
+        Args:
+          key: A flow that has a record.
+          share: Part of the limits, 0 to 1, that this owner may use.
+          now: Monotonic seconds.
+        """
+        if self.flows.get_state(key) is not records.FlowState.OPENING:
+            return True
+        # Until the target answers, the record keeps its first time.
+        return self.admission.repeat(self.flows.get_seen_at(key), share, now)
+
     def replicate(
         self, key: ids.FlowKey, kind: documents.PortKind, now: float
     ) -> None:
--- a/src/chivedoor/flows/records.py
+++ b/src/chivedoor/flows/records.py
@@ -68,6 +68,10 @@
         """Returns whether a record was last renewed in a former window."""
         return now // window_s > self._last_seen(self._records[key]) // window_s
 
+    def get_seen_at(self, key: ids.FlowKey) -> float:
+        """Returns when a record was last renewed, to within `TICK_S`."""
+        return self._last_seen(self._records[key])
+
     def is_adopted(self, key: ids.FlowKey) -> bool:
         """Returns whether a flow was assumed to be here from its packets."""
         return bool(self._records[key] & _ADOPTED)
--- a/tests/flows/test_owner.py
+++ b/tests/flows/test_owner.py
@@ -138,3 +138,51 @@
     owner.tick(20.0, view_changed_at_s=view_changed_at_s)
     healthy = _decide(owner, 20.0, _STREAM) is admissions.Verdict.ADMIT
     assert healthy == (view_changed_at_s > 10.0)
+
+
+def _admit_streams(owner, count):
+    for number in range(count):
+        key = ids.FlowKey(100 + number)
+        verdict = owner.admit(key, _STREAM, 1.0, 1.0)
+        assert verdict is admissions.Verdict.ADMIT
+
+
+def _count_repeated(owner, count, now):
+    keys = (ids.FlowKey(100 + number) for number in range(count))
+    return sum(owner.may_repeat(key, 1.0, now) for key in keys)
+
+
+def test_first_packets_may_come_again_while_the_target_is_well(owner):
+    # Guards against handshakes that end with one lost packet.
+    _admit_streams(owner, 20)
+    assert _count_repeated(owner, 20, 2.0) == 20
+
+
+def test_first_packets_of_former_flows_wait_for_a_bad_target(owner):
+    # Guards against handshakes that wake with a target all at once.
+    _admit_streams(owner, 20)
+    for _ in range(3):
+        owner.admission.note_timeout(4.0)
+    assert _count_repeated(owner, 20, 5.0) == 0
+
+
+def test_first_packets_of_former_flows_share_the_ramp(owner, policy):
+    # Guards against a cold target that gets more than its ramp: the bench
+    # case health had 5 flows over it, which callers had repeated for 10 s.
+    _admit_streams(owner, 20)
+    for _ in range(3):
+        owner.admission.note_timeout(4.0)
+    owner.admission.note_handshake(None, 16.0)
+    started = sum(
+        _count_repeated(owner, 20, 16.0 + step / 10) for step in range(10)
+    )
+    assert 0 < started <= policy.ramp_initial
+
+
+def test_opened_flows_are_not_held_back(owner):
+    # Guards against flows that end because their target turned cold.
+    _admit_streams(owner, 20)
+    for number in range(20):
+        owner.flows.confirm(ids.FlowKey(100 + number), 1.1)
+    owner.admission.become_cold(2.0)
+    assert _count_repeated(owner, 20, 3.0) == 20
