Ignore counts of zero in reports of peers

Cause: greetings list suspected endpoints with a count of 0. Change: only positive counts are kept. test_reports fails before.

--- a/src/chivedoor/steering/reports.py
+++ b/src/chivedoor/steering/reports.py
@@ -17,10 +17,15 @@
     def report(
         self, vm: ids.VmId, counts: dict[ids.EndpointId, int], now: float
     ) -> None:
-        """Replaces the report of a balancer."""
+        """Replaces the report of a balancer; only positive counts matter."""
         self._withdraw(vm)
-        self._reports[vm] = (now, counts)
-        for endpoint_id, count in counts.items():
+        positive = {
+            endpoint_id: count
+            for endpoint_id, count in counts.items()
+            if count > 0
+        }
+        self._reports[vm] = (now, positive)
+        for endpoint_id, count in positive.items():
             self._sums[endpoint_id] = self._sums.get(endpoint_id, 0) + count
 
     def get(self, endpoint_id: ids.EndpointId) -> int:
--- /dev/null
+++ b/tests/steering/test_reports.py
@@ -0,0 +1,48 @@
+"""Sums of what other balancers reported."""
+
+import hypothesis
+from hypothesis import strategies
+
+from chivedoor import ids
+from chivedoor.steering import reports
+
+LIFETIME_S = 1.5
+ENDPOINT = ids.EndpointId("i-1")
+
+COUNTS = strategies.dictionaries(
+    strategies.sampled_from(["i-1", "i-2", "i-3"]),
+    strategies.integers(min_value=-3, max_value=5),
+)
+REPORTS = strategies.lists(
+    strategies.tuples(strategies.sampled_from(["vm-1", "vm-2"]), COUNTS)
+)
+
+
+@hypothesis.given(REPORTS)
+def test_sums_are_those_of_the_newest_reports(series) -> None:
+    """Guards against counts that drift, and against counts of zero.
+
+    Two balancers that reported 0 for an endpoint ended the processes that
+    they reported to (macoustic-lb-grown, scale-1: 156 exits).
+    """
+    table = reports.PeerCounts(lifetime_s=LIFETIME_S)
+    newest: dict[str, dict[str, int]] = {}
+    for step, (vm, counts) in enumerate(series):
+        table.report(ids.VmId(vm), counts, step * 0.001)
+        newest[vm] = counts
+        for endpoint_id in ("i-1", "i-2", "i-3"):
+            expected = sum(
+                max(0, counts.get(endpoint_id, 0)) for counts in newest.values()
+            )
+            assert table.get(ids.EndpointId(endpoint_id)) == expected
+    table.expire(100.0)
+    assert table.list() == {}
+
+
+def test_old_reports_are_dropped() -> None:
+    """Guards against the load of a balancer that is gone."""
+    table = reports.PeerCounts(lifetime_s=LIFETIME_S)
+    table.report(ids.VmId("vm-1"), {ENDPOINT: 2}, 1.0)
+    table.report(ids.VmId("vm-2"), {ENDPOINT: 3}, 2.0)
+    table.expire(1.1 + LIFETIME_S)
+    assert table.get(ENDPOINT) == 3
