--- a/src/chivedoor/feed/const.py
+++ b/src/chivedoor/feed/const.py
@@ -17,6 +17,12 @@
 # change by a twelfth of the tightest bound on the known sites.
 WATCH_PAUSE_S: Final = 0.25
 
+# A read of all keys is continued for this long after its first page; the
+# history of the known stores reaches back 20 s.
+READING_LIFETIME_S: Final = 5.0
+# One read of all keys; pages hold at most about 500 items.
+MAX_PAGES: Final = 200
+
 RETRY_FIRST_S: Final = 0.1
 RETRY_FACTOR: Final = 2.0
 RETRY_LIMIT_S: Final = 1.0
--- a/src/chivedoor/feed/follower.py
+++ b/src/chivedoor/feed/follower.py
@@ -9,14 +9,15 @@
 from chivedoor import ids
 from chivedoor.feed import const
 from chivedoor.feed import exceptions
+from chivedoor.feed import reading as readings
 from chivedoor.feed import records
 
 
 class Source(Protocol):
     """Where records come from."""
 
-    async def async_read_all(self) -> records.Batch:
-        """Reads all keys.
+    async def async_read_page(self, after: str) -> records.Page:
+        """Reads the keys after a key, or the first ones after "".
 
         Raises:
             FeedError: Nothing was read.
@@ -78,6 +79,8 @@
         self._clock = clock
         self._generator = generator
         self._revision: ids.Revision | None = None
+        # A read of all keys that has begun.
+        self._reading: readings.FullReading | None = None
 
     def restart_at(self, revision: ids.Revision | None) -> None:
         """Sets the revision to go on from; None reads everything again."""
@@ -105,10 +108,10 @@
             self._source.close()
 
     async def _async_read(self) -> None:
-        sent_at = self._clock()
         if self._revision is None:
-            batch = await self._source.async_read_all()
+            batch, sent_at = await self._async_read_all()
         else:
+            sent_at = self._clock()
             batch = await self._source.async_wait(
                 self._revision, const.WATCH_WAIT_S
             )
@@ -120,6 +123,27 @@
         if batch.records:
             await asyncio.sleep(const.WATCH_PAUSE_S)
 
+    async def _async_read_all(self) -> tuple[records.Batch, float]:
+        """Reads all pages, after a failure those that are missing.
+
+        Returns:
+            All records, and the time at which the first page was asked for.
+        """
+        now = self._clock()
+        reading = self._reading
+        if reading is None or now - reading.begun_at > const.READING_LIFETIME_S:
+            reading = self._reading = readings.FullReading(begun_at=now)
+        try:
+            while not reading.add(
+                await self._source.async_read_page(reading.after)
+            ):
+                pass
+        except exceptions.MalformedAnswerError:
+            self._reading = None
+            raise
+        self._reading = None
+        return reading.make_batch(), reading.begun_at
+
     def _note_failure(self, error: exceptions.FeedError) -> None:
         self.failures += 1
         self._set_state(FollowerState.LOST, f"{type(error).__name__}: {error}")
--- a/src/chivedoor/feed/records.py
+++ b/src/chivedoor/feed/records.py
@@ -20,6 +20,21 @@
     revision: ids.Revision
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Page:
+    """A part of all keys, in their order.
+
+    Attributes:
+        records: The records of the page.
+        revision: The store's revision when it was read.
+        has_more: Whether further pages follow.
+    """
+
+    records: tuple[Record, ...]
+    revision: ids.Revision
+    has_more: bool
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Batch:
     """Records read together.
--- a/src/chivedoor/platform/store.py
+++ b/src/chivedoor/platform/store.py
@@ -56,35 +56,22 @@
         self._port = port
         self._connection: _Connection | None = None
 
-    async def async_read_all(self) -> records.Batch:
-        """Reads all keys.
+    async def async_read_page(self, after: str) -> records.Page:
+        """Reads the keys after a key, or the first ones after "".
 
         Raises:
             FeedError: The store did not answer, refused or sent an answer
                 that cannot be read.
         """
-        pages: list[tuple[records.Record, ...]] = []
-        revision: ids.Revision | None = None
-        after = ""
-        for _ in range(const.MAX_PAGES):
-            query = {"prefix": ""} | ({"after": after} if after else {})
-            answer = await self._async_get(
-                "/v1/kv-range", query, feed_const.READ_TIMEOUT_S
-            )
-            page = _decode_items(answer, "items")
-            pages.append(page)
-            # Pages are no snapshot: changes since the first one are read
-            # again from the watch.
-            if revision is None:
-                revision = _get_revision(answer, "store_revision")
-            if not answer.get("has_more") or not page:
-                return records.Batch(
-                    records=tuple(record for page in pages for record in page),
-                    revision=revision,
-                    complete=True,
-                )
-            after = page[-1].key
-        raise exceptions.MalformedAnswerError("too many pages")
+        query = {"prefix": ""} | ({"after": after} if after else {})
+        answer = await self._async_get(
+            "/v1/kv-range", query, feed_const.READ_TIMEOUT_S
+        )
+        return records.Page(
+            records=_decode_items(answer, "items"),
+            revision=_get_revision(answer, "store_revision"),
+            has_more=bool(answer.get("has_more")),
+        )
 
     async def async_wait(
         self, after: ids.Revision, wait_s: float
@@ -97,7 +84,7 @@
 
         Raises:
             HistoryLostError: The changes since `after` are not available.
-            FeedError: As for `async_read_all`.
+            FeedError: As for `async_read_page`.
         """
         query = {
             "prefix": "",
--- a/tests/feed/conftest.py
+++ b/tests/feed/conftest.py
@@ -78,15 +78,25 @@
         answers: What the next calls return or raise; when it is empty, calls
             wait.
         calls: Revisions that were asked for; None for everything.
+        pages: Keys after which pages were asked for.
     """
 
     def __init__(self) -> None:
-        self.answers: list[records.Batch | exceptions.FeedError] = []
+        self.answers: list[
+            records.Batch | records.Page | exceptions.FeedError
+        ] = []
         self.calls: list[ids.Revision | None] = []
+        self.pages: list[str] = []
         self.closed = 0
 
-    async def async_read_all(self) -> records.Batch:
-        return await self._async_answer(None)
+    async def async_read_page(self, after: str) -> records.Page:
+        self.pages.append(after)
+        answer = await self._async_answer(None)
+        if isinstance(answer, records.Page):
+            return answer
+        return records.Page(
+            records=answer.records, revision=answer.revision, has_more=False
+        )
 
     async def async_wait(
         self, after: ids.Revision, wait_s: float
@@ -98,7 +108,7 @@
 
     async def _async_answer(
         self, revision: ids.Revision | None
-    ) -> records.Batch:
+    ) -> records.Batch | records.Page:
         self.calls.append(revision)
         if not self.answers:
             await asyncio.Event().wait()
--- a/tests/feed/test_follower.py
+++ b/tests/feed/test_follower.py
@@ -6,9 +6,11 @@
 
 import pytest
 
+from chivedoor import ids
 from chivedoor.feed import const
 from chivedoor.feed import exceptions
 from chivedoor.feed import follower as followers
+from chivedoor.feed import records
 from tests.feed import conftest
 
 
@@ -96,3 +98,75 @@
     follower.restart_at(11)
     await async_wait_until(lambda: len(source.calls) == 2)
     assert source.calls == [11, 12]
+
+
+def make_page(key: str, revision: int, *, has_more: bool) -> records.Page:
+    return records.Page(
+        records=(
+            records.Record(
+                key=key, value=b"{}", revision=ids.Revision(revision)
+            ),
+        ),
+        revision=ids.Revision(revision),
+        has_more=has_more,
+    )
+
+
+async def test_refused_page_is_read_again_alone(
+    source, events, follow, async_wait_until
+) -> None:
+    """Guards against full reads that never end.
+
+    On a deployment of 300 balancers and 3,000 endpoints a full read takes 60
+    calls; with all balancers killed the store refused most, each refusal began
+    a read anew, and service came back after 9.5 s.
+    """
+    source.answers = [
+        make_page("a", 5, has_more=True),
+        exceptions.SourceRefusedError(429),
+        make_page("b", 7, has_more=True),
+        exceptions.SourceUnreachableError("timeout"),
+        make_page("c", 8, has_more=False),
+    ]
+    follow()
+    await async_wait_until(lambda: len(source.calls) == 6)
+    assert source.pages == ["", "a", "a", "b", "b"]
+    # Changes since the first page come from the watch.
+    assert source.calls[-1] == 5
+    assert 5 in events
+
+
+async def test_old_reading_begins_anew(source, async_wait_until) -> None:
+    """Guards against a view of pages that are minutes apart."""
+    now = [1.0]
+    follower = followers.Follower(
+        source=source,
+        deliver=lambda batch, at: None,
+        note_state=lambda state, reason: None,
+        clock=lambda: now[0],
+        generator=random.Random(1),
+    )
+    source.answers = [
+        make_page("a", 5, has_more=True),
+        exceptions.SourceRefusedError(429),
+        make_page("a", 9, has_more=False),
+    ]
+    task = asyncio.create_task(follower.async_run())
+    await async_wait_until(lambda: len(source.calls) == 2)
+    now[0] += const.READING_LIFETIME_S + 1.0
+    await async_wait_until(lambda: len(source.calls) == 4)
+    assert source.pages == ["", "a", ""]
+    assert source.calls[-1] == 9
+    task.cancel()
+
+
+async def test_pages_without_end_are_malformed(
+    source, events, follow, async_wait_until
+) -> None:
+    """Guards against a store that sends the same page for ever."""
+    page = make_page("a", 5, has_more=True)
+    source.answers = [page, page, make_page("a", 6, has_more=False)]
+    follow()
+    await async_wait_until(lambda: len(source.calls) == 4)
+    assert source.pages == ["", "a", ""]
+    assert events[0] is followers.FollowerState.LOST
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,6 +6,7 @@
 
 from chivedoor.feed import const
 from chivedoor.feed import exceptions
+from chivedoor.feed import reading as readings
 from chivedoor.platform import const as platform_const
 from chivedoor.platform import store as stores
 from standins import store as store_stand_in
@@ -40,12 +41,20 @@
     made.close()
 
 
+async def async_read_all(store):
+    """Reads all pages without retries."""
+    reading = readings.FullReading(begun_at=0.0)
+    while not reading.add(await store.async_read_page(reading.after)):
+        pass
+    return reading.make_batch()
+
+
 async def test_all_pages_are_read(store, stand_in) -> None:
     """Guards against endpoints beyond the first page."""
     stand_in.page_items = 3
     for number in range(10):
         stand_in.put(f"servers/i-{number}", {"n": number})
-    batch = await store.async_read_all()
+    batch = await async_read_all(store)
     assert len(batch.records) == 10
     assert batch.complete
     assert batch.revision == 11
@@ -55,7 +64,7 @@
 async def test_changes_arrive_with_removals(store, stand_in) -> None:
     """Guards against removals that are read as empty values."""
     stand_in.put("a", {"n": 1})
-    batch = await store.async_read_all()
+    batch = await async_read_all(store)
     stand_in.put("b", {"n": 2})
     stand_in.remove("a")
     batch = await store.async_wait(batch.revision, 1.0)
@@ -68,7 +77,7 @@
 
 async def test_wait_without_changes_returns(store, stand_in) -> None:
     """Guards against a watch whose silence cannot be told from a loss."""
-    batch = await store.async_read_all()
+    batch = await async_read_all(store)
     again = await store.async_wait(batch.revision, 0.05)
     assert again.records == ()
     assert again.revision == batch.revision
@@ -76,7 +85,7 @@
 
 async def test_lost_history_is_told_apart(store, stand_in) -> None:
     """Guards against retries of a watch that can never succeed."""
-    batch = await store.async_read_all()
+    batch = await async_read_all(store)
     stand_in.put("a", {})
     stand_in.forget_history()
     with pytest.raises(exceptions.HistoryLostError):
@@ -101,9 +110,9 @@
     stand_in.put("a", {"n": 1})
     stand_in.fault = fault
     with pytest.raises(error):
-        await store.async_read_all()
+        await async_read_all(store)
     stand_in.fault = None
-    batch = await store.async_read_all()
+    batch = await async_read_all(store)
     assert len(batch.records) == 1
 
 
@@ -112,14 +121,14 @@
     monkeypatch.setattr(platform_const, "MAX_BODY_BYTES", 1_000_000)
     stand_in.fault = StoreFault.ENDLESS_BODY
     with pytest.raises(exceptions.FeedError):
-        await store.async_read_all()
+        await async_read_all(store)
 
 
 async def test_watch_that_hangs_ends_in_time(
     store, stand_in, durations
 ) -> None:
     """Guards against a view that grows old behind a silent connection."""
-    batch = await store.async_read_all()
+    batch = await async_read_all(store)
     stand_in.fault = StoreFault.SILENT
     with pytest.raises(exceptions.SourceUnreachableError):
         await store.async_wait(batch.revision, 0.1)
@@ -130,4 +139,4 @@
     """Guards against another kind of error when the store is down."""
     await stand_in.async_close()
     with pytest.raises(exceptions.SourceUnreachableError):
-        await store.async_read_all()
+        await async_read_all(store)
