--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -353,7 +353,7 @@
 
     def _sum_in_flight(self) -> dict[ids.EndpointId, int]:
         sums = collections.Counter(self.steerer.flows.list_in_flight())
-        sums.update(self.steerer.loads.list())
+        sums.update(self.steerer.loads.list_counts())
         return dict(sums)
 
     def _list_suspects(self, summed: bool) -> dict[ids.EndpointId, int]:
--- a/src/chivedoor/edge/forwarder.py
+++ b/src/chivedoor/edge/forwarder.py
@@ -174,7 +174,7 @@
             tag=verdict.tag,
             repetition=segment.repetition,
             in_flight=self._steerer.flows.count_in_flight(endpoint.id),
-            in_flight_elsewhere=self._steerer.loads.get(endpoint.id),
+            in_flight_elsewhere=self._steerer.loads.get_count(endpoint.id),
             version=self._steerer.view.version,
             view_age_s=self._get_view_age_s(),
         )
--- a/src/chivedoor/steering/placement.py
+++ b/src/chivedoor/steering/placement.py
@@ -146,9 +146,9 @@
         ]
 
     def _rank(self, endpoint: views.Endpoint, now: float) -> float:
-        in_flight = self._flows.count_in_flight(endpoint.id) + self._loads.get(
+        in_flight = self._flows.count_in_flight(
             endpoint.id
-        )
+        ) + self._loads.get_count(endpoint.id)
         rank = (in_flight + 1) / endpoint.slots
         if endpoint.domain != self._domain:
             rank += const.REMOTE_DOMAIN_PENALTY
--- a/src/chivedoor/steering/reachability.py
+++ b/src/chivedoor/steering/reachability.py
@@ -96,8 +96,8 @@
         """Returns the flows with this evidence that are known of."""
         own = len(self._list_recent(evidence, endpoint_id, now))
         return max(
-            own + self._reports[evidence].get(endpoint_id),
-            self._sums[evidence].get(endpoint_id),
+            own + self._reports[evidence].get_count(endpoint_id),
+            self._sums[evidence].get_count(endpoint_id),
         )
 
     def find_doubtful(self, now: float) -> list[ids.EndpointId]:
@@ -128,7 +128,7 @@
         self, evidence: Evidence, now: float, *, summed: bool
     ) -> dict[ids.EndpointId, int]:
         """Returns the counts to report, with those of others if summed."""
-        counts = self._reports[evidence].list() if summed else {}
+        counts = self._reports[evidence].list_counts() if summed else {}
         for endpoint_id in self._repeated[evidence]:
             own = len(self._list_recent(evidence, endpoint_id, now))
             if own:
@@ -196,7 +196,7 @@
             for flow in self._list_recent(kind, endpoint_id, now)
         }
         reported = any(
-            table[kind].get(endpoint_id)
+            table[kind].get_count(endpoint_id)
             for table in (self._reports, self._sums)
             for kind in Evidence
         )
--- a/src/chivedoor/steering/reports.py
+++ b/src/chivedoor/steering/reports.py
@@ -28,11 +28,11 @@
         for endpoint_id, count in positive.items():
             self._sums[endpoint_id] = self._sums.get(endpoint_id, 0) + count
 
-    def get(self, endpoint_id: ids.EndpointId) -> int:
+    def get_count(self, endpoint_id: ids.EndpointId) -> int:
         """Returns the sum of the reports for an endpoint."""
         return self._sums.get(endpoint_id, 0)
 
-    def list(self) -> dict[ids.EndpointId, int]:
+    def list_counts(self) -> dict[ids.EndpointId, int]:
         """Returns the sums by endpoint."""
         return dict(self._sums)
 
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -71,7 +71,7 @@
     steerer = make_steerer(busy, idle)
     steerer.loads.report(ids.VmId("vm-2"), {busy.id: 4}, 1.0)
     steerer.expire(1.0 + const.LOAD_REPORT_LIFETIME_S + 0.1)
-    assert steerer.loads.get(busy.id) == 0
+    assert steerer.loads.get_count(busy.id) == 0
 
 
 def test_half_of_the_targets_slow(make_steerer) -> None:
--- a/tests/steering/test_reports.py
+++ b/tests/steering/test_reports.py
@@ -34,9 +34,9 @@
             expected = sum(
                 max(0, counts.get(endpoint_id, 0)) for counts in newest.values()
             )
-            assert table.get(ids.EndpointId(endpoint_id)) == expected
+            assert table.get_count(ids.EndpointId(endpoint_id)) == expected
     table.expire(100.0)
-    assert table.list() == {}
+    assert table.list_counts() == {}
 
 
 def test_old_reports_are_dropped() -> None:
@@ -45,4 +45,4 @@
     table.report(ids.VmId("vm-1"), {ENDPOINT: 2}, 1.0)
     table.report(ids.VmId("vm-2"), {ENDPOINT: 3}, 2.0)
     table.expire(1.1 + LIFETIME_S)
-    assert table.get(ENDPOINT) == 3
+    assert table.get_count(ENDPOINT) == 3
