--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -81,22 +81,22 @@
         await _async_apply_all(drawn, deployment, folder)
         await asyncio.sleep(const.RECOVERY_S)
         begun_at = deployment.clock()
-        await asyncio.sleep(const.CALM_S)
+        await asyncio.sleep(const.UNDISTURBED_S)
         ended_at = deployment.clock()
         await asyncio.sleep(max(load.timeout_s for load in deployments.LOADS))
-        deployment.judge.judge_calm(begun_at, ended_at)
+        deployment.checker.check_recovery(begun_at, ended_at)
     finally:
         await deployment.async_close()
-    _judge_logs(folder, deployment.judge)
-    judge = deployment.judge
+    _check_logs(folder, deployment.checker)
+    checker = deployment.checker
     return Report(
         seed=seed,
         requests=dict(
             collections.Counter(
-                outcome.ends[-1].value for outcome in judge.outcomes
+                outcome.ends[-1].value for outcome in checker.outcomes
             )
         ),
-        violations=judge.violations,
+        violations=checker.violations,
         faults=dict(
             collections.Counter(type(fault).__name__ for fault in drawn)
         ),
@@ -121,7 +121,7 @@
             group.create_task(async_apply_later(fault))
 
 
-def _judge_logs(folder: pathlib.Path, judge: promises.Judge) -> None:
+def _check_logs(folder: pathlib.Path, checker: promises.Checker) -> None:
     """Looks for lines that are no JSON or report an internal fault."""
     for path in folder.glob("vm-*.log"):
         # A killed process may leave half a line at the end of a start.
@@ -130,12 +130,12 @@
                 kind = json.loads(line).get("message_type")
             except ValueError:
                 if "Traceback" in line or "Error" in line:
-                    judge.note(
+                    checker.note(
                         promises.Promise.PROCESS_LIVES, f"{path.name}: {line}"
                     )
                 continue
             if kind == "fault":
-                judge.note(
+                checker.note(
                     promises.Promise.PROCESS_LIVES, f"{path.name}: {line}"
                 )
 
--- a/soak/const.py
+++ b/soak/const.py
@@ -30,9 +30,8 @@
 BOOT_S: Final = 1.0
 RESTART_S: Final = 0.3
 START_TIMEOUT_S: Final = 20.0
-# Served in calm at the end: the part of the requests that must be answered.
-CALM_S: Final = 4.0
-CALM_SERVED: Final = 1.0
+# After the recovery, all requests that begin in this time must be served.
+UNDISTURBED_S: Final = 4.0
 
 # A warm-up rate that a cold endpoint bears, in flows a second.
 WARMUP_PER_S: Final = 4.0
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -1,11 +1,13 @@
 """A deployment of real balancer processes with emulated surroundings."""
 
 import asyncio
+from collections.abc import Coroutine
 import dataclasses
 import pathlib
 import random
 import signal
 import time
+from typing import Any
 
 from soak import const
 from soak import history as histories
@@ -102,7 +104,7 @@
         store: The store stand-in.
         relay: Between the balancers.
         history: What was done when.
-        judge: Checks the promises.
+        checker: Checks the promises.
         cuts: Pairs of a balancer's and an endpoint's domain without a path.
     """
 
@@ -120,7 +122,7 @@
         """
         self.clock = time.monotonic
         self.history = histories.History(clock=self.clock)
-        self.judge = promises.Judge(history=self.history, clock=self.clock)
+        self.checker = promises.Checker(history=self.history, clock=self.clock)
         self.generator = random.Random(seed)
         self.store = stores.StoreStandIn()
         self.endpoints: list[endpoints.Endpoint] = []
@@ -150,7 +152,7 @@
                 host=self._make_host(3, number, 1),
                 port=_PACKET_PORT,
                 routers=self._fabric,
-                observer=self.judge,
+                observer=self.checker,
                 generator=random.Random(f"{seed}/{domain}"),
                 clock=self.clock,
             )
@@ -233,7 +235,7 @@
         if age_s < const.BOOT_S:
             expected.append(-signal.SIGTERM)
         if status not in expected:
-            self.judge.note(
+            self.checker.note(
                 promises.Promise.PROCESS_LIVES,
                 f"{balancer.vm} stopped with {status}",
             )
@@ -258,7 +260,7 @@
             slots=slots,
             work_s=work_s,
             callers_port=_PACKET_PORT,
-            observer=self.judge,
+            observer=self.checker,
             admits=self._admits,
             generator=random.Random(self._endpoint_count),
         )
@@ -387,7 +389,7 @@
         domain = self._domain_of.get(sender, "")
         return (domain, endpoint.domain) not in self.cuts
 
-    def _spawn(self, work) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._finish)
@@ -431,7 +433,7 @@
                     continue
                 if not process.is_running:
                     balancer.wanted = False
-                    self.judge.note(
+                    self.checker.note(
                         promises.Promise.PROCESS_LIVES,
                         f"{balancer.vm} ended: {process.read_log()}",
                     )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults, how a seed draws them, and how each is applied."""
 
 import asyncio
+from collections.abc import Iterable
 import dataclasses
 import functools
 import random
@@ -208,7 +209,7 @@
 
 @async_apply.register
 async def _(fault: KilledBalancers, deployment: deployments.Deployment) -> None:
-    harms = _begin_balancer_harm(fault.vms, deployment)
+    disruptions = _begin_balancer_disruption(fault.vms, deployment)
     running = []
     for vm in fault.vms:
         balancer = deployment.balancers[vm]
@@ -220,7 +221,7 @@
     await asyncio.sleep(const.RESTART_S)
     for balancer in running:
         deployment.start(balancer)
-    _end_harm(harms, deployment)
+    _end_disruption(disruptions, deployment)
 
 
 @async_apply.register
@@ -228,16 +229,16 @@
     balancer = deployment.balancers[fault.vm]
     if not balancer.wanted:
         return
-    harms = _begin_balancer_harm((fault.vm,), deployment)
+    disruptions = _begin_balancer_disruption((fault.vm,), deployment)
     await deployment.async_stop(balancer)
     await asyncio.sleep(const.RESTART_S)
     deployment.start(balancer)
-    _end_harm(harms, deployment)
+    _end_disruption(disruptions, deployment)
 
 
 @async_apply.register
 async def _(fault: PausedBalancers, deployment: deployments.Deployment) -> None:
-    harms = _begin_balancer_harm(fault.vms, deployment)
+    disruptions = _begin_balancer_disruption(fault.vms, deployment)
     paused = [
         balancer.process
         for balancer in map(deployment.balancers.__getitem__, fault.vms)
@@ -248,7 +249,7 @@
     await asyncio.sleep(fault.for_s)
     for process in paused:
         process.resume()
-    _end_harm(harms, deployment)
+    _end_disruption(disruptions, deployment)
 
 
 @async_apply.register
@@ -265,20 +266,20 @@
 
 @async_apply.register
 async def _(fault: SpoiledSource, deployment: deployments.Deployment) -> None:
-    harms = _begin_balancer_harm(fault.vms, deployment)
+    disruptions = _begin_balancer_disruption(fault.vms, deployment)
     proxies = [deployment.balancers[vm].source for vm in fault.vms]
     for spoiled in proxies:
         spoiled.set_mode(fault.mode, _SLOW_ANSWER_S)
     await asyncio.sleep(fault.for_s)
     for spoiled in proxies:
         spoiled.set_mode(proxy.ProxyMode.PASS)
-    _end_harm(harms, deployment)
+    _end_disruption(disruptions, deployment)
 
 
 @async_apply.register
 async def _(fault: FailingStore, deployment: deployments.Deployment) -> None:
     history = deployment.history
-    harm = history.begin_harm(histories.Subject.STORE, "")
+    disruption = history.begin_disruption(histories.Subject.STORE, "")
     deployment.store.fault = fault.fault
     deployment.lapsing = deployment.lapsing or fault.lapse
     await asyncio.sleep(fault.for_s)
@@ -292,7 +293,7 @@
     if fault.lapse:
         deployment.lapsing = False
         _rewrite_entries(deployment)
-    history.end_harm(harm)
+    history.end_disruption(disruption)
 
 
 @async_apply.register
@@ -303,12 +304,14 @@
 @async_apply.register
 async def _(fault: CutDomains, deployment: deployments.Deployment) -> None:
     ends = {fault.first, fault.second}
-    harms = _begin_balancer_harm(
+    disruptions = _begin_balancer_disruption(
         [b.vm for b in deployment.balancers.values() if b.domain in ends],
         deployment,
     )
-    harms += [
-        deployment.history.begin_harm(histories.Subject.ENDPOINT, endpoint.id)
+    disruptions += [
+        deployment.history.begin_disruption(
+            histories.Subject.ENDPOINT, endpoint.id
+        )
         for endpoint in deployment.endpoints
         if endpoint.domain in ends
     ]
@@ -320,18 +323,20 @@
     await asyncio.sleep(fault.for_s)
     deployment.cuts -= cuts
     deployment.relay.faults.cuts -= cuts
-    _end_harm(harms, deployment)
+    _end_disruption(disruptions, deployment)
 
 
 @async_apply.register
 async def _(fault: SlowPeers, deployment: deployments.Deployment) -> None:
-    harms = _begin_balancer_harm(tuple(deployment.balancers), deployment)
+    disruptions = _begin_balancer_disruption(
+        tuple(deployment.balancers), deployment
+    )
     deployment.relay.faults.delay_s = fault.delay_s
     deployment.relay.faults.loss = fault.loss
     await asyncio.sleep(fault.for_s)
     deployment.relay.faults.delay_s = 0.0
     deployment.relay.faults.loss = 0.0
-    _end_harm(harms, deployment)
+    _end_disruption(disruptions, deployment)
 
 
 @async_apply.register
@@ -340,7 +345,7 @@
     if len(ready) <= len(deployments.DOMAINS):
         return
     victim = deployment.generator.choice(ready)
-    deployment.history.begin_harm(histories.Subject.ENDPOINT, victim.id)
+    deployment.history.begin_disruption(histories.Subject.ENDPOINT, victim.id)
     victim.stop(fault.state)
     port = victim.address[1]
     await asyncio.sleep(const.ENTRY_LIFETIME_S)
@@ -385,7 +390,9 @@
 async def _(fault: ColdService, deployment: deployments.Deployment) -> None:
     lost = deployment.list_ready(fault.service)
     for endpoint in lost:
-        deployment.history.begin_harm(histories.Subject.ENDPOINT, endpoint.id)
+        deployment.history.begin_disruption(
+            histories.Subject.ENDPOINT, endpoint.id
+        )
         endpoint.stop(endpoints.EndpointState.REFUSING)
     await asyncio.sleep(const.ENTRY_LIFETIME_S)
     for endpoint in lost:
@@ -403,14 +410,14 @@
     if not ready:
         return
     endpoint = deployment.generator.choice(ready)
-    harm = deployment.history.begin_harm(
+    disruption = deployment.history.begin_disruption(
         histories.Subject.ENDPOINT, endpoint.id
     )
     endpoint.stop(endpoints.EndpointState.REFUSING)
     await asyncio.sleep(min(fault.for_s, const.ENTRY_LIFETIME_S / 2))
     endpoint.restart()
     _cool(endpoint, deployment)
-    deployment.history.end_harm(harm)
+    deployment.history.end_disruption(disruption)
 
 
 @async_apply.register
@@ -430,7 +437,7 @@
     endpoint.state = endpoints.EndpointState.DRAINING
     deployment.write_entry(endpoint)
     await asyncio.sleep(const.DRAIN_LINGER_S)
-    deployment.history.begin_harm(histories.Subject.ENDPOINT, endpoint.id)
+    deployment.history.begin_disruption(histories.Subject.ENDPOINT, endpoint.id)
     endpoint.stop(endpoints.EndpointState.REFUSING)
     deployment.remove_entry(endpoint)
 
@@ -454,19 +461,19 @@
             deployment.write_entry(endpoint)
 
 
-def _begin_balancer_harm(
-    vms, deployment: deployments.Deployment
-) -> list[histories.Harm]:
+def _begin_balancer_disruption(
+    vms: Iterable[str], deployment: deployments.Deployment
+) -> list[histories.Disruption]:
     return [
-        deployment.history.begin_harm(
+        deployment.history.begin_disruption(
             histories.Subject.BALANCER, deployment.balancers[vm].host
         )
         for vm in vms
     ]
 
 
-def _end_harm(
-    harms: list[histories.Harm], deployment: deployments.Deployment
+def _end_disruption(
+    disruptions: list[histories.Disruption], deployment: deployments.Deployment
 ) -> None:
-    for harm in harms:
-        deployment.history.end_harm(harm)
+    for disruption in disruptions:
+        deployment.history.end_disruption(disruption)
--- a/soak/history.py
+++ b/soak/history.py
@@ -9,7 +9,7 @@
 
 
 class Subject(enum.Enum):
-    """Kinds of things that are harmed."""
+    """Kinds of things that are disrupted."""
 
     BALANCER = "balancer"
     ENDPOINT = "endpoint"
@@ -17,8 +17,8 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class Harm:
-    """A time in which something was not whole.
+class Disruption:
+    """A time in which a fault acted on something.
 
     Attributes:
         begun_at: Its beginning, in seconds.
@@ -30,7 +30,7 @@
 
 
 class History:
-    """Harm by subject, and the times of what was published."""
+    """Disruption by subject, and the times of what was published."""
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         """Creates an empty history."""
@@ -40,40 +40,28 @@
         self.route_services: dict[tuple[str, int], set[str]] = {}
         self.route_removed_at: dict[tuple[str, int], float] = {}
         self._clock = clock
-        self._harm: dict[tuple[Subject, str], list[Harm]] = {}
+        self._disruptions: dict[tuple[Subject, str], list[Disruption]] = {}
 
-    def begin_harm(self, subject: Subject, name: str) -> Harm:
-        """Notes that something begins to be harmed; the caller ends it."""
-        harm = Harm(begun_at=self._clock())
-        self._harm.setdefault((subject, name), []).append(harm)
-        return harm
+    def begin_disruption(self, subject: Subject, name: str) -> Disruption:
+        """Notes that something begins to be disrupted; the caller ends it."""
+        disruption = Disruption(begun_at=self._clock())
+        self._disruptions.setdefault((subject, name), []).append(disruption)
+        return disruption
 
-    def end_harm(self, harm: Harm) -> None:
-        """Notes the end of a harm."""
-        harm.ended_at = self._clock()
+    def end_disruption(self, disruption: Disruption) -> None:
+        """Notes the end of a disruption."""
+        disruption.ended_at = self._clock()
 
-    def is_calm(self, subject: Subject, name: str) -> bool:
-        """Returns whether something was whole for the touch window."""
+    def is_undisturbed(self, subject: Subject, name: str) -> bool:
+        """Returns whether no fault acted on something for `TOUCH_S`."""
         since = self._clock() - const.TOUCH_S
         return all(
-            harm.ended_at <= since
-            for harm in self._harm.get((subject, name), ())
+            disruption.ended_at <= since
+            for disruption in self._disruptions.get((subject, name), ())
         )
 
     def is_in_touch(self, balancer: str) -> bool:
         """Returns whether bounds in time hold for a balancer."""
-        return self.is_calm(Subject.BALANCER, balancer) and self.is_calm(
-            Subject.STORE, ""
-        )
-
-    def get_last_harm_end(self) -> float:
-        """Returns the end of the last harm of balancers and the store."""
-        return max(
-            (
-                harm.ended_at
-                for harms in self._harm.values()
-                for harm in harms
-                if not math.isinf(harm.ended_at)
-            ),
-            default=0.0,
-        )
+        return self.is_undisturbed(
+            Subject.BALANCER, balancer
+        ) and self.is_undisturbed(Subject.STORE, "")
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -44,7 +44,7 @@
     detail: str
 
 
-class Judge:
+class Checker:
     """Is told what happens and gathers violations.
 
     Attributes:
@@ -55,7 +55,7 @@
     def __init__(
         self, *, history: histories.History, clock: Callable[[], float]
     ) -> None:
-        """Creates a judge that has seen nothing."""
+        """Creates a checker that has seen nothing."""
         self.violations: list[Violation] = []
         self.outcomes: list[callers.Outcome] = []
         self._history = history
@@ -81,7 +81,7 @@
             self.note(Promise.OWN_ANSWER, f"{outcome.load.name}")
 
     def note_reset(self, flow: callers.Flow, sender: str) -> None:
-        """Judges a balancer's reset on an open flow."""
+        """Checks a balancer's reset on an open flow."""
         owner = self._owners.get(flow.key)
         if owner is None or not self._is_kept(flow.key, owner, sender):
             return
@@ -93,7 +93,7 @@
         packet: packets.Packet,
         sender: str,
     ) -> None:
-        """Judges any packet at an endpoint."""
+        """Checks any packet at an endpoint."""
         if not packet.authentic:
             self.note(Promise.WHOLE_PACKETS, f"altered packet by {sender}")
             return
@@ -112,16 +112,16 @@
         packet: packets.Packet,
         sender: str,
     ) -> None:
-        """Judges an opening packet at an endpoint."""
+        """Checks an opening packet at an endpoint."""
         route = packet.destination
         allowed = self._history.route_services.get(route, set())
         if endpoint.service not in allowed:
             self.note(
                 Promise.OWN_SERVICE, f"{route} at {endpoint.service}: {sender}"
             )
-        self._judge_warmup(endpoint, (packet.source, route))
+        self._check_warmup(endpoint, (packet.source, route))
         if self._history.is_in_touch(sender):
-            self._judge_time(endpoint, route, sender)
+            self._check_bounds(endpoint, route, sender)
 
     def note_opened(
         self, endpoint: endpoints.Endpoint, flow: endpoints.FlowKey
@@ -139,27 +139,29 @@
     def note_run(
         self, endpoint: endpoints.Endpoint, request: dict[str, Any]
     ) -> None:
-        """Judges the beginning of a request."""
+        """Checks the beginning of a request."""
         if request["kind"] == callers.RequestKind.IDEMPOTENT.value:
             return
         self._runs[request["id"]] += 1
         if self._runs[request["id"]] > 1:
             self.note(Promise.RUN_ONCE, f"{request['id']} at {endpoint.id}")
 
-    def judge_calm(self, begun_at: float, ended_at: float) -> None:
-        """Judges the requests that began in a calm time."""
-        calm = [
+    def check_recovery(self, begun_at: float, ended_at: float) -> None:
+        """Checks the requests that began after the recovery."""
+        begun = [
             outcome
             for outcome in self.outcomes
             if begun_at <= outcome.begun_at < ended_at
         ]
-        served = sum(outcome.served for outcome in calm)
-        if not calm or served < const.CALM_SERVED * len(calm):
+        served = sum(outcome.served for outcome in begun)
+        if not begun or served < len(begun):
             ends = collections.Counter(
-                outcome.ends[-1].value for outcome in calm if not outcome.served
+                outcome.ends[-1].value
+                for outcome in begun
+                if not outcome.served
             )
             self.note(
-                Promise.RECOVERS, f"{served} of {len(calm)}: {dict(ends)}"
+                Promise.RECOVERS, f"{served} of {len(begun)}: {dict(ends)}"
             )
 
     def _is_kept(
@@ -182,7 +184,7 @@
             alive
             and young
             and flow[1] not in history.route_removed_at
-            and history.is_calm(histories.Subject.ENDPOINT, owner.id)
+            and history.is_undisturbed(histories.Subject.ENDPOINT, owner.id)
             and history.is_in_touch(sender)
         )
 
@@ -198,7 +200,7 @@
         if len(strays) == const.MISDELIVERED_PACKETS:
             self.note(Promise.FLOW_KEPT, f"packets at {detail}")
 
-    def _judge_time(
+    def _check_bounds(
         self,
         endpoint: endpoints.Endpoint,
         route: tuple[str, int],
@@ -228,7 +230,7 @@
                     promise, f"{endpoint.id} by {sender}, {late_s:.2f} s late"
                 )
 
-    def _judge_warmup(
+    def _check_warmup(
         self, endpoint: endpoints.Endpoint, flow: endpoints.FlowKey
     ) -> None:
         now = self._clock()
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -47,8 +47,8 @@
         await asyncio.sleep(const.COLD_S)
     finally:
         await deployment.async_close()
-    assert deployment.judge.violations == []
-    assert any(outcome.served for outcome in deployment.judge.outcomes)
+    assert deployment.checker.violations == []
+    assert any(outcome.served for outcome in deployment.checker.outcomes)
 
 
 def test_report_names_what_was_broken() -> None:
