--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -35,4 +35,9 @@
         seed=46,
         cause="SIGTERM during the start ended a balancer without a line",
     ),
+    # Not mended; see KNOWN-RED.txt.
+    Regression(
+        seed=123,
+        cause="an endpoint restarted cold while the store could not be read",
+    ),
 )
