--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,9 +3,11 @@
 import asyncio
 import collections
 import dataclasses
+import errno
 import json
 import pathlib
 import random
+import socket
 import sys
 import tempfile
 from typing import Annotated
@@ -21,6 +23,7 @@
 # Blocks of loopback addresses for runs side by side.
 _FIRST_BLOCK = 60
 _BLOCKS = 40
+_RESERVATION_PORT = 7199
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -173,10 +176,17 @@
 
     def __call__(self) -> int:
         """Runs the seeds; returns the exit code."""
-        broken = False
         seeds = self.seed
         if self.regressions:
             seeds = [case.seed for case in regressions.REGRESSIONS]
+        with reserve_block() as reservation:
+            block = reservation.getsockname()[0].split(".")[1]
+            broken = self._run_all(seeds, int(block))
+        return int(broken)
+
+    def _run_all(self, seeds: list[int], block: int) -> bool:
+        """Runs the seeds in turn; returns whether a promise was broken."""
+        broken = False
         for seed in seeds:
             folder = self._make_folder(seed)
             report = asyncio.run(
@@ -187,13 +197,13 @@
                     fault_count=self.faults,
                     flows_per_s=self.flows,
                     folder=folder,
-                    block=_FIRST_BLOCK + seed % _BLOCKS,
+                    block=block,
                 )
             )
             broken = broken or bool(report.violations)
             sys.stdout.write(format_report(report))
             sys.stdout.flush()
-        return int(broken)
+        return broken
 
     def _make_folder(self, seed: int) -> pathlib.Path:
         if self.folder is None:
@@ -203,6 +213,23 @@
         return folder
 
 
+def reserve_block() -> socket.socket:
+    """Binds a port in a block of loopback addresses that no run uses.
+
+    Raises:
+        OSError: All blocks are in use.
+    """
+    for block in range(_FIRST_BLOCK, _FIRST_BLOCK + _BLOCKS):
+        reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            reservation.bind((f"127.{block}.0.1", _RESERVATION_PORT))
+        except OSError:
+            reservation.close()
+        else:
+            return reservation
+    raise OSError(errno.EADDRINUSE, "all blocks of addresses are in use")
+
+
 def format_report(report: Report) -> str:
     """Returns a report as lines of text."""
     requests = ", ".join(
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -67,3 +67,12 @@
     )
     assert text.startswith("seed 3: broken; answered 5")
     assert "drained: 2, first at 1.00: i-1 by vm-a1" in text
+
+
+def test_runs_side_by_side_use_other_addresses() -> None:
+    """Guards against two runs that meet on one address.
+
+    The regression run beside seed 202 could not bind its store.
+    """
+    with command.reserve_block() as one, command.reserve_block() as two:
+        assert one.getsockname()[0] != two.getsockname()[0]
