standins: reset connections with RST in the proxy

Cause: an abort of a transport without unread data sends FIN, so that the proxy's reset was a close. Change: linger of zero before the abort. test_reset_ends_open_and_new_connections failed before.

--- a/standins/echo/proxy.py
+++ b/standins/echo/proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import enum
+import socket
+import struct
 
 from standins import link
 
@@ -28,6 +30,7 @@
     """Passes connections on to one address.
 
     Attributes:
+        address: Where it listens, known once it is open.
         mode: What happens to connections now.
         delay_s: How late answers come when they are delayed.
     """
@@ -36,7 +39,7 @@
         """Creates a proxy with a closed port."""
         self.mode = ProxyMode.PASS
         self.delay_s = 0.0
-        self._listen = listen
+        self.address = listen
         self._target = target
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[object]] = set()
@@ -45,8 +48,9 @@
     async def async_open(self) -> None:
         """Starts to listen."""
         self._server = await asyncio.start_server(
-            self._async_serve, *self._listen
+            self._async_serve, *self.address
         )
+        self.address = self._server.sockets[0].getsockname()
 
     async def async_close(self) -> None:
         """Ends all connections."""
@@ -62,13 +66,13 @@
         self.delay_s = delay_s
         if mode is ProxyMode.RESET:
             for writer in tuple(self._writers):
-                writer.transport.abort()
+                _reset(writer)
 
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self.mode is ProxyMode.RESET:
-            writer.transport.abort()
+            _reset(writer)
             return
         task = asyncio.current_task()
         assert task is not None
@@ -111,3 +115,13 @@
         if self.mode is ProxyMode.SILENT:
             return True
         return self.mode is ProxyMode.ONE_WAY and not towards_target
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Ends a connection with RST; an abort alone may send FIN."""
+    opened = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        opened.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    writer.transport.abort()
