--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -40,4 +40,12 @@
         seed=123,
         cause="an endpoint restarted cold while the store could not be read",
     ),
+    Regression(
+        seed=302,
+        cause="the only endpoint that answered restarted cold under its id",
+    ),
+    Regression(
+        seed=324,
+        cause="frozen balancers woke and placed waiting flows by an old view",
+    ),
 )
