Keep the emulator's store format and packet building in one place

The soak wrote the platform's keys and field names itself, the tests of the edge process wrote them again, and callers and endpoints each built the packets of a stream. Now standins/echo has one copy of each.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -17,6 +17,7 @@
 from standins import store as stores
 from standins.echo import callers
 from standins.echo import endpoints
+from standins.echo import entries
 from standins.echo import fabric
 from standins.echo import proxy
 
@@ -27,7 +28,14 @@
     "intake": ("198.18.0.2", 443),
     "spare": ("198.18.0.3", 443),
 }
-SERVICES = {"listening": "main", "query": "main", "intake": "mesh"}
+SERVICES = {
+    "listening": "main",
+    "query": "main",
+    "intake": "mesh",
+    "spare": "mesh",
+}
+# The route that comes and goes.
+SPARE_ROUTE = "spare"
 _PACKET_PORT = 7200
 _READINESS_PORT = 7201
 _PEER_PORT = 7202
@@ -129,7 +137,7 @@
         self.cuts: set[tuple[str, str]] = set()
         self.lapsing = False
         self.version = 0
-        self.routes = set(SERVICES)
+        self.routes = set(ROUTES) - {SPARE_ROUTE}
         self._folder = folder
         self._block = block
         self._domain_of: dict[str, str] = {}
@@ -278,14 +286,15 @@
         entry = endpoint.describe(
             sequence=self._sequence, cold_ms=max(0, round(left_s * 1000))
         )
-        self.store.put(f"servers/{endpoint.id}", entry)
+        self.store.put(entries.make_endpoint_key(endpoint.id), entry)
         if endpoint.state is endpoints.EndpointState.DRAINING:
             self.history.draining_since.setdefault(endpoint.id, self.clock())
 
     def remove_entry(self, endpoint: endpoints.Endpoint) -> None:
         """Removes the entry of an endpoint."""
-        if self.store.has(f"servers/{endpoint.id}"):
-            self.store.remove(f"servers/{endpoint.id}")
+        key = entries.make_endpoint_key(endpoint.id)
+        if self.store.has(key):
+            self.store.remove(key)
 
     def list_ready(self, service: str) -> list[endpoints.Endpoint]:
         """Returns the endpoints of a service that serve."""
@@ -299,33 +308,28 @@
     def publish(self) -> None:
         """Writes a configuration with the present routes."""
         self.version += 1
-        routes = []
-        for name in sorted(self.routes):
-            host, port = ROUTES[name]
-            service = SERVICES.get(name, "mesh")
-            self.history.route_services.setdefault((host, port), set()).add(
-                service
-            )
-            self.history.route_removed_at.pop((host, port), None)
-            routes.append(
-                {
-                    "name": name,
-                    "host": host,
-                    "prefix": f"/{port}/",
-                    "type": "idempotent",
-                    "service": service,
-                }
+        for name in self.routes:
+            route = ROUTES[name]
+            self.history.route_services.setdefault(route, set()).add(
+                SERVICES[name]
             )
+            self.history.route_removed_at.pop(route, None)
         self.store.put(
-            "op/config",
-            {
-                "version": self.version,
-                "routes": routes,
-                "services": [
-                    {"name": name, "warmup_per_s": const.WARMUP_PER_S}
-                    for name in ("main", "mesh")
+            entries.CONFIGURATION_KEY,
+            entries.make_configuration(
+                version=self.version,
+                routes=[
+                    entries.make_route(
+                        name=name,
+                        address=ROUTES[name],
+                        service=SERVICES[name],
+                        kind=callers.RequestKind.IDEMPOTENT.value,
+                    )
+                    for name in sorted(self.routes)
                 ],
-            },
+                services=("main", "mesh"),
+                warmup_per_s=const.WARMUP_PER_S,
+            ),
         )
         for name in set(ROUTES) - self.routes:
             self.history.route_removed_at.setdefault(ROUTES[name], self.clock())
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 from soak import history as histories
 from standins import store as stores
 from standins.echo import endpoints
+from standins.echo import entries
 from standins.echo import proxy
 
 
@@ -373,7 +374,7 @@
 
 @async_apply.register
 async def _(fault: DomainOut, deployment: deployments.Deployment) -> None:
-    key = f"op/evacuate/{fault.domain}"
+    key = entries.make_domain_out_key(fault.domain)
     if fault.domain in deployment.history.domain_out_since:
         return
     deployment.store.put(key, {})
@@ -422,12 +423,12 @@
 
 @async_apply.register
 async def _(fault: ChangedRoutes, deployment: deployments.Deployment) -> None:
-    if "spare" in deployment.routes:
+    if deployments.SPARE_ROUTE in deployment.routes:
         return
-    deployment.routes.add("spare")
+    deployment.routes.add(deployments.SPARE_ROUTE)
     deployment.publish()
     await asyncio.sleep(fault.for_s)
-    deployment.routes.discard("spare")
+    deployment.routes.discard(deployments.SPARE_ROUTE)
     deployment.publish()
 
 
--- a/standins/echo/callers.py
+++ b/standins/echo/callers.py
@@ -325,23 +325,9 @@
         )
         flow.changed.set()
 
-    def _send(
-        self,
-        flow: Flow,
-        flags: packets.Flags,
-        sequence: int,
-        acknowledged: int,
-        payload: bytes,
-    ) -> None:
+    def _send(self, flow: Flow, *part: Any) -> None:
         caller, route = flow.key
-        packet = packets.Packet(
-            source=caller,
-            destination=route,
-            flags=flags,
-            tag=flow.tag,
-            sequence=sequence,
-            acknowledged=acknowledged,
-            payload=payload,
-        )
         node = self._routers.choose_node(self.domain, flow.key)
-        self._link.send(packet.encode(), node.packets)
+        self._link.send(
+            packets.encode_part(caller, route, flow.tag, part), node.packets
+        )
--- a/standins/echo/endpoints.py
+++ b/standins/echo/endpoints.py
@@ -294,25 +294,12 @@
             flow.stream.close()
             self._observer.note_closed(flow.key)
 
-    def _send(
-        self,
-        flow: _Flow,
-        flags: packets.Flags,
-        sequence: int,
-        acknowledged: int,
-        payload: bytes,
-    ) -> None:
+    def _send(self, flow: _Flow, *part: Any) -> None:
         caller, route = flow.key
-        packet = packets.Packet(
-            source=route,
-            destination=caller,
-            flags=flags,
-            tag=flow.tag,
-            sequence=sequence,
-            acknowledged=acknowledged,
-            payload=payload,
+        self._link.send(
+            packets.encode_part(route, caller, flow.tag, part),
+            (caller[0], self._callers_port),
         )
-        self._link.send(packet.encode(), (caller[0], self._callers_port))
 
     def _reset(self, packet: packets.Packet) -> None:
         reset = packets.Packet(
--- a/standins/echo/packets.py
+++ b/standins/echo/packets.py
@@ -26,6 +26,10 @@
     OPEN = 128
 
 
+# Flags, sequence, acknowledgement and payload.
+Part = tuple[Flags, int, int, bytes]
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Packet:
     """One packet.
@@ -62,6 +66,25 @@
         return _pack(self, _compute_sum(self)) + self.payload
 
 
+def encode_part(
+    source: tuple[str, int],
+    destination: tuple[str, int],
+    tag: int,
+    part: Part,
+) -> bytes:
+    """Returns the datagram that carries a part of a stream."""
+    flags, sequence, acknowledged, payload = part
+    return Packet(
+        source=source,
+        destination=destination,
+        flags=flags,
+        tag=tag,
+        sequence=sequence,
+        acknowledged=acknowledged,
+        payload=payload,
+    ).encode()
+
+
 def decode_packet(data: bytes) -> Packet:
     """Decodes a datagram.
 
--- a/tests/edge/conftest.py
+++ b/tests/edge/conftest.py
@@ -11,6 +11,7 @@
 
 from standins import processes
 from standins import store as store_stand_in
+from standins.echo import entries
 from standins.echo import packets
 
 CALLER = "127.0.0.7"
@@ -79,27 +80,23 @@
         )
 
     def publish(self, version: int = 1) -> None:
+        route = entries.make_route(
+            name="r", address=ROUTE, service="s", kind="idempotent"
+        )
         self.store.put(
-            "op/config",
-            {
-                "version": version,
-                "routes": [
-                    {
-                        "name": "r",
-                        "host": ROUTE[0],
-                        "prefix": f"/{ROUTE[1]}/",
-                        "type": "idempotent",
-                        "service": "s",
-                    }
-                ],
-                "services": [{"name": "s", "warmup_per_s": 0.0}],
-            },
+            entries.CONFIGURATION_KEY,
+            entries.make_configuration(
+                version=version,
+                routes=[route],
+                services=["s"],
+                warmup_per_s=0.0,
+            ),
         )
 
     def list_endpoint(self, state: str = "ready") -> None:
         host, port = self.endpoint.getsockname()
         self.store.put(
-            f"servers/{ENDPOINT_ID}",
+            entries.make_endpoint_key(ENDPOINT_ID),
             {
                 "service": "s",
                 "address": f"{host}:{port}",
