Log open flows whose packets go to another endpoint

The users' report names two ways in which an open flow broke on a large deployment: a reset, or packets that reached other endpoints. Resets have a log line with a reason. Nothing showed packets of an open flow that carry the tag of another endpoint, as when two endpoints answer one handshake and the caller echoes the tag of the later answer.

`flow-moved` and the counter `flows_moved` show it.

--- a/src/chivedoor/edge/forwarder.py
+++ b/src/chivedoor/edge/forwarder.py
@@ -5,6 +5,7 @@
 
 from chivedoor import ids
 from chivedoor.dataplane import port as ports
+from chivedoor.edge import flow_names
 from chivedoor.edge import log_writer
 from chivedoor.edge import metrics as metrics_module
 from chivedoor.edge import view_updater as view_updater_module
@@ -16,14 +17,6 @@
 from chivedoor.steering import verdicts
 
 
-def format_flow(flow: segments.FlowId) -> str:
-    """Returns the id of a flow in the logs: `caller:port>route:port`."""
-    route = ".".join(map(str, flow[2:6]))
-    route_port = int.from_bytes(flow[:2], "big")
-    caller = packets.get_caller_host(flow)
-    return f"{caller}:{packets.get_caller_port(flow)}>{route}:{route_port}"
-
-
 class Forwarder:
     """Receives packets and delivers, refuses or drops them.
 
@@ -116,7 +109,7 @@
         self._send_reset(flow_id, flow.acknowledged)
         self._log.write(
             log_writer.EventType.FLOW_RESET,
-            flow=format_flow(flow_id),
+            flow=flow_names.format_flow(flow_id),
             reason=reason.value,
             endpoint=flow.endpoint_id,
             state=flow.state.value,
@@ -186,7 +179,7 @@
             self._metrics.count(metrics_module.Counter.HANDSHAKES_REPEATED)
         self._log.write(
             log_writer.EventType.FLOW_PLACED,
-            flow=format_flow(segment.flow),
+            flow=flow_names.format_flow(segment.flow),
             endpoint=endpoint.id,
             endpoint_domain=endpoint.domain,
             tag=verdict.tag,
@@ -204,7 +197,7 @@
         self._metrics.count(metrics_module.Counter.FLOWS_REFUSED, reason)
         self._log.write(
             log_writer.EventType.FLOW_REFUSED,
-            flow=format_flow(segment.flow),
+            flow=flow_names.format_flow(segment.flow),
             reason=reason,
             segment=segment.kind.value,
             tag=segment.tag,
@@ -221,7 +214,7 @@
         self._metrics.count(metrics_module.Counter.PACKETS_DROPPED, reason)
         self._log.write(
             log_writer.EventType.PACKET_DROPPED,
-            flow=format_flow(segment.flow),
+            flow=flow_names.format_flow(segment.flow),
             reason=reason,
             segment=segment.kind.value,
             tag=segment.tag,
--- a/src/chivedoor/edge/log_writer.py
+++ b/src/chivedoor/edge/log_writer.py
@@ -43,6 +43,7 @@
     FLOW_PLACED = "flow-placed"
     FLOW_REFUSED = "flow-refused"
     FLOW_RESET = "flow-reset"
+    FLOW_MOVED = "flow-moved"
     PACKET_DROPPED = "packet-dropped"
     READING = "reading-from"
     PAUSED = "paused"
--- a/src/chivedoor/edge/observer.py
+++ b/src/chivedoor/edge/observer.py
@@ -1,8 +1,10 @@
 """Reports events of the steerer to the log and the metrics."""
 
 from chivedoor import ids
+from chivedoor.edge import flow_names
 from chivedoor.edge import log_writer
 from chivedoor.edge import metrics as metrics_module
+from chivedoor.steering import segment as segments
 
 
 class Observer:
@@ -53,3 +55,18 @@
         self._log.write(
             log_writer.EventType.ENDPOINT_ANSWERED, endpoint=endpoint_id
         )
+
+    def on_tag_changed(
+        self,
+        flow_id: segments.FlowId,
+        former: ids.EndpointId,
+        current: ids.EndpointId,
+    ) -> None:
+        """Logs and counts an open flow whose packets go to another endpoint."""
+        self._metrics.count(metrics_module.Counter.FLOWS_MOVED)
+        self._log.write(
+            log_writer.EventType.FLOW_MOVED,
+            flow=flow_names.format_flow(flow_id),
+            former_endpoint=former,
+            endpoint=current,
+        )
--- a/src/chivedoor/steering/flows.py
+++ b/src/chivedoor/steering/flows.py
@@ -160,6 +160,10 @@
         """Updates the record of a flow from an established packet."""
         flow = self._flows.get(segment.flow)
         if flow is None or flow.endpoint_id != endpoint_id:
+            if flow is not None and flow.state is not FlowState.OPENING:
+                self._observer.on_tag_changed(
+                    segment.flow, flow.endpoint_id, endpoint_id
+                )
             self.close_flow(segment.flow)
             self._add_established(segment, endpoint_id, now)
             return SegmentEffect.NONE
--- a/src/chivedoor/steering/observer.py
+++ b/src/chivedoor/steering/observer.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from chivedoor import ids
+from chivedoor.steering import segment as segments
 
 
 class Observer(Protocol):
@@ -32,6 +33,20 @@
             counts: Flows with retransmissions by the value of their kind.
         """
 
+    def on_tag_changed(
+        self,
+        flow_id: segments.FlowId,
+        former: ids.EndpointId,
+        current: ids.EndpointId,
+    ) -> None:
+        """Called when an open flow carries the tag of another endpoint.
+
+        Args:
+            flow_id: The flow.
+            former: The endpoint of its packets so far.
+            current: The endpoint of its new tag.
+        """
+
 
 class NullObserver:
     """Ignores all events."""
@@ -54,3 +69,11 @@
         self, endpoint_id: ids.EndpointId, counts: dict[str, int]
     ) -> None:
         """Does nothing."""
+
+    def on_tag_changed(
+        self,
+        flow_id: segments.FlowId,
+        former: ids.EndpointId,
+        current: ids.EndpointId,
+    ) -> None:
+        """Does nothing."""
--- a/tests/steering/test_flows.py
+++ b/tests/steering/test_flows.py
@@ -194,3 +194,22 @@
 
 TestFlowTable = FlowTableMachine.TestCase
 TestFlowTable.settings = hypothesis.settings(max_examples=50)
+
+
+def test_packet_with_the_tag_of_another_endpoint_is_reported() -> None:
+    """Guards against packets sent elsewhere without a trace in the log."""
+    moved = []
+
+    class Observer(observer.NullObserver):
+        def on_tag_changed(self, flow_id, former, current) -> None:
+            moved.append((flow_id, former, current))
+
+    table = flow_tables.FlowTable(observer=Observer())
+    open_flow(table, 1)
+    flow = conftest.make_flow(1)
+    # The other endpoint may have answered the handshake first.
+    for endpoint_id in (OTHER, OTHER, ENDPOINT):
+        table.record_segment(
+            conftest.make_segment(flow, acknowledged=1), endpoint_id, 0.1
+        )
+    assert moved == [(flow, OTHER, ENDPOINT)]
