Keep open flows when the entry of their endpoint lapses

Cause: a removed entry was taken for the end of the endpoint as soon as the view counted as complete. The entry of a living endpoint also disappears when the store delays its heartbeats (`platform_lost` with how `late`) or is away for less than the 2 s after which a view is stale (`platform_down` with how `lapse`, 2.2 s). Balancers read the store meanwhile, so that all of them reset the endpoint's flows at once; the entry came back 0.2 s to 2 s later.

Change: only an entry that stays away for `LAPSED_ENTRY_RETURN_S` (2.5 s), while the view is complete, shows the end of an endpoint, as the platform specifies. Until then its flows are passed on; new flows avoid it as before.

--- a/src/chivedoor/edge/view_updater.py
+++ b/src/chivedoor/edge/view_updater.py
@@ -39,7 +39,7 @@
             log: Writes a line for each change.
             metrics: Counts changes and unusable records.
             clock: Returns the time in seconds.
-            reset_flows: Called with each endpoint that is known to be removed.
+            reset_flows: Called with each endpoint that is known to have ended.
         """
         self.table = table.RecordTable()
         self.confirmed_at: float | None = None
@@ -80,7 +80,8 @@
 
         Called on every tick and confirmation. The view counts as complete
         some time after it became current, since entries that lapsed during a
-        store outage return only after the outage.
+        store outage return only after the outage. Flows of endpoints that
+        have ended are reset.
         """
         if self.confirmed_at is None:
             return
@@ -99,6 +100,8 @@
                 age_s=self.get_age_s(),
             )
         self._steerer.set_view_complete_at(self._view_complete_at)
+        for endpoint in self._steerer.pop_ended_endpoints(now):
+            self._reset_flows(endpoint.id)
 
     def _apply_record(self, record: records.Record, now: float) -> None:
         try:
@@ -139,8 +142,6 @@
                     revision=revision,
                     endpoint=endpoint_id,
                 )
-                if self._steerer.is_view_complete(self._clock()):
-                    self._reset_flows(endpoint_id)
             case views.Configuration():
                 self._log.write(
                     log_writer.EventType.CONFIGURATION,
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -14,8 +14,9 @@
 # The fabric closes flows after 60 s. Tags of removed endpoints are kept
 # for longer, so that each of their flows can be answered with a reset.
 REMOVED_ENDPOINT_RETENTION_S: Final = 90.0
-# Entries that lapsed during a store outage are written again within 2 s of its
-# end, as the platform specifies. The remaining 0.5 s covers the delivery.
+# Entries of living endpoints lapse when the store is down or loses or delays
+# their heartbeats. They are written again within 2 s, as the platform
+# specifies. The remaining 0.5 s covers the delivery.
 LAPSED_ENTRY_RETURN_S: Final = 2.5
 
 # A caller retransmits its SYN after 200 ms and 600 ms and gives up after 1.4 s.
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -122,6 +122,24 @@
             self._view_complete_at is not None and now >= self._view_complete_at
         )
 
+    def has_ended(self, endpoint: views.Endpoint, now: float) -> bool:
+        """Returns whether an endpoint has ended, as far as its entry tells.
+
+        The entry of a living endpoint may lapse even while this balancer can
+        read the store. Only an entry that does not return shows the end.
+        """
+        return (
+            endpoint.removed_at is not None
+            and now - endpoint.removed_at >= const.LAPSED_ENTRY_RETURN_S
+            and self.is_view_complete(now)
+        )
+
+    def pop_ended_endpoints(self, now: float) -> list[views.Endpoint]:
+        """Returns each endpoint once that has ended; called on every tick."""
+        if not self.is_view_complete(now):
+            return []
+        return self.view.pop_unlisted(now - const.LAPSED_ENTRY_RETURN_S)
+
     def decide(self, segment: segments.Segment, now: float) -> verdicts.Verdict:
         """Decides what is done with a packet."""
         if segment.kind is segments.SegmentKind.OPEN:
@@ -290,7 +308,7 @@
                     segment, verdicts.RefusalReason.UNKNOWN_ENDPOINT
                 )
             return _DROPS[verdicts.DropReason.UNKNOWN_TAG]
-        if endpoint.removed_at is not None and self.is_view_complete(now):
+        if self.has_ended(endpoint, now):
             return self._refuse(
                 segment, verdicts.RefusalReason.ENDPOINT_REMOVED
             )
--- a/src/chivedoor/steering/view.py
+++ b/src/chivedoor/steering/view.py
@@ -155,6 +155,8 @@
         self._by_service = {}
         self._by_tag_prefix: dict[int, list[Endpoint]] = {}
         self._removed: dict[ids.EndpointId, Endpoint] = {}
+        # Removed endpoints whose entry may have lapsed, by time of removal.
+        self._lapsing: dict[ids.EndpointId, Endpoint] = {}
 
     def get_endpoints(self, service: ids.ServiceId) -> list[Endpoint]:
         """Returns the listed endpoints of a service."""
@@ -191,6 +193,7 @@
         ]
         for endpoint in expired:
             del self._removed[endpoint.id]
+            self._lapsing.pop(endpoint.id, None)
             self._unindex(endpoint)
 
     def add_endpoint(self, endpoint: Endpoint) -> bool:
@@ -198,6 +201,7 @@
         former = self.endpoints.get(endpoint.id)
         former = former or self._removed.pop(endpoint.id, None)
         if former is not None:
+            self._lapsing.pop(former.id, None)
             self._unindex(former)
             self._by_service.get(former.service, {}).pop(former.id, None)
         self.endpoints[endpoint.id] = endpoint
@@ -219,8 +223,24 @@
         self._by_service[endpoint.service].pop(endpoint_id, None)
         endpoint.removed_at = now
         self._removed[endpoint_id] = endpoint
+        self._lapsing[endpoint_id] = endpoint
         return True
 
+    def pop_unlisted(self, oldest: float) -> list[Endpoint]:
+        """Returns each endpoint once that was removed at `oldest` or before.
+
+        Endpoints whose entry returned in the meantime are not included.
+        """
+        due = list(
+            itertools.takewhile(
+                lambda endpoint: (endpoint.removed_at or 0.0) <= oldest,
+                self._lapsing.values(),
+            )
+        )
+        for endpoint in due:
+            del self._lapsing[endpoint.id]
+        return due
+
     def iterate_removed(self) -> Iterator[Endpoint]:
         """Returns the removed endpoints whose tags are still known."""
         return iter(tuple(self._removed.values()))
--- a/tests/edge/test_process.py
+++ b/tests/edge/test_process.py
@@ -21,6 +21,15 @@
     return packets.decode_packet(data[8:])
 
 
+async def async_deliver_request(edge, tag: int) -> None:
+    """Sends a packet of an open flow, which its endpoint must receive."""
+    request = conftest.make_packet(
+        CALLER_PORT, flags=conftest.ACK, tag=tag, payload=b"request"
+    )
+    edge.send(request)
+    assert (await edge.async_receive(edge.endpoint_socket))[8:] == request
+
+
 async def async_start_ready(edge) -> None:
     edge.publish_configuration()
     edge.publish_endpoint()
@@ -37,14 +46,7 @@
     await edge.child.wait()
     await edge.async_start()
     await edge.async_wait_ready()
-    sent = conftest.make_packet(
-        CALLER_PORT,
-        flags=conftest.ACK,
-        tag=opening_packet.tag,
-        payload=b"request",
-    )
-    edge.send(sent)
-    assert (await edge.async_receive(edge.endpoint_socket))[8:] == sent
+    await async_deliver_request(edge, opening_packet.tag)
 
 
 async def test_packets_received_during_startup_are_served(edge) -> None:
@@ -97,6 +99,30 @@
     assert "flow-reset" in events
 
 
+async def test_flow_is_kept_when_the_entry_of_its_endpoint_lapses(
+    edge,
+) -> None:
+    """Guards against resets of open flows whose endpoint lives.
+
+    A store that delays the heartbeats of an endpoint removes its entry, though
+    the balancer reads it without a gap, and lists it again soon.
+    """
+    await async_start_ready(edge)
+    opening_packet = await async_open_flow(edge)
+    # The view counts as complete some time after it became current.
+    await asyncio.sleep(2.6)
+    edge.store.remove(f"servers/{conftest.ENDPOINT_ID}")
+    for _ in range(4):
+        await asyncio.sleep(0.5)
+        await async_deliver_request(edge, opening_packet.tag)
+    edge.publish_endpoint()
+    await asyncio.sleep(1.5)
+    await async_deliver_request(edge, opening_packet.tag)
+    events = [line["message_type"] for line in edge.read_lines()]
+    assert events.count("endpoint-listed") == 2
+    assert "flow-reset" not in events
+
+
 async def test_malformed_input_does_not_stop_the_process(edge) -> None:
     """Guards against invalid entries or datagrams that end the process."""
     await async_start_ready(edge)
--- a/tests/steering/test_steerer.py
+++ b/tests/steering/test_steerer.py
@@ -5,6 +5,7 @@
 import pytest
 
 from chivedoor import ids
+from chivedoor.steering import const
 from chivedoor.steering import segment as segments
 from chivedoor.steering import verdicts
 from chivedoor.steering import view as views
@@ -53,10 +54,34 @@
     steerer = make_steerer(endpoint)
     tag = conftest.make_tag(endpoint, FLOW)
     steerer.view.apply(views.RemovedEndpoint(endpoint_id=endpoint.id), 1.0)
-    verdict = steerer.decide(conftest.make_segment(FLOW, tag=tag), 2.0)
+    ended_at = 1.0 + const.LAPSED_ENTRY_RETURN_S
+    assert steerer.pop_ended_endpoints(ended_at) == [endpoint]
+    assert steerer.pop_ended_endpoints(ended_at) == []
+    verdict = steerer.decide(conftest.make_segment(FLOW, tag=tag), ended_at)
     assert verdict.reason is verdicts.RefusalReason.ENDPOINT_REMOVED
 
 
+@pytest.mark.parametrize("draining", [False, True])
+def test_flow_is_not_reset_when_the_entry_of_its_endpoint_lapsed(
+    make_steerer, draining: bool
+) -> None:
+    """Guards against resets of open flows whose endpoint lives.
+
+    A store that loses or delays the heartbeats of endpoints removes their
+    entries, though balancers read it without a gap.
+    """
+    endpoint = conftest.make_endpoint(1, draining=draining)
+    steerer = make_steerer(endpoint)
+    segment = conftest.make_segment(FLOW, tag=conftest.make_tag(endpoint, FLOW))
+    steerer.view.apply(views.RemovedEndpoint(endpoint_id=endpoint.id), 1.0)
+    assert steerer.pop_ended_endpoints(3.0) == []
+    assert isinstance(steerer.decide(segment, 3.0), verdicts.Deliver)
+    returned = conftest.make_endpoint(1, draining=draining)
+    steerer.view.apply(views.ListedEndpoint(endpoint=returned), 3.0)
+    assert steerer.pop_ended_endpoints(4.0) == []
+    assert isinstance(steerer.decide(segment, 4.0), verdicts.Deliver)
+
+
 def test_flow_is_not_reset_while_the_view_may_be_incomplete(
     make_steerer,
 ) -> None:
