Confirm the view before resetting flows that it does not know

A view counts as current for 2 s after its last confirmation. Meanwhile another balancer may open a flow on an endpoint or a route that was just added, and the routers may move the flow here when a balancer joins or leaves. Its packets were answered with a reset, though the endpoint is sound.

Cause: what the view lacks was taken for gone, without asking whether the view is older than the flow. Now the first packet of such a flow is dropped (unknown endpoint) or passed on (unknown route), and a later one is answered with a reset once the view was confirmed after the first one arrived. Callers retransmit after 0.2 s, and a reader confirms the view at least once a second.

Evidence: test_flow_opened_through_another_balancer_is_not_reset_by_an_older_view got a reset before.

--- a/src/chivedoor/edge/view_updater.py
+++ b/src/chivedoor/edge/view_updater.py
@@ -73,6 +73,7 @@
         if self.confirmed_at is None or confirmed_at > self.confirmed_at:
             self.confirmed_at = confirmed_at
             self._steerer.pauses.record_confirmed(confirmed_at)
+            self._steerer.absences.set_confirmed_at(confirmed_at)
         self.update_freshness()
 
     def update_freshness(self) -> None:
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -19,6 +19,13 @@
 # specifies. The remaining 0.5 s covers the delivery.
 LAPSED_ENTRY_RETURN_S: Final = 2.5
 
+# Flows whose endpoint or route is unknown are remembered until the view was
+# confirmed again, which takes at most two seconds while it counts as current,
+# and the caller has retransmitted, which it does after at most 1.6 s.
+ABSENCE_LIFETIME_S: Final = 5.0
+# Bounds the memory that packets with invented tags can take.
+MAX_ABSENCES: Final = 10_000
+
 # A caller retransmits its SYN after 200 ms and 600 ms and gives up after 1.4 s.
 HANDSHAKE_LIFETIME_S: Final = 1.5
 # The first retransmission is due after 200 ms. A caller that has neither
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -6,6 +6,7 @@
 import random
 
 from chivedoor import ids
+from chivedoor.steering import absences
 from chivedoor.steering import const
 from chivedoor.steering import delays
 from chivedoor.steering import flows as flow_tables
@@ -44,6 +45,7 @@
         reachability: Endpoints that are unreachable.
         restarts: Endpoints that have probably restarted.
         pauses: Pauses of this process.
+        absences: Flows whose endpoint or route is missing from the view.
         warmup_budget: This balancer's share of the rates of cold endpoints.
         peer_loads: Requests in flight through other balancers.
         delay_table: Recent delays of requests by endpoint.
@@ -77,6 +79,7 @@
         self.reachability = reachability.Reachability()
         self.restarts = restarts.Restarts()
         self.pauses = pauses.Pauses()
+        self.absences = absences.Absences()
         self.warmup_budget = warmup.WarmupBudget(
             local=local, domain=domain, domains=domains
         )
@@ -207,6 +210,7 @@
         self.flows.expire(now)
         self.suspicions.expire(now)
         self.reachability.expire(now)
+        self.absences.expire(now)
         self.restarts.expire(now, view_complete=self.is_view_complete(now))
         self.warmup_budget.expire(now)
         self.peer_loads.expire(now)
@@ -303,7 +307,7 @@
             return _DROPS[verdicts.DropReason.NO_TAG]
         endpoint = self.view.find_endpoint(segment.tag, segment.flow)
         if endpoint is None:
-            if self.is_view_complete(now):
+            if self._is_absence_confirmed(segment, now):
                 return self._refuse(
                     segment, verdicts.RefusalReason.UNKNOWN_ENDPOINT
                 )
@@ -312,7 +316,9 @@
             return self._refuse(
                 segment, verdicts.RefusalReason.ENDPOINT_REMOVED
             )
-        if segment.route not in self.view.routes and self.is_view_complete(now):
+        if segment.route not in self.view.routes and self._is_absence_confirmed(
+            segment, now
+        ):
             return self._refuse(segment, verdicts.RefusalReason.ROUTE_REMOVED)
         effect = self._record_segment(segment, endpoint, now)
         if self._should_abandon(effect, segment.flow, endpoint, now):
@@ -321,6 +327,14 @@
             )
         return verdicts.Deliver(endpoint=endpoint, tag=None)
 
+    def _is_absence_confirmed(
+        self, segment: segments.Segment, now: float
+    ) -> bool:
+        """Returns whether what the view lacks for an open flow is gone."""
+        return self.is_view_complete(now) and self.absences.is_confirmed(
+            segment.flow, now
+        )
+
     def _record_delay(
         self,
         flow_id: segments.FlowId,
--- a/tests/steering/test_steerer.py
+++ b/tests/steering/test_steerer.py
@@ -112,6 +112,53 @@
     assert verdict.reason is verdicts.RefusalReason.UNKNOWN_ENDPOINT
 
 
+@pytest.mark.parametrize("missing", ["endpoint", "route"])
+def test_flow_opened_through_another_balancer_is_not_reset_by_an_older_view(
+    make_steerer, missing: str
+) -> None:
+    """Guards against resets of flows on endpoints or routes just added.
+
+    The routers may move a flow to a balancer that has not heard of the
+    endpoint or the route yet, though its view counts as current.
+    """
+    steerer = make_steerer(conftest.make_endpoint(1))
+    steerer.absences.set_confirmed_at(9.0)
+    added = conftest.make_endpoint(2)
+    flow = FLOW
+    if missing == "route":
+        steerer.view.apply(views.ListedEndpoint(endpoint=added), 0.0)
+        flow = segments.FlowId(b"\x00\x50" + FLOW[2:])
+    tag = conftest.make_tag(added, flow)
+    segment = conftest.make_segment(flow, tag=tag, payload_bytes=10)
+    if missing == "endpoint":
+        verdict = steerer.decide(segment, 10.0)
+        assert verdict.reason is verdicts.DropReason.UNKNOWN_TAG
+    else:
+        assert isinstance(steerer.decide(segment, 10.0), verdicts.Deliver)
+    steerer.absences.set_confirmed_at(10.1)
+    assert isinstance(steerer.decide(segment, 10.2), verdicts.Refuse)
+
+
+def test_absences_are_bounded(make_steerer, monkeypatch) -> None:
+    """Guards against memory taken by packets with invented tags."""
+    monkeypatch.setattr(const, "MAX_ABSENCES", 1)
+    steerer = make_steerer(conftest.make_endpoint(1))
+    steerer.absences.set_confirmed_at(9.0)
+    flows = [conftest.make_flow(number) for number in (1, 2)]
+    for now in (10.0, 10.1):
+        for flow in flows:
+            steerer.decide(conftest.make_segment(flow, tag=7), now)
+    steerer.absences.set_confirmed_at(10.2)
+    verdicts_after = [
+        steerer.decide(conftest.make_segment(flow, tag=7), 10.3)
+        for flow in flows
+    ]
+    assert [type(verdict) for verdict in verdicts_after] == [
+        verdicts.Refuse,
+        verdicts.Drop,
+    ]
+
+
 def test_reset_of_a_caller_is_never_answered(make_steerer) -> None:
     """Guards against a loop of resets that are answered with resets."""
     steerer = make_steerer(conftest.make_endpoint(1))
