Keep the flows of an endpoint whose entry is unusable

A value of another writer under the key of a listed endpoint made the endpoint count as removed, so that its open flows were reset though it may serve them. An unusable entry tells nothing about the endpoint: it takes no new flows, as if it were draining, and keeps its open ones until its entry is gone.

test_flow_is_kept_when_the_entry_of_its_endpoint_is_unusable failed before: the flow was reset.

--- a/src/chivedoor/edge/view_updater.py
+++ b/src/chivedoor/edge/view_updater.py
@@ -117,7 +117,7 @@
             endpoint_id = items.get_endpoint_id(record.key)
             if endpoint_id is None:
                 return
-            change = views.RemovedEndpoint(endpoint_id=endpoint_id)
+            change = views.UnusableEndpoint(endpoint_id=endpoint_id)
         if change is not None and self._steerer.view.apply(change, now):
             self._metrics.count(
                 metrics_module.Counter.CHANGES, type(change).__name__
--- a/src/chivedoor/platform/items.py
+++ b/src/chivedoor/platform/items.py
@@ -2,7 +2,7 @@
 
 Other writers also put entries under the endpoints' prefix. An invalid value is
 reported and changes nothing else, except that an endpoint whose own entry is
-invalid counts as removed.
+invalid gets no new flows.
 """
 
 from collections.abc import Mapping
@@ -41,7 +41,7 @@
 
     Raises:
         UnusableValueError: The value is invalid. If the key is that of an
-            endpoint, the caller treats the endpoint as removed.
+            endpoint, the caller places no new flows on it.
     """
     if record.key.startswith(_ENDPOINT_PREFIX):
         return _decode_endpoint(record, now)
--- a/src/chivedoor/steering/view.py
+++ b/src/chivedoor/steering/view.py
@@ -109,7 +109,17 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RemovedEndpoint:
-    """Change: the entry of an endpoint disappeared or became unusable."""
+    """Change: the entry of an endpoint disappeared."""
+
+    endpoint_id: ids.EndpointId
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class UnusableEndpoint:
+    """Change: the entry of an endpoint became unusable.
+
+    It tells nothing about the endpoint, which may still serve its flows.
+    """
 
     endpoint_id: ids.EndpointId
 
@@ -131,7 +141,13 @@
     out: bool
 
 
-Change = ListedEndpoint | RemovedEndpoint | Configuration | DomainState
+Change = (
+    ListedEndpoint
+    | RemovedEndpoint
+    | UnusableEndpoint
+    | Configuration
+    | DomainState
+)
 
 
 class View:
@@ -226,6 +242,18 @@
         self._lapsing[endpoint_id] = endpoint
         return True
 
+    def stop_placement(self, endpoint_id: ids.EndpointId) -> bool:
+        """Excludes an endpoint from new flows, as if it were draining.
+
+        Returns:
+            Whether it took new flows before.
+        """
+        endpoint = self.endpoints.get(endpoint_id)
+        if endpoint is None or endpoint.draining:
+            return False
+        endpoint.draining = True
+        return True
+
     def pop_unlisted(self, oldest: float) -> list[Endpoint]:
         """Returns each endpoint once that was removed at `oldest` or before.
 
@@ -294,6 +322,11 @@
     return view.remove_endpoint(change.endpoint_id, now)
 
 
+@_apply.register
+def _(change: UnusableEndpoint, view: View, now: float) -> bool:
+    return view.stop_placement(change.endpoint_id)
+
+
 @_apply.register
 def _(change: Configuration, view: View, now: float) -> bool:
     if change.version <= view.version:
--- a/tests/edge/test_process.py
+++ b/tests/edge/test_process.py
@@ -123,6 +123,28 @@
     assert "flow-reset" not in events
 
 
+async def test_flow_is_kept_when_the_entry_of_its_endpoint_is_unusable(
+    edge,
+) -> None:
+    """Guards against resets of open flows because of another writer's value."""
+    await async_start_ready(edge)
+    opening_packet = await async_open_flow(edge)
+    # The view counts as complete some time after it became current.
+    await asyncio.sleep(2.6)
+    edge.store.put(f"servers/{conftest.ENDPOINT_ID}", b"\xff")
+    for _ in range(7):
+        await asyncio.sleep(0.5)
+        await async_deliver_request(edge, opening_packet.tag)
+    edge.send(conftest.make_packet(CALLER_PORT + 1, flags=conftest.SYN))
+    refusal = packets.decode_packet(
+        await edge.async_receive(edge.caller_socket)
+    )
+    assert refusal.destination[1] == CALLER_PORT + 1
+    events = [line["message_type"] for line in edge.read_lines()]
+    assert "record-unusable" in events
+    assert "flow-reset" not in events
+
+
 async def test_malformed_input_does_not_stop_the_process(edge) -> None:
     """Guards against invalid entries or datagrams that end the process."""
     await async_start_ready(edge)
--- a/tests/steering/test_view.py
+++ b/tests/steering/test_view.py
@@ -71,6 +71,20 @@
     assert not view.apply(change, 0.0)
 
 
+def test_endpoint_with_unusable_entry_takes_no_new_flows() -> None:
+    """Guards against new flows on an endpoint whose entry cannot be read."""
+    view = views.View()
+    endpoint = conftest.make_endpoint(1)
+    view.add_endpoint(endpoint)
+    change = views.UnusableEndpoint(endpoint_id=endpoint.id)
+    assert view.apply(change, 1.0)
+    assert endpoint.draining
+    assert endpoint.removed_at is None
+    assert not view.apply(change, 1.0)
+    unknown = views.UnusableEndpoint(endpoint_id=ids.EndpointId("x"))
+    assert not view.apply(unknown, 1.0)
+
+
 def test_removal_of_an_unknown_endpoint_changes_nothing() -> None:
     """Guards against an exception when an unknown entry is removed."""
     view = views.View()
