Let the store stand-in be restored from an older copy

The users' store may come back from a copy that is some seconds old: later changes are lost, revisions go back and are given out again, a watch from one that the store does not have gets 410, and the header `Store-Era` of all responses rises by one.

--- a/standins/store.py
+++ b/standins/store.py
@@ -1,4 +1,8 @@
-"""Stand-in for the platform's store: range, watch and configurable faults."""
+"""Stand-in for the platform's store: range, watch and configurable faults.
+
+It can be restored from an older copy of itself: later changes are lost, their
+revisions are given out again, and the era in the header of all responses rises.
+"""
 
 import asyncio
 import base64
@@ -12,6 +16,7 @@
 # The store returns at most about 500 items per page.
 PAGE_ITEMS: Final = 500
 SHUTDOWN_TIMEOUT_S: Final = 0.1
+ERA_HEADER: Final = "Store-Era"
 
 
 class StoreFault(enum.Enum):
@@ -34,6 +39,23 @@
     created: int
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class StoreCopy:
+    """State of the store at one time.
+
+    Attributes:
+        items: The latest change of each key that exists, by key.
+        history: The changes, oldest first.
+        revision: The revision of the last change.
+        oldest: The revision after which the history is complete.
+    """
+
+    items: dict[str, _Change]
+    history: tuple[_Change, ...]
+    revision: int
+    oldest: int
+
+
 class StoreStandIn:
     """HTTP server with the store's protocol.
 
@@ -42,6 +64,7 @@
         fault: Failure mode of calls; None while the store is up.
         calls: Kinds of all calls in order, `range` or `watch`.
         page_items: Maximum number of items per page.
+        era: Number of restorations; None for a store that names no era.
     """
 
     def __init__(self) -> None:
@@ -49,6 +72,7 @@
         self.fault: StoreFault | None = None
         self.calls: list[str] = []
         self.page_items = PAGE_ITEMS
+        self.era: int | None = 1
         self._items: dict[str, _Change] = {}
         self._history: list[_Change] = []
         self._revision = 1
@@ -61,6 +85,7 @@
         app = web.Application()
         app.router.add_get("/v1/kv-range", self._async_get_range)
         app.router.add_get("/v1/kv-watch", self._async_get_watch)
+        app.on_response_prepare.append(self._async_add_era)
         self._runner = web.AppRunner(
             app,
             access_log=None,
@@ -111,6 +136,30 @@
         self._oldest = self._revision
         self._notify_watchers()
 
+    def make_copy(self) -> StoreCopy:
+        """Returns a copy of the current state."""
+        return StoreCopy(
+            items=dict(self._items),
+            history=tuple(self._history),
+            revision=self._revision,
+            oldest=self._oldest,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replaces the state by that of a copy and begins the next era."""
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._revision = copy.revision
+        self._oldest = copy.oldest
+        self.era = (self.era or 0) + 1
+        self._notify_watchers()
+
+    async def _async_add_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.era is not None:
+            response.headers[ERA_HEADER] = str(self.era)
+
     def _append(self, change: _Change) -> None:
         self._history.append(change)
         self._notify_watchers()
@@ -150,13 +199,14 @@
         after = int(request.query["after"])
         wait_s = int(request.query["wait_ms"]) / 1000
         changed = self._changed
-        if after >= self._revision:
+        if after == self._revision:
             try:
                 async with asyncio.timeout(wait_s):
                     await changed.wait()
             except TimeoutError:
                 pass
-        if after < self._oldest:
+        # A revision above the current one was given out before a restoration.
+        if not self._oldest <= after <= self._revision:
             return web.json_response({"error": "gone"}, status=410)
         events = [c for c in self._history if c.revision > after]
         return web.json_response(
