Order store revisions by era

After a drill in which the store came back from an older copy, callers met an older configuration: routes that had been added were refused, dropped ones were served, for 10 s and longer.

Cause: revisions were compared as if they only rose. The restored store gives them out again, so that its records counted as older and were ignored until its revision had passed the last known one. A watch from a number that the store has passed again would have skipped the changes up to it. The class of fault is a counter of an outside system that is taken for a clock.

Change: a revision is the pair of the store's era (header `Store-Era`) and the number, in tables, watches and messages between balancers; another era than the known one makes the follower read all keys again, and a peer with a view of an earlier era gets all records. The first state of a new era lacks what was written since the copy, so `steering.restorations` keeps newer knowledge until it is written again: the configuration's version, endpoint entries by start time and sequence, domains that are out; flows of missing endpoints are kept. Balancers without this change cannot decode the frames of those with it and read the store themselves during an update.

Evidence: test_configuration_written_after_a_restoration_is_in_force failed before (version 6 not in force after 3 s).

--- a/bench/steering.py
+++ b/bench/steering.py
@@ -75,9 +75,9 @@
         records.Record(
             key=key,
             value=json.dumps(value).encode(),
-            revision=ids.Revision(revision),
+            revision=records.Revision(era=ids.Era(1), number=number),
         )
-        for revision, (key, value) in enumerate(values, start=1)
+        for number, (key, value) in enumerate(values, start=1)
     )
 
 
@@ -178,7 +178,7 @@
     records_table = table.RecordTable()
     batch = records.Batch(
         records=store_records,
-        revision=ids.Revision(len(store_records)),
+        revision=records.Revision(era=ids.Era(1), number=len(store_records)),
         complete=True,
     )
     tracemalloc.start()
@@ -198,7 +198,9 @@
     items.decode_record(store_records[0], 0.0)
     document_s = time.perf_counter() - start
     frame = messages.Frame(
-        batch=records_table.list_since(ids.Revision(0)), age_s=0.1, sent_at=1.0
+        batch=records_table.list_since(records.NO_REVISION),
+        age_s=0.1,
+        sent_at=1.0,
     )
     return {
         "endpoints": _PLANNED_ENDPOINTS,
@@ -247,7 +249,7 @@
         incarnation=1_700_000_000_000,
         bandwidth_mbps=100.0,
         read_age_s=0.5,
-        revision=ids.Revision(1000),
+        revision=1000,
         leaving=False,
         in_flight={ids.EndpointId(f"i-{n:08x}"): 1 for n in range(10)},
         summed=False,
--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -224,7 +224,8 @@
             "ready": self._ready,
             "view": self.steerer.view.dump_state(),
             "view_age_s": self.view_updater.get_age_s(),
-            "revision": self.view_updater.table.revision,
+            "revision": self.view_updater.table.revision.number,
+            "era": self.view_updater.table.revision.era,
             "flows": len(self.steerer.flows),
             "in_flight": self.steerer.flows.list_in_flight(),
             "log": self._log.dump_state(),
@@ -315,7 +316,8 @@
         self._log.write(
             log_writer.EventType.READY,
             version=self.steerer.view.version,
-            revision=self.view_updater.table.revision,
+            revision=self.view_updater.table.revision.number,
+            era=self.view_updater.table.revision.era,
             waited_s=round(waited_s, 3),
         )
         self._log.flush()
@@ -370,7 +372,7 @@
             incarnation=self._incarnation,
             bandwidth_mbps=self._settings.bandwidth_mbps,
             read_age_s=self._get_read_age_s(),
-            revision=self.view_updater.table.revision,
+            revision=self.view_updater.table.revision.number,
             leaving=self._stopping.is_set(),
             in_flight=self._sum_in_flight()
             if summed
--- a/src/chivedoor/edge/log_writer.py
+++ b/src/chivedoor/edge/log_writer.py
@@ -29,6 +29,8 @@
     SETTINGS_REJECTED = "settings-rejected"
     SOURCE_LOST = "source-lost"
     SOURCE_REGAINED = "source-regained"
+    SOURCE_RESTORED = "source-restored"
+    RECORD_OUTDATED = "record-outdated"
     VIEW_STALE = "view-stale"
     VIEW_CURRENT = "view-current"
     RECORD_UNUSABLE = "record-unusable"
--- a/src/chivedoor/edge/metrics.py
+++ b/src/chivedoor/edge/metrics.py
@@ -20,6 +20,7 @@
     HANDSHAKES_REPEATED = "handshakes_repeated"
     MALFORMED_PACKETS = "malformed_packets"
     PACKETS_DROPPED = "packets_dropped"
+    RESTORATIONS = "restorations"
     SUSPICIONS = "suspicions"
     UNUSABLE_RECORDS = "unusable_records"
 
--- a/src/chivedoor/edge/view_updater.py
+++ b/src/chivedoor/edge/view_updater.py
@@ -64,8 +64,14 @@
     def apply_batch(self, batch: records.Batch, confirmed_at: float) -> None:
         """Applies a batch that was current at `confirmed_at`."""
         now = self._clock()
+        restored = (
+            self.confirmed_at is not None
+            and batch.revision.era > self.table.revision.era
+        )
+        if restored:
+            self._record_restoration(batch.revision, now)
         for record in self.table.merge(batch):
-            self._apply_record(record, now)
+            self._apply_record(record, now, restored=restored)
         self.confirm(confirmed_at)
 
     def confirm(self, confirmed_at: float) -> None:
@@ -82,29 +88,52 @@
         Called on every tick and confirmation. The view counts as complete
         some time after it became current, since entries that lapsed during a
         store outage return only after the outage. Flows of endpoints that
-        have ended are reset.
+        have ended are reset, and changes that a restored store reported are
+        applied when they are due.
         """
         if self.confirmed_at is None:
             return
         now = self._clock()
+        for change in self._steerer.restorations.pop_due(now):
+            self._apply_change(change, self.table.revision, now)
         current = now - self.confirmed_at < const.VIEW_MAX_AGE_S
         if current and self._view_complete_at is None:
             self._view_complete_at = now + steering_const.LAPSED_ENTRY_RETURN_S
             self._log.write(
-                log_writer.EventType.VIEW_CURRENT, revision=self.table.revision
+                log_writer.EventType.VIEW_CURRENT,
+                **_describe_revision(self.table.revision),
             )
         elif not current and self._view_complete_at is not None:
             self._view_complete_at = None
             self._log.write(
                 log_writer.EventType.VIEW_STALE,
-                revision=self.table.revision,
+                **_describe_revision(self.table.revision),
                 age_s=self.get_age_s(),
             )
         self._steerer.set_view_complete_at(self._view_complete_at)
         for endpoint in self._steerer.pop_ended_endpoints(now):
             self._reset_flows(endpoint.id)
 
-    def _apply_record(self, record: records.Record, now: float) -> None:
+    def _record_restoration(
+        self, revision: records.Revision, now: float
+    ) -> None:
+        """Restarts the time until missing entries mean removed endpoints."""
+        self._metrics.count(metrics_module.Counter.RESTORATIONS)
+        self._log.write(
+            log_writer.EventType.SOURCE_RESTORED,
+            **_describe_revision(revision),
+            former_era=self.table.revision.era,
+            former_revision=self.table.revision.number,
+            version=self._steerer.view.version,
+            view_age_s=self.get_age_s(),
+        )
+        self._view_complete_at = None
+        self._steerer.set_view_complete_at(None)
+        self._steerer.restorations.begin(now)
+
+    def _apply_record(
+        self, record: records.Record, now: float, *, restored: bool
+    ) -> None:
         try:
             change = items.decode_record(record, now)
         except items.UnusableValueError as error:
@@ -118,18 +147,35 @@
             if endpoint_id is None:
                 return
             change = views.UnusableEndpoint(endpoint_id=endpoint_id)
-        if change is not None and self._steerer.view.apply(change, now):
+        if change is None:
+            return
+        if self._steerer.restorations.admit(change, now, restored=restored):
+            self._apply_change(change, record.revision, now)
+        else:
+            self._log.write(
+                log_writer.EventType.RECORD_OUTDATED,
+                key=record.key,
+                **_describe_revision(record.revision),
+            )
+
+    def _apply_change(
+        self, change: views.Change, revision: records.Revision, now: float
+    ) -> None:
+        if self._steerer.view.apply(change, now):
             self._metrics.count(
                 metrics_module.Counter.CHANGES, type(change).__name__
             )
-            self._log_change(change, record.revision)
+            self._log_change(change, revision)
 
-    def _log_change(self, change: views.Change, revision: ids.Revision) -> None:
+    def _log_change(
+        self, change: views.Change, revision: records.Revision
+    ) -> None:
+        fields = _describe_revision(revision)
         match change:
             case views.ListedEndpoint(endpoint=endpoint):
                 self._log.write(
                     log_writer.EventType.ENDPOINT_LISTED,
-                    revision=revision,
+                    **fields,
                     endpoint=endpoint.id,
                     service=endpoint.service,
                     endpoint_domain=endpoint.domain,
@@ -140,13 +186,13 @@
             case views.RemovedEndpoint(endpoint_id=endpoint_id):
                 self._log.write(
                     log_writer.EventType.ENDPOINT_REMOVED,
-                    revision=revision,
+                    **fields,
                     endpoint=endpoint_id,
                 )
             case views.Configuration():
                 self._log.write(
                     log_writer.EventType.CONFIGURATION,
-                    revision=revision,
+                    **fields,
                     version=change.version,
                     routes=len(change.routes),
                     services=len(change.services),
@@ -158,5 +204,10 @@
                     else log_writer.EventType.DOMAIN_IN
                 )
                 self._log.write(
-                    event_type, revision=revision, changed_domain=change.domain
+                    event_type, **fields, changed_domain=change.domain
                 )
+
+
+def _describe_revision(revision: records.Revision) -> dict[str, int]:
+    """Returns the fields of a revision in log lines."""
+    return {"revision": revision.number, "era": revision.era}
--- a/src/chivedoor/feed/coordinator.py
+++ b/src/chivedoor/feed/coordinator.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 import enum
 
-from chivedoor import ids
 from chivedoor.feed import const
 from chivedoor.feed import follower as followers
 from chivedoor.feed import peers as peer_sets
@@ -73,7 +72,7 @@
         deliver: Callable[[records.Batch, float], None],
         get_age_s: Callable[[], float | None],
         get_read_age_s: Callable[[], float | None],
-        get_revision: Callable[[], ids.Revision],
+        get_revision: Callable[[], records.Revision],
         on_mode_change: Callable[[ReadingMode, str], None],
         local_host: str,
         peer_port: int,
@@ -218,9 +217,11 @@
     def _start_follower(self) -> None:
         if self._follower_task is None:
             follower = self._make_follower()
-            follower.restart_at(self._get_revision() or None)
+            revision = self._get_revision()
+            has_view = revision != records.NO_REVISION
+            follower.restart_at(revision if has_view else None)
             self._follower_task = asyncio.create_task(follower.async_run())
-            if self._get_revision():
+            if has_view:
                 self._follower_started_at = self._clock()
 
     def _stop_follower(self) -> None:
--- a/src/chivedoor/feed/exceptions.py
+++ b/src/chivedoor/feed/exceptions.py
@@ -24,7 +24,10 @@
 
 
 class HistoryLostError(FeedError):
-    """The source no longer holds the changes since a revision."""
+    """The source no longer holds the changes since a revision.
+
+    Either it discarded them or it was restored from an older copy.
+    """
 
 
 class MalformedAnswerError(FeedError):
--- a/src/chivedoor/feed/follower.py
+++ b/src/chivedoor/feed/follower.py
@@ -6,7 +6,6 @@
 import random
 from typing import Protocol
 
-from chivedoor import ids
 from chivedoor.feed import const
 from chivedoor.feed import exceptions
 from chivedoor.feed import full_read as full_reads
@@ -24,7 +23,7 @@
         """
 
     async def async_wait(
-        self, after: ids.Revision, wait_s: float
+        self, after: records.Revision, wait_s: float
     ) -> records.Batch:
         """Waits up to `wait_s` seconds for changes after a revision.
 
@@ -84,13 +83,13 @@
         self._generator = generator
         self._get_max_delay_s = get_max_delay_s
         self._has_peers = has_peers
-        self._revision: ids.Revision | None = None
+        self._revision: records.Revision | None = None
         # Whether the next wait is the first one after the first full read.
         self._starting = True
         # The full read in progress.
         self._full_read: full_reads.FullRead | None = None
 
-    def restart_at(self, revision: ids.Revision | None) -> None:
+    def restart_at(self, revision: records.Revision | None) -> None:
         """Sets the revision to resume from; None starts with a full read."""
         self._revision = revision
         self._starting = revision is None
@@ -156,7 +155,10 @@
                 await self._source.async_read_page(full_read.after)
             ):
                 pass
-        except exceptions.MalformedAnswerError:
+        except (
+            exceptions.HistoryLostError,
+            exceptions.MalformedAnswerError,
+        ):
             self._full_read = None
             raise
         self._full_read = None
--- a/src/chivedoor/feed/full_read.py
+++ b/src/chivedoor/feed/full_read.py
@@ -1,6 +1,5 @@
 """Read of all keys in pages."""
 
-from chivedoor import ids
 from chivedoor.feed import const
 from chivedoor.feed import exceptions
 from chivedoor.feed import records
@@ -30,9 +29,12 @@
         """Adds the next page; returns whether it was the last one.
 
         Raises:
+            HistoryLostError: The store was restored since the first page.
             MalformedAnswerError: There are too many pages, or they are not in
                 the order of their keys.
         """
+        if self._pages and page.revision.era != self._pages[0].revision.era:
+            raise exceptions.HistoryLostError("store restored between pages")
         self._pages.append(page)
         if len(self._pages) > const.MAX_PAGES:
             raise exceptions.MalformedAnswerError("too many pages")
@@ -49,7 +51,9 @@
 
         Later changes are read again by the watch.
         """
-        revision = self._pages[0].revision if self._pages else ids.Revision(0)
+        revision = (
+            self._pages[0].revision if self._pages else records.NO_REVISION
+        )
         return records.Batch(
             records=tuple(
                 record for page in self._pages for record in page.records
--- a/src/chivedoor/feed/messages.py
+++ b/src/chivedoor/feed/messages.py
@@ -145,10 +145,14 @@
         [
             frame.sent_at,
             frame.age_s,
-            batch.revision,
+            _encode_revision(batch.revision),
             batch.complete,
             [
-                [record.key, record.value, record.revision]
+                [
+                    record.key,
+                    record.value,
+                    _encode_revision(record.revision),
+                ]
                 for record in batch.records
             ],
         ]
@@ -166,14 +170,14 @@
         case [
             float(sent_at),
             float(age_s),
-            int(revision),
+            revision,
             bool(complete),
             list(items),
         ]:
             return Frame(
                 batch=records.Batch(
                     records=tuple(map(_decode_record, items)),
-                    revision=ids.Revision(revision),
+                    revision=_decode_revision(revision),
                     complete=complete,
                 ),
                 age_s=age_s,
@@ -182,22 +186,19 @@
     raise exceptions.MalformedAnswerError("invalid frame")
 
 
-def encode_subscription(revision: ids.Revision) -> bytes:
+def encode_subscription(revision: records.Revision) -> bytes:
     """Encodes a subscription to the changes after a revision."""
-    body = cbor2.dumps(revision)
+    body = cbor2.dumps(_encode_revision(revision))
     return len(body).to_bytes(const.FRAME_HEADER_BYTES, "big") + body
 
 
-def decode_subscription(body: bytes) -> ids.Revision:
+def decode_subscription(body: bytes) -> records.Revision:
     """Decodes the revision of a subscription.
 
     Raises:
         MalformedAnswerError: The bytes are not a valid revision.
     """
-    revision = _load(body)
-    if not isinstance(revision, int) or isinstance(revision, bool):
-        raise exceptions.MalformedAnswerError("invalid revision")
-    return ids.Revision(revision)
+    return _decode_revision(_load(body))
 
 
 def _load(data: bytes) -> Any:
@@ -293,8 +294,19 @@
 
 def _decode_record(value: Any) -> records.Record:
     match value:
-        case [str(key), bytes() | None as content, int(revision)]:
+        case [str(key), bytes() | None as content, revision]:
             return records.Record(
-                key=key, value=content, revision=ids.Revision(revision)
+                key=key, value=content, revision=_decode_revision(revision)
             )
     raise exceptions.MalformedAnswerError("record")
+
+
+def _encode_revision(revision: records.Revision) -> list[int]:
+    return [revision.era, revision.number]
+
+
+def _decode_revision(value: Any) -> records.Revision:
+    match value:
+        case [era, number] if type(era) is int and type(number) is int:
+            return records.Revision(era=ids.Era(era), number=number)
+    raise exceptions.MalformedAnswerError("revision")
--- a/src/chivedoor/feed/peers.py
+++ b/src/chivedoor/feed/peers.py
@@ -30,7 +30,7 @@
         read_age_s: Time since its last own read of the store confirmed its
             view, in seconds; None if it never read. Changes received from a
             peer do not count.
-        revision: The store revision of its view.
+        revision: Number of the store revision of its view.
         leaving: Whether it is being stopped.
         in_flight: Requests in flight through it, by endpoint.
         summed: Whether the counts include those reported by its peers.
@@ -48,7 +48,7 @@
     incarnation: int
     bandwidth_mbps: float
     read_age_s: float | None
-    revision: ids.Revision
+    revision: int
     leaving: bool
     in_flight: dict[ids.EndpointId, int]
     summed: bool
--- a/src/chivedoor/feed/records.py
+++ b/src/chivedoor/feed/records.py
@@ -1,10 +1,31 @@
 """Keys and raw values of the store."""
 
 import dataclasses
+from typing import Final
 
 from chivedoor import ids
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True, order=True)
+class Revision:
+    """Point in the history of the store; later ones are greater.
+
+    A store that is restored from a copy gives numbers out again, so that
+    numbers can be compared within an era only.
+
+    Attributes:
+        era: Number of times that the store was restored.
+        number: Number of the last change, 0 before the first one.
+    """
+
+    era: ids.Era
+    number: int
+
+
+# Revision before the first read of the store.
+NO_REVISION: Final = Revision(era=ids.Era(0), number=0)
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Record:
     """A key that was written or removed.
@@ -17,7 +38,7 @@
 
     key: str
     value: bytes | None
-    revision: ids.Revision
+    revision: Revision
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -31,7 +52,7 @@
     """
 
     records: tuple[Record, ...]
-    revision: ids.Revision
+    revision: Revision
     has_more: bool
 
 
@@ -46,5 +67,5 @@
     """
 
     records: tuple[Record, ...]
-    revision: ids.Revision
+    revision: Revision
     complete: bool
--- a/src/chivedoor/feed/relay.py
+++ b/src/chivedoor/feed/relay.py
@@ -5,7 +5,6 @@
 import socket
 from typing import cast
 
-from chivedoor import ids
 from chivedoor.feed import const
 from chivedoor.feed import exceptions
 from chivedoor.feed import messages
@@ -98,7 +97,7 @@
         """Removes a subscriber."""
         self._subscribers.discard(subscriber)
 
-    def make_frame(self, revision: ids.Revision) -> messages.Frame | None:
+    def make_frame(self, revision: records.Revision) -> messages.Frame | None:
         """Returns the changes after a revision, None without a view."""
         age_s = self._get_age_s()
         if age_s is None:
@@ -117,7 +116,7 @@
         self._relay = relay
         self._transport: asyncio.Transport | None = None
         self._frames = _FrameSplitter()
-        self._revision: ids.Revision | None = None
+        self._revision: records.Revision | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
@@ -167,7 +166,7 @@
         host: str,
         port: int,
         local_host: str,
-        revision: ids.Revision,
+        revision: records.Revision,
         deliver: Callable[[records.Batch, float], None],
         on_end: Callable[["Subscription", str], None],
         clock: Callable[[], float],
--- a/src/chivedoor/feed/table.py
+++ b/src/chivedoor/feed/table.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable
 import itertools
 
-from chivedoor import ids
 from chivedoor.feed import const
 from chivedoor.feed import records
 
@@ -12,17 +11,17 @@
     """Merges batches that may be outdated, duplicated or out of order.
 
     Attributes:
-        revision: The store revision of the table, 0 before the first batch.
+        revision: The store revision of the table.
     """
 
     def __init__(self) -> None:
-        self.revision = ids.Revision(0)
+        self.revision = records.NO_REVISION
         self._records: dict[str, records.Record] = {}
         # Revisions of removed keys, oldest first. They keep older batches from
         # restoring the keys and are sent to subscribers that lag behind.
-        self._removals: dict[str, ids.Revision] = {}
+        self._removals: dict[str, records.Revision] = {}
         # Newest revision among the removals that are no longer kept.
-        self._newest_dropped_removal = ids.Revision(0)
+        self._newest_dropped_removal = records.NO_REVISION
 
     def merge(self, batch: records.Batch) -> list[records.Record]:
         """Applies newer records; returns the records that changed."""
@@ -33,12 +32,17 @@
         self.revision = max(self.revision, batch.revision)
         return changed
 
-    def list_since(self, revision: ids.Revision) -> records.Batch:
+    def list_since(self, revision: records.Revision) -> records.Batch:
         """Returns the changes after a revision.
 
-        The batch is complete if not all removals since then are known.
+        The batch is complete if not all removals since then are known, or if
+        the store was restored since then: the restored store may lack keys
+        that were never read here.
         """
-        complete = revision <= self._newest_dropped_removal
+        complete = (
+            revision <= self._newest_dropped_removal
+            or revision.era < self.revision.era
+        )
         present = (
             record
             for record in self._records.values()
@@ -57,7 +61,11 @@
 
     def _apply(self, record: records.Record) -> bool:
         known = self._records.get(record.key)
-        newest = known.revision if known else self._removals.get(record.key, 0)
+        newest = (
+            known.revision
+            if known
+            else self._removals.get(record.key, records.NO_REVISION)
+        )
         if record.value is None:
             return self._remove(record, known)
         if record.revision <= newest:
@@ -75,7 +83,7 @@
         if known is not None and record.revision < known.revision:
             return False
         self._records.pop(record.key, None)
-        former = self._removals.pop(record.key, ids.Revision(0))
+        former = self._removals.pop(record.key, records.NO_REVISION)
         self._removals[record.key] = max(former, record.revision)
         if len(self._removals) > const.MAX_REMOVALS:
             key = next(iter(self._removals))
--- a/src/chivedoor/platform/const.py
+++ b/src/chivedoor/platform/const.py
@@ -11,3 +11,7 @@
 # Limit for a response of the store. A configuration has at most 1 MiB, which
 # with base64 and the surrounding page stays below this.
 MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+
+# Header of all responses of the store: how often it was restored from a copy.
+ERA_HEADER: Final = b"store-era"
+MAX_ERA_DIGITS: Final = 18
--- a/src/chivedoor/platform/items.py
+++ b/src/chivedoor/platform/items.py
@@ -79,6 +79,8 @@
             slots=max(1, int(_get_number(entry, "concurrency", 1))),
             # `born` is the start time of the process, not of the entry.
             incarnation=int(_get_number(entry, "born", 0)),
+            # `sequence` counts the writes of the endpoint since its start.
+            sequence=int(_get_number(entry, "sequence", 0)),
             draining=_get_draining(entry),
             cold_until=now + cold_s if cold_s > 0.0 else 0.0,
         )
--- a/src/chivedoor/platform/store.py
+++ b/src/chivedoor/platform/store.py
@@ -8,6 +8,7 @@
 import json
 import socket
 from typing import Any
+from typing import NamedTuple
 from typing import cast
 import urllib.parse
 
@@ -50,6 +51,8 @@
             clock: Returns the time in seconds.
         """
         self.calls = 0
+        # Latest era of the store that a response named.
+        self._era = ids.Era(0)
         self._observe_call = observe_call
         self._clock = clock
         self._host = host
@@ -64,17 +67,17 @@
                 an invalid response.
         """
         query = {"prefix": ""} | ({"after": after} if after else {})
-        response = await self._async_get(
+        era, response = await self._async_get(
             "/v1/kv-range", query, feed_const.READ_TIMEOUT_S
         )
         return records.Page(
-            records=_decode_items(response, "items"),
-            revision=_get_revision(response, "store_revision"),
+            records=_decode_items(response, "items", era),
+            revision=_get_revision(response, "store_revision", era),
             has_more=bool(response.get("has_more")),
         )
 
     async def async_wait(
-        self, after: ids.Revision, wait_s: float
+        self, after: records.Revision, wait_s: float
     ) -> records.Batch:
         """Waits for changes with a long poll.
 
@@ -83,20 +86,25 @@
             wait_s: How long the store may wait for a change, in seconds.
 
         Raises:
-            HistoryLostError: The changes since `after` are no longer available.
+            HistoryLostError: The changes since `after` are no longer available,
+                or the store was restored since then.
             FeedError: As for `async_read_page`.
         """
         query = {
             "prefix": "",
-            "after": str(after),
+            "after": str(after.number),
             "wait_ms": str(round(wait_s * 1000)),
         }
-        response = await self._async_get(
+        era, response = await self._async_get(
             "/v1/kv-watch", query, wait_s + feed_const.WATCH_TIMEOUT_MARGIN_S
         )
+        # A restored store may have passed the number of `after` again. The
+        # changes since then would lack those in between.
+        if era != after.era:
+            raise exceptions.HistoryLostError(f"store restored, era {era}")
         return records.Batch(
-            records=_decode_items(response, "events"),
-            revision=_get_revision(response, "store_revision"),
+            records=_decode_items(response, "events", era),
+            revision=_get_revision(response, "store_revision", era),
             complete=False,
         )
 
@@ -108,13 +116,14 @@
 
     async def _async_get(
         self, path: str, query: Mapping[str, str], timeout_s: float
-    ) -> Mapping[str, Any]:
+    ) -> tuple[ids.Era, Mapping[str, Any]]:
+        """Sends a request and returns the era and the body of the response."""
         self.calls += 1
         sent_at = self._clock()
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._async_connect()
-                status, body = await connection.async_get(
+                response = await connection.async_get(
                     f"{path}?{urllib.parse.urlencode(query)}"
                 )
         except (OSError, TimeoutError) as error:
@@ -127,11 +136,17 @@
             raise
         finally:
             self._observe_call(self._clock() - sent_at)
-        if status == _HTTP_GONE:
+        if response.status == _HTTP_GONE:
             raise exceptions.HistoryLostError(path)
-        if status != _HTTP_OK:
-            raise exceptions.SourceRefusedError(status)
-        return _parse_response(body)
+        if response.status != _HTTP_OK:
+            raise exceptions.SourceRefusedError(response.status)
+        era = _parse_era(response.era)
+        if era < self._era:
+            raise exceptions.MalformedAnswerError(
+                f"era {era} after era {self._era}"
+            )
+        self._era = era
+        return era, _parse_response(response.body)
 
     async def _async_connect(self) -> "_Connection":
         if self._connection is not None and self._connection.is_open:
@@ -147,22 +162,31 @@
         return self._connection
 
 
+class _Response(NamedTuple):
+    """Status, era header and body of a response."""
+
+    status: int
+    era: bytes | None
+    body: bytes
+
+
 class _Connection(asyncio.Protocol):
     """An HTTP/1.1 connection for one request at a time."""
 
     def __init__(self, *, host: str) -> None:
         self._host = host
         self._transport: asyncio.Transport | None = None
-        self._response: asyncio.Future[tuple[int, bytes]] | None = None
+        self._response: asyncio.Future[_Response] | None = None
         self._parser = httptools.HttpResponseParser(self)
+        self._era: bytes | None = None
         self._body = bytearray()
 
     @property
     def is_open(self) -> bool:
         return self._transport is not None and not self._transport.is_closing()
 
-    async def async_get(self, request_target: str) -> tuple[int, bytes]:
-        """Sends a GET request and returns status and body of the response.
+    async def async_get(self, request_target: str) -> _Response:
+        """Sends a GET request and returns the response.
 
         Raises:
             FeedError: The connection was lost or the response is malformed.
@@ -171,6 +195,7 @@
             raise exceptions.SourceUnreachableError("not connected")
         self._response = asyncio.get_running_loop().create_future()
         self._parser = httptools.HttpResponseParser(self)
+        self._era = None
         self._body.clear()
         self._transport.write(
             f"GET {request_target} HTTP/1.1\r\n"
@@ -201,6 +226,11 @@
             exceptions.SourceUnreachableError(f"connection lost: {error}")
         )
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps the era of the store."""
+        if name.lower() == const.ERA_HEADER:
+            self._era = value
+
     def on_body(self, body: bytes) -> None:
         """Appends to the body; a body that is too large fails the call."""
         self._body += body
@@ -211,7 +241,11 @@
         """Completes the pending call."""
         if self._response is not None and not self._response.done():
             self._response.set_result(
-                (self._parser.get_status_code(), bytes(self._body))
+                _Response(
+                    status=self._parser.get_status_code(),
+                    era=self._era,
+                    body=bytes(self._body),
+                )
             )
         if not self._parser.should_keep_alive():
             self.close()
@@ -222,6 +256,15 @@
         self.close()
 
 
+def _parse_era(value: bytes | None) -> ids.Era:
+    """Returns the era in a header, 0 for a store that names none."""
+    if value is None:
+        return ids.Era(0)
+    if not value.isdigit() or len(value) > const.MAX_ERA_DIGITS:
+        raise exceptions.MalformedAnswerError("era")
+    return ids.Era(int(value))
+
+
 def _parse_response(body: bytes) -> Mapping[str, Any]:
     try:
         response = json.loads(body)
@@ -233,21 +276,21 @@
 
 
 def _decode_items(
-    response: Mapping[str, Any], name: str
+    response: Mapping[str, Any], name: str, era: ids.Era
 ) -> tuple[records.Record, ...]:
     items = response.get(name)
     if not isinstance(items, list):
         raise exceptions.MalformedAnswerError(name)
-    return tuple(map(_decode_item, items))
+    return tuple(_decode_item(item, era) for item in items)
 
 
-def _decode_item(item: Any) -> records.Record:
+def _decode_item(item: Any, era: ids.Era) -> records.Record:
     if not isinstance(item, dict) or not isinstance(item.get("key"), str):
         raise exceptions.MalformedAnswerError("key")
     return records.Record(
         key=item["key"],
         value=None if item.get("deleted") else _decode_value(item),
-        revision=_get_revision(item, "revision"),
+        revision=_get_revision(item, "revision", era),
     )
 
 
@@ -258,8 +301,10 @@
         raise exceptions.MalformedAnswerError("value") from error
 
 
-def _get_revision(fields: Mapping[str, Any], name: str) -> ids.Revision:
-    revision = fields.get(name)
-    if not isinstance(revision, int) or isinstance(revision, bool):
+def _get_revision(
+    fields: Mapping[str, Any], name: str, era: ids.Era
+) -> records.Revision:
+    number = fields.get(name)
+    if not isinstance(number, int) or isinstance(number, bool):
         raise exceptions.MalformedAnswerError(name)
-    return ids.Revision(revision)
+    return records.Revision(era=era, number=number)
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -18,6 +18,9 @@
 # their heartbeats. They are written again within 2 s, as the platform
 # specifies. The remaining 0.5 s covers the delivery.
 LAPSED_ENTRY_RETURN_S: Final = 2.5
+# An entry without heartbeats is removed after three of their intervals, 3.6 s
+# in the known deployments. The rest covers the delivery.
+ENTRY_LIFETIME_S: Final = 5.0
 
 # Flows whose endpoint or route is unknown are remembered until the view was
 # confirmed again, which takes at most two seconds while it counts as current,
--- /dev/null
+++ b/src/chivedoor/steering/restorations.py
@@ -0,0 +1,155 @@
+"""Changes that a store reports after it was restored from an older copy.
+
+Such a store holds what it held seconds before. Whatever the operator and the
+endpoints wrote since then is missing until they write it again, which they do
+within `LAPSED_ENTRY_RETURN_S`. So its first state may contradict what is known:
+an entry may be older than the known one, and a failure domain that was taken
+out may seem to be back in service. Newer knowledge is kept meanwhile.
+"""
+
+import dataclasses
+import functools
+
+from chivedoor import ids
+from chivedoor.steering import const
+from chivedoor.steering import view as views
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Postponement:
+    """A change that is applied later unless another one follows.
+
+    Attributes:
+        change: The change.
+        delay_s: Time from the restoration until it is applied, in seconds.
+        due_at: Time at which it is applied, in seconds.
+    """
+
+    change: views.Change
+    delay_s: float
+    due_at: float
+
+
+class Restorations:
+    """Selects the changes of a restored store that are applied."""
+
+    def __init__(self, *, view: views.View) -> None:
+        """Creates a filter for the changes of a view."""
+        self._view = view
+        # By what the change is about.
+        self._postponements: dict[object, _Postponement] = {}
+
+    def begin(self, now: float) -> None:
+        """Restarts the delays, since the store has lost its latest changes."""
+        for postponement in self._postponements.values():
+            postponement.due_at = now + postponement.delay_s
+
+    def admit(
+        self, change: views.Change, now: float, *, restored: bool
+    ) -> bool:
+        """Returns whether a change is to be applied now.
+
+        Args:
+            change: The change.
+            now: The time in seconds.
+            restored: Whether the change is a part of the first state that was
+                read after a restoration.
+        """
+        self._postponements.pop(_get_subject(change), None)
+        return not restored or _admit_restored(change, self, now)
+
+    def postpone(
+        self, change: views.Change, delay_s: float, now: float
+    ) -> None:
+        """Applies a change later unless another one follows."""
+        self._postponements[_get_subject(change)] = _Postponement(
+            change=change, delay_s=delay_s, due_at=now + delay_s
+        )
+
+    def pop_due(self, now: float) -> list[views.Change]:
+        """Removes and returns the postponed changes that are due."""
+        due = {
+            subject: postponement.change
+            for subject, postponement in self._postponements.items()
+            if postponement.due_at <= now
+        }
+        for subject in due:
+            del self._postponements[subject]
+        return list(due.values())
+
+    def is_older_version(self, version: ids.Version) -> bool:
+        """Returns whether a newer configuration is in force."""
+        return version < self._view.version
+
+    def find_newer(self, endpoint: views.Endpoint) -> views.Endpoint | None:
+        """Returns what is known of an endpoint if its entry tells less.
+
+        The entry of an endpoint that was removed tells nothing new until the
+        endpoint has written it again.
+        """
+        known = self._view.find_known(endpoint.id)
+        if known is None:
+            return None
+        latest = (known.incarnation, known.sequence)
+        restored = (endpoint.incarnation, endpoint.sequence)
+        if restored < latest:
+            return known
+        removed = known.removed_at is not None
+        return known if removed and restored == latest else None
+
+
+@functools.singledispatch
+def _get_subject(change: object) -> object:
+    """Returns what a change is about; a later change replaces it."""
+    return type(change)
+
+
+@_get_subject.register(views.ListedEndpoint)
+def _(change: views.ListedEndpoint) -> object:
+    return views.Endpoint, change.endpoint.id
+
+
+@_get_subject.register(views.RemovedEndpoint)
+@_get_subject.register(views.UnusableEndpoint)
+def _(change: views.RemovedEndpoint | views.UnusableEndpoint) -> object:
+    return views.Endpoint, change.endpoint_id
+
+
+@_get_subject.register(views.DomainState)
+def _(change: views.DomainState) -> object:
+    return views.DomainState, change.domain
+
+
+@functools.singledispatch
+def _admit_restored(
+    change: object, restorations: Restorations, now: float
+) -> bool:
+    """Returns whether a change in the first state is to be applied now."""
+    return True
+
+
+@_admit_restored.register
+def _(
+    change: views.Configuration, restorations: Restorations, now: float
+) -> bool:
+    return not restorations.is_older_version(change.version)
+
+
+@_admit_restored.register
+def _(
+    change: views.ListedEndpoint, restorations: Restorations, now: float
+) -> bool:
+    known = restorations.find_newer(change.endpoint)
+    if known is not None and known.removed_at is not None:
+        # If the endpoint lives, heartbeats keep its entry without a change.
+        restorations.postpone(change, const.ENTRY_LIFETIME_S, now)
+    return known is None
+
+
+@_admit_restored.register
+def _(
+    change: views.DomainState, restorations: Restorations, now: float
+) -> bool:
+    if not change.out:
+        restorations.postpone(change, const.LAPSED_ENTRY_RETURN_S, now)
+    return change.out
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -16,6 +16,7 @@
 from chivedoor.steering import reachability
 from chivedoor.steering import reports
 from chivedoor.steering import restarts
+from chivedoor.steering import restorations
 from chivedoor.steering import segment as segments
 from chivedoor.steering import suspicion
 from chivedoor.steering import tags
@@ -46,6 +47,7 @@
         restarts: Endpoints that have probably restarted.
         pauses: Pauses of this process.
         absences: Flows whose endpoint or route is missing from the view.
+        restorations: Selects the changes that a restored store reports.
         warmup_budget: This balancer's share of the rates of cold endpoints.
         peer_loads: Requests in flight through other balancers.
         delay_table: Recent delays of requests by endpoint.
@@ -80,6 +82,7 @@
         self.restarts = restarts.Restarts()
         self.pauses = pauses.Pauses()
         self.absences = absences.Absences()
+        self.restorations = restorations.Restorations(view=self.view)
         self.warmup_budget = warmup.WarmupBudget(
             local=local, domain=domain, domains=domains
         )
--- a/src/chivedoor/steering/view.py
+++ b/src/chivedoor/steering/view.py
@@ -24,6 +24,7 @@
         domain: Its failure domain.
         slots: Number of requests that it processes at a time.
         incarnation: Start time of the process, in milliseconds of Unix time.
+        sequence: Number of its entry, counted from the start of the process.
         draining: Whether it finishes its flows and takes no new ones.
         cold_until: Time until which it is warming up and takes little load.
         removed_at: Time at which its entry disappeared, None while listed.
@@ -38,6 +39,7 @@
         "incarnation",
         "numeric_id",
         "removed_at",
+        "sequence",
         "service",
         "tag_prefix",
         "slots",
@@ -53,6 +55,7 @@
         domain: ids.DomainId,
         slots: int,
         incarnation: int,
+        sequence: int,
         draining: bool,
         cold_until: float,
     ) -> None:
@@ -65,6 +68,7 @@
         self.domain = domain
         self.slots = slots
         self.incarnation = incarnation
+        self.sequence = sequence
         self.draining = draining
         self.cold_until = cold_until
         self.removed_at: float | None = None
@@ -191,6 +195,10 @@
                 return endpoint
         return None
 
+    def find_known(self, endpoint_id: ids.EndpointId) -> Endpoint | None:
+        """Returns an endpoint that is listed or was removed recently."""
+        return self.endpoints.get(endpoint_id) or self._removed.get(endpoint_id)
+
     def apply(self, change: Change, now: float) -> bool:
         """Applies a change; older configurations are ignored.
 
--- a/standins/overload.py
+++ b/standins/overload.py
@@ -226,6 +226,7 @@
                 domain=domains[(number - 1) % len(domains)],
                 slots=scenario.slots,
                 incarnation=1,
+                sequence=1,
                 draining=False,
                 cold_until=0.0,
             )
--- a/tests/edge/test_process.py
+++ b/tests/edge/test_process.py
@@ -186,6 +186,75 @@
             await asyncio.sleep(0.05)
 
 
+async def async_wait_version(edge, version: int) -> None:
+    """Waits until a configuration is in force, for 3 s at most."""
+    async with asyncio.timeout(3.0):
+        while (
+            f'"view": {{"version": {version},'
+            not in (await edge.async_get(edge.metrics_port, "/state"))[1]
+        ):
+            await asyncio.sleep(0.05)
+
+
+async def async_restore_store(
+    edge, copy: store_stand_in.StoreCopy, outage_s: float = 0.3
+) -> None:
+    """Makes the store unreadable for a moment and restores a copy."""
+    edge.store.fault = store_stand_in.StoreFault.CLOSE
+    await asyncio.sleep(outage_s)
+    edge.store.restore(copy)
+    edge.store.fault = None
+
+
+@pytest.mark.parametrize("reads", [False, True])
+async def test_configuration_written_after_a_restoration_is_in_force(
+    edge, reads: bool
+) -> None:
+    """Guards against changes that are ignored after a restoration.
+
+    The restored store gives out lower revisions than before. With `reads`, the
+    balancer reads it before the operator writes to it again.
+    """
+    await async_start_ready(edge)
+    copy = edge.store.make_copy()
+    for version in range(2, 6):
+        edge.publish_configuration(version)
+    await async_wait_version(edge, 5)
+    await async_restore_store(edge, copy)
+    if reads:
+        await asyncio.sleep(1.5)
+    state = (await edge.async_get(edge.metrics_port, "/state"))[1]
+    assert '"view": {"version": 5,' in state
+    edge.publish_configuration(5)
+    edge.publish_configuration(6)
+    await async_wait_version(edge, 6)
+
+
+async def test_flow_is_kept_when_a_restored_store_lacks_its_endpoint(
+    edge,
+) -> None:
+    """Guards against resets of flows whose endpoint is to be listed again."""
+    edge.publish_configuration()
+    copy = edge.store.make_copy()
+    edge.publish_endpoint()
+    await edge.async_start()
+    await edge.async_wait_ready()
+    opening_packet = await async_open_flow(edge)
+    # The view counts as complete some time after it became current.
+    await asyncio.sleep(2.6)
+    await async_restore_store(edge, copy)
+    for _ in range(15):
+        await async_deliver_request(edge, opening_packet.tag)
+        await asyncio.sleep(0.1)
+    edge.publish_endpoint()
+    await asyncio.sleep(2.0)
+    await async_deliver_request(edge, opening_packet.tag)
+    events = [line["message_type"] for line in edge.read_lines()]
+    assert events.count("source-restored") == 1
+    assert "endpoint-removed" in events
+    assert "flow-reset" not in events
+
+
 async def test_not_ready_without_a_view(edge) -> None:
     """Guards against reporting ready without a configuration."""
     edge.store.fault = store_stand_in.StoreFault.BUSY
--- a/tests/feed/conftest.py
+++ b/tests/feed/conftest.py
@@ -14,15 +14,23 @@
 DOMAIN = ids.DomainId("a")
 
 
-def make_record(key: str, value: bytes | None, revision: int) -> records.Record:
-    return records.Record(key=key, value=value, revision=ids.Revision(revision))
+def make_revision(number: int, era: int = 1) -> records.Revision:
+    return records.Revision(era=ids.Era(era), number=number)
+
+
+def make_record(
+    key: str, value: bytes | None, revision: int, era: int = 1
+) -> records.Record:
+    return records.Record(
+        key=key, value=value, revision=make_revision(revision, era)
+    )
 
 
 def make_batch(
-    *items: records.Record, revision: int, complete: bool = False
+    *items: records.Record, revision: int, era: int = 1, complete: bool = False
 ) -> records.Batch:
     return records.Batch(
-        records=items, revision=ids.Revision(revision), complete=complete
+        records=items, revision=make_revision(revision, era), complete=complete
     )
 
 
@@ -42,7 +50,7 @@
         incarnation=1,
         bandwidth_mbps=bandwidth_mbps,
         read_age_s=read_age_s,
-        revision=ids.Revision(1),
+        revision=1,
         leaving=leaving,
         in_flight={},
         summed=False,
@@ -89,7 +97,8 @@
 
     Attributes:
         answers: Results or exceptions of the next calls; if empty, calls wait.
-        calls: Requested revisions; None for pages of a full read.
+        calls: Numbers of the requested revisions; None for pages of a full
+            read.
         pages: Keys after which pages were requested.
         closed: Number of calls of `close`.
     """
@@ -98,7 +107,7 @@
         self.answers: list[
             records.Batch | records.Page | exceptions.FeedError
         ] = []
-        self.calls: list[ids.Revision | None] = []
+        self.calls: list[int | None] = []
         self.pages: list[str] = []
         self.closed = 0
 
@@ -112,17 +121,17 @@
         )
 
     async def async_wait(
-        self, after: ids.Revision, wait_s: float
+        self, after: records.Revision, wait_s: float
     ) -> records.Batch:
-        return await self._async_answer(after)
+        return await self._async_answer(after.number)
 
     def close(self) -> None:
         self.closed += 1
 
     async def _async_answer(
-        self, revision: ids.Revision | None
+        self, number: int | None
     ) -> records.Batch | records.Page:
-        self.calls.append(revision)
+        self.calls.append(number)
         if not self.answers:
             await asyncio.Event().wait()
         answer = self.answers.pop(0)
--- a/tests/feed/test_follower.py
+++ b/tests/feed/test_follower.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from chivedoor import ids
 from chivedoor.feed import const
 from chivedoor.feed import exceptions
 from chivedoor.feed import follower as followers
@@ -26,7 +25,7 @@
     monkeypatch.setattr(const, "WATCH_BATCH_DELAY_S", 0.0)
     follower = followers.Follower(
         source=source,
-        deliver=lambda batch, at: events.append(batch.revision),
+        deliver=lambda batch, at: events.append(batch.revision.number),
         on_state_change=lambda state, reason: events.append(state),
         clock=lambda: 1.0,
         generator=random.Random(1),
@@ -119,23 +118,36 @@
     """Guards against a full read when a peer has delivered the changes."""
     source.answers = [conftest.make_batch(revision=12)]
     follower = follow()
-    follower.restart_at(11)
+    follower.restart_at(conftest.make_revision(11))
     await async_wait_until(lambda: len(source.calls) == 2)
     assert source.calls == [11, 12]
 
 
-def make_page(key: str, revision: int, *, has_more: bool) -> records.Page:
+def make_page(
+    key: str, revision: int, *, has_more: bool, era: int = 1
+) -> records.Page:
     return records.Page(
-        records=(
-            records.Record(
-                key=key, value=b"{}", revision=ids.Revision(revision)
-            ),
-        ),
-        revision=ids.Revision(revision),
+        records=(conftest.make_record(key, b"{}", revision, era),),
+        revision=conftest.make_revision(revision, era),
         has_more=has_more,
     )
 
 
+async def test_full_read_restarts_when_the_store_is_restored(
+    source, events, follow, async_wait_until
+) -> None:
+    """Guards against a view made of pages from before and after."""
+    source.answers = [
+        make_page("a", 9, has_more=True),
+        make_page("b", 5, has_more=False, era=2),
+        make_page("a", 5, has_more=False, era=2),
+    ]
+    follow()
+    await async_wait_until(lambda: len(source.calls) == 4)
+    assert source.pages == ["", "a", ""]
+    assert 5 in events
+
+
 async def test_failed_page_is_retried_alone(
     source, events, follow, async_wait_until
 ) -> None:
--- a/tests/feed/test_messages.py
+++ b/tests/feed/test_messages.py
@@ -6,7 +6,6 @@
 from hypothesis import strategies
 import pytest
 
-from chivedoor import ids
 from chivedoor.feed import const
 from chivedoor.feed import exceptions
 from chivedoor.feed import messages
@@ -52,6 +51,7 @@
             strategies.text(max_size=20),
             strategies.none() | strategies.binary(max_size=50),
             strategies.integers(0, 2**60),
+            strategies.integers(0, 2**60),
         ),
         max_size=5,
     ),
@@ -81,8 +81,10 @@
 
 def test_subscription_round_trip() -> None:
     """Guards against a subscriber that receives all records again."""
-    encoded = messages.encode_subscription(ids.Revision(12))
+    revision = conftest.make_revision(12, era=3)
+    encoded = messages.encode_subscription(revision)
     body = encoded[const.FRAME_HEADER_BYTES :]
-    assert messages.decode_subscription(body) == 12
-    with pytest.raises(exceptions.MalformedAnswerError):
-        messages.decode_subscription(b"\xf5")
+    assert messages.decode_subscription(body) == revision
+    for malformed in (b"\xf5", b"\x0c", b"\x82\xf5\x0c", b"\x81\x0c"):
+        with pytest.raises(exceptions.MalformedAnswerError):
+            messages.decode_subscription(malformed)
--- a/tests/feed/test_relay.py
+++ b/tests/feed/test_relay.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from chivedoor import ids
 from chivedoor.feed import const
 from chivedoor.feed import messages
+from chivedoor.feed import records
 from chivedoor.feed import relay
 from chivedoor.feed import table
 from tests.feed import conftest
@@ -61,7 +61,7 @@
             host="127.0.0.1",
             port=reader.port,
             local_host="127.0.0.1",
-            revision=ids.Revision(revision),
+            revision=conftest.make_revision(revision),
             deliver=deliver,
             on_end=lambda _, reason: ends.append(reason),
             clock=lambda: 200.0,
@@ -81,12 +81,12 @@
     """Guards against changes that do not reach the other balancers."""
     reader.write("a", b"1", 1)
     received, ages = await subscribe(0, [])
-    await async_wait_until(lambda: received.revision == 1)
+    await async_wait_until(lambda: received.revision.number == 1)
     reader.write("b", b"2", 2)
     reader.write("a", None, 3)
-    await async_wait_until(lambda: received.revision == 3)
-    records = received.list_since(ids.Revision(0)).records
-    assert [record.key for record in records if record.value] == ["b"]
+    await async_wait_until(lambda: received.revision.number == 3)
+    batch = received.list_since(records.NO_REVISION)
+    assert [record.key for record in batch.records if record.value] == ["b"]
     assert ages[0] == pytest.approx(0.25)
 
 
@@ -111,7 +111,7 @@
     ends: list[str] = []
     reader.write("a", b"1", 1)
     received, _ = await subscribe(0, ends)
-    await async_wait_until(lambda: received.revision == 1)
+    await async_wait_until(lambda: received.revision.number == 1)
     reader.relay.close()
     await async_wait_until(lambda: bool(ends))
     assert len(ends) == 1
@@ -142,8 +142,8 @@
 async def test_frame_without_a_view_is_not_sent(reader) -> None:
     """Guards against a new balancer that sends an empty view."""
     reader.age_s = None
-    assert reader.relay.make_frame(ids.Revision(0)) is None
+    assert reader.relay.make_frame(records.NO_REVISION) is None
     assert (
-        len(messages.encode_subscription(ids.Revision(0))) - 1
+        len(messages.encode_subscription(records.NO_REVISION)) - 3
         == const.FRAME_HEADER_BYTES
     )
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -13,6 +13,8 @@
 from chivedoor.platform import packets
 from chivedoor.steering import view as views
 
+REVISION = records.Revision(era=ids.Era(1), number=3)
+
 ENDPOINT_ENTRY = {
     "service": "s1",
     "address": "10.128.0.9:8080",
@@ -53,7 +55,7 @@
 
 def decode(key: str, value: object, now: float = 50.0) -> views.Change | None:
     data = value if isinstance(value, bytes) else json.dumps(value).encode()
-    record = records.Record(key=key, value=data, revision=ids.Revision(3))
+    record = records.Record(key=key, value=data, revision=REVISION)
     return items.decode_record(record, now)
 
 
@@ -80,9 +82,7 @@
 
 def test_deleted_entry() -> None:
     """Guards against keeping an endpoint whose entry was deleted."""
-    record = records.Record(
-        key="servers/i-1", value=None, revision=ids.Revision(3)
-    )
+    record = records.Record(key="servers/i-1", value=None, revision=REVISION)
     change = items.decode_record(record, 0.0)
     assert change == views.RemovedEndpoint(endpoint_id=ids.EndpointId("i-1"))
 
@@ -179,9 +179,7 @@
     """Guards against a domain that stays out after its key was deleted."""
     change = decode("op/evacuate/a", {})
     assert change == views.DomainState(domain=ids.DomainId("a"), out=True)
-    record = records.Record(
-        key="op/evacuate/a", value=None, revision=ids.Revision(3)
-    )
+    record = records.Record(key="op/evacuate/a", value=None, revision=REVISION)
     change = items.decode_record(record, 0.0)
     assert change == views.DomainState(domain=ids.DomainId("a"), out=False)
 
--- a/tests/platform/test_packets.py
+++ b/tests/platform/test_packets.py
@@ -27,6 +27,7 @@
         domain=ids.DomainId("a"),
         slots=4,
         incarnation=1,
+        sequence=1,
         draining=False,
         cold_until=0.0,
     )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from chivedoor import ids
 from chivedoor.feed import const
 from chivedoor.feed import exceptions
 from chivedoor.feed import full_read as full_reads
+from chivedoor.feed import records
 from chivedoor.platform import const as platform_const
 from chivedoor.platform import store as stores
 from standins import store as store_stand_in
@@ -57,7 +59,7 @@
     batch = await async_read_all(store)
     assert len(batch.records) == 10
     assert batch.complete
-    assert batch.revision == 11
+    assert batch.revision == records.Revision(era=ids.Era(1), number=11)
     assert stand_in.calls == ["range"] * 4
 
 
@@ -94,6 +96,48 @@
         await store.async_wait(batch.revision, 0.05)
 
 
+async def test_watch_across_a_restoration_raises_history_lost_error(
+    store, stand_in
+) -> None:
+    """Guards against changes that are skipped after a restoration.
+
+    The restored store has given out the last known number again, so a watch
+    would return later changes only.
+    """
+    copy = stand_in.make_copy()
+    stand_in.put("a", {"n": 1})
+    batch = await async_read_all(store)
+    stand_in.restore(copy)
+    with pytest.raises(exceptions.HistoryLostError):
+        await store.async_wait(batch.revision, 0.05)
+    for number in range(3):
+        stand_in.put("b", {"n": number})
+    with pytest.raises(exceptions.HistoryLostError):
+        await store.async_wait(batch.revision, 0.05)
+    again = await async_read_all(store)
+    assert again.revision > batch.revision
+    assert [record.key for record in again.records] == ["b"]
+
+
+async def test_store_without_eras_is_followed(store, stand_in) -> None:
+    """Guards against refusing a store that names no era."""
+    stand_in.era = None
+    stand_in.put("a", {})
+    batch = await async_read_all(store)
+    assert batch.revision == records.Revision(era=ids.Era(0), number=2)
+    assert (await store.async_wait(batch.revision, 0.05)).records == ()
+
+
+@pytest.mark.parametrize("era", [1, "x", "", "9" * 19, "-3"])
+async def test_invalid_or_former_era_is_malformed(store, stand_in, era) -> None:
+    """Guards against following an outdated copy of the store."""
+    stand_in.era = 2
+    await async_read_all(store)
+    stand_in.era = era
+    with pytest.raises(exceptions.MalformedAnswerError):
+        await async_read_all(store)
+
+
 @pytest.mark.parametrize(
     ("fault", "error"),
     [
--- a/tests/steering/conftest.py
+++ b/tests/steering/conftest.py
@@ -63,6 +63,7 @@
     draining: bool = False,
     cold_until: float = 0.0,
     incarnation: int = 1,
+    sequence: int = 1,
 ) -> views.Endpoint:
     """Returns an endpoint with an id made from a number."""
     return views.Endpoint(
@@ -73,6 +74,7 @@
         domain=ids.DomainId(domain),
         slots=slots,
         incarnation=incarnation,
+        sequence=sequence,
         draining=draining,
         cold_until=cold_until,
     )
