Count entries of emulated endpoints per lifetime

The soak used one counter for the entries of all endpoints, which did not start anew with a restart. The platform's endpoints count by themselves and from the start of their process, so a balancer may compare an entry with an older one only by `born` and `sequence` together.

Each endpoint now has its own counter, which `restart` resets.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -171,7 +171,6 @@
         ]
         self._tasks: set[asyncio.Task[object]] = set()
         self._endpoint_count = 0
-        self._sequence = 0
 
     async def async_open(self) -> None:
         """Starts all parts and waits until all balancers are ready.
@@ -286,11 +285,8 @@
 
     def write_entry(self, endpoint: endpoints.Endpoint) -> None:
         """Writes the store entry of an endpoint."""
-        self._sequence += 1
         left_s = self.history.cold_until.get(endpoint.id, 0.0) - self.clock()
-        entry = endpoint.build_entry(
-            sequence=self._sequence, cold_ms=max(0, round(left_s * 1000))
-        )
+        entry = endpoint.build_entry(cold_ms=max(0, round(left_s * 1000)))
         self.store.put(entries.make_endpoint_key(endpoint.id), entry)
         if endpoint.state is endpoints.EndpointState.DRAINING:
             self.history.draining_since.setdefault(endpoint.id, self.clock())
--- a/standins/echo/endpoints.py
+++ b/standins/echo/endpoints.py
@@ -138,6 +138,7 @@
         self.domain = domain
         self.state = EndpointState.READY
         self.started_ms = round(time.time() * 1000)
+        self._sequence = 0
         self._slots = asyncio.Semaphore(slots)
         self._slot_count = slots
         self._work_s = work_s
@@ -177,9 +178,15 @@
         """Starts again under the same id, without any earlier state."""
         self.state = EndpointState.READY
         self.started_ms = round(time.time() * 1000)
+        self._sequence = 0
 
-    def build_entry(self, *, sequence: int, cold_ms: int = 0) -> dict[str, Any]:
-        """Builds the entry of the endpoint in the store."""
+    def build_entry(self, *, cold_ms: int = 0) -> dict[str, Any]:
+        """Builds the next entry of the endpoint in the store.
+
+        Its sequence number rises with each entry and starts anew when the
+        endpoint restarts.
+        """
+        self._sequence += 1
         host, port = self.address
         return {
             "service": self.service,
@@ -191,7 +198,7 @@
             if self.state is EndpointState.DRAINING
             else "ready",
             "warmup_left_ms": cold_ms,
-            "sequence": sequence,
+            "sequence": self._sequence,
             "born": self.started_ms,
         }
 
