soak: Check added routes and downgrades of the configuration

ChangedRoutes adds and removes a route that no caller uses, so the soak saw neither an added route that is refused, nor a removed one that is served, nor a balancer that returns to an older configuration.

Each version of the configuration now has a route of its own. Once a second, each balancer gets a flow on such a route of the latest three versions. A refusal 3 s after the route was added is reported, unless the balancer or the store was disrupted or no undisrupted, warm endpoint is left. An opening packet that only an older version allows is reported at any time from 2 s after the effect of a newer one was seen through the same process. Draws of the other loads do not change. Callers count a reset by an endpoint before the flow is open as such, no longer as a refusal.

Time bounds also wait for the end of a disruption of the store's content; open flows must be kept during it.

--- a/soak/const.py
+++ b/soak/const.py
@@ -6,6 +6,10 @@
 DRAIN_S: Final = 3.0
 CONFIGURATION_S: Final = 3.0
 EVACUATION_S: Final = 5.0
+# Packets that were sent this long after a balancer applied a configuration must
+# not be handled by an older one. The bound is that for slowed balancers, since
+# repeated opening packets arrive up to 0.6 s after the first one.
+DOWNGRADE_SLACK_S: Final = 2.0
 DISRUPTION_GRACE_S: Final = 4.0
 RECOVERY_S: Final = 12.0
 # A flow is reported as moved when this many of its packets reach another
@@ -41,3 +45,8 @@
 # Rate of new flows that a cold endpoint can handle, in flows per second.
 WARMUP_PER_S: Final = 4.0
 COLD_S: Final = 4.0
+
+# Interval of the flows on changed routes through each balancer.
+PROBE_INTERVAL_S: Final = 1.0
+# These flows use the probe routes of this many latest versions.
+PROBED_VERSIONS: Final = 3
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -11,6 +11,7 @@
 
 from soak import const
 from soak import history as histories
+from soak import probes
 from soak import promises
 from standins import processes
 from standins import relay
@@ -169,6 +170,19 @@
             )
             for number, domain in enumerate(DOMAINS)
         ]
+        self._probers = [
+            probes.Prober(
+                node=balancer.node,
+                host=self._make_prober_host(balancer),
+                port=_PACKET_PORT,
+                checker=self.checker,
+                get_version=lambda: self.version,
+                is_servable=lambda: self.has_sound_endpoint(probes.SERVICE),
+                generator=random.Random(f"{seed}/{balancer.vm}"),
+                clock=self.clock,
+            )
+            for balancer in self.balancers.values()
+        ]
         self._tasks: set[asyncio.Task[object]] = set()
         self._endpoint_count = 0
 
@@ -193,7 +207,7 @@
         async with asyncio.timeout(const.START_TIMEOUT_S):
             while not all(b.node.in_rotation for b in self.balancers.values()):
                 await asyncio.sleep(0.1)
-        for group in self._callers:
+        for group in (*self._callers, *self._probers):
             await group.async_open()
 
     async def async_close(self) -> None:
@@ -204,7 +218,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._fabric.async_close()
-        for group in self._callers:
+        for group in (*self._callers, *self._probers):
             await group.async_close()
         for balancer in self.balancers.values():
             if balancer.process is not None and balancer.process.is_running:
@@ -224,6 +238,8 @@
                     group, flows_per_s / len(self._callers)
                 )
             )
+        for prober in self._probers:
+            self._spawn(prober.async_run())
 
     def start(self, balancer: Balancer) -> None:
         """Starts a balancer's process."""
@@ -234,6 +250,7 @@
                 logs=self._folder,
             )
         balancer.should_run = True
+        self.history.started_at[balancer.host] = self.clock()
         balancer.process.start()
 
     async def async_stop(self, balancer: Balancer) -> None:
@@ -306,34 +323,57 @@
             and endpoint.state is endpoints.EndpointState.READY
         ]
 
+    def has_sound_endpoint(self, service: str) -> bool:
+        """Returns whether a warm, undisrupted endpoint can get flows."""
+        history = self.history
+        warm_since = self.clock() - const.DISRUPTION_GRACE_S
+        return any(
+            endpoint.domain not in history.domain_out_since
+            and history.cold_until.get(endpoint.id, 0.0) < warm_since
+            and history.is_undisrupted(histories.Subject.ENDPOINT, endpoint.id)
+            for endpoint in self.list_ready(service)
+        )
+
     def publish(self) -> None:
-        """Writes a new configuration with the current routes."""
+        """Writes a new configuration with the current routes.
+
+        Each version also has a probe route of its own, which shows whether a
+        balancer applied it.
+        """
         self.version += 1
-        for name in self.routes:
-            route = ROUTES[name]
-            self.history.route_services.setdefault(route, set()).add(
-                SERVICES[name]
-            )
-            self.history.route_removed_at.pop(route, None)
-        self.store.put(
-            entries.CONFIGURATION_KEY,
-            entries.make_configuration(
-                version=self.version,
-                routes=[
-                    entries.make_route(
-                        name=name,
-                        address=ROUTES[name],
-                        service=SERVICES[name],
-                        kind=callers.RequestKind.IDEMPOTENT.value,
-                    )
-                    for name in sorted(self.routes)
-                ],
-                services=("main", "mesh"),
-                warmup_per_s=const.WARMUP_PER_S,
-            ),
+        present = {name: (ROUTES[name], SERVICES[name]) for name in self.routes}
+        present[f"probe-{self.version}"] = (
+            probes.make_route(self.version),
+            probes.SERVICE,
+        )
+        history = self.history
+        for route, service in present.values():
+            history.route_services.setdefault(route, set()).add(service)
+            history.route_removed_at.pop(route, None)
+            history.first_version.setdefault(route, self.version)
+            history.last_version[route] = self.version
+        configuration = entries.make_configuration(
+            version=self.version,
+            routes=[
+                entries.make_route(
+                    name=name,
+                    address=route,
+                    service=service,
+                    kind=callers.RequestKind.IDEMPOTENT.value,
+                )
+                for name, (route, service) in sorted(present.items())
+            ],
+            services=("main", "mesh"),
+            warmup_per_s=const.WARMUP_PER_S,
         )
-        for name in set(ROUTES) - self.routes:
-            self.history.route_removed_at.setdefault(ROUTES[name], self.clock())
+        self.store.put(entries.CONFIGURATION_KEY, configuration)
+        added = {route for route, _ in present.values()}
+        for route in {*ROUTES.values(), *history.first_version}:
+            if route in added:
+                history.route_added_at.setdefault(route, self.clock())
+            else:
+                history.route_added_at.pop(route, None)
+                history.route_removed_at.setdefault(route, self.clock())
 
     def _make_host(self, kind: int, number: int, index: int) -> str:
         return f"127.{self._block}.{10 * kind + number}.{index}"
@@ -378,6 +418,11 @@
             arguments=["-m", "chivedoor.edge", str(path)],
         )
 
+    def _make_prober_host(self, balancer: Balancer) -> str:
+        # The first address of each domain belongs to its other callers.
+        _, _, number, index = map(int, balancer.host.split("."))
+        return self._make_host(3, number, index + 1)
+
     def _make_relay_vm(self, balancer: Balancer) -> relay.Vm:
         known = balancer.host.split(".")
         known[2] = str(int(known[2]) + 10)
--- a/soak/history.py
+++ b/soak/history.py
@@ -13,7 +13,10 @@
 
     BALANCER = "balancer"
     ENDPOINT = "endpoint"
+    # The store does not respond properly.
     STORE = "store"
+    # The store responds, but what was written is missing or outdated.
+    STORE_CONTENT = "store-content"
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -30,7 +33,19 @@
 
 
 class History:
-    """Disruptions by subject, and the times of published changes."""
+    """Disruptions by subject, and the times of published changes.
+
+    Attributes:
+        draining_since: Time of the first draining entry, by endpoint id.
+        cold_until: Time at which an endpoint is warm, by endpoint id.
+        domain_out_since: Time at which a failure domain was taken out.
+        route_services: All services that a route ever had.
+        route_added_at: Time at which a present route was last added.
+        route_removed_at: Time at which an absent route was last removed.
+        first_version: First configuration version with a route.
+        last_version: Latest configuration version with a route.
+        started_at: Time of the last start of a balancer, by its address.
+    """
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         """Creates an empty history."""
@@ -38,7 +53,11 @@
         self.cold_until: dict[str, float] = {}
         self.domain_out_since: dict[str, float] = {}
         self.route_services: dict[tuple[str, int], set[str]] = {}
+        self.route_added_at: dict[tuple[str, int], float] = {}
         self.route_removed_at: dict[tuple[str, int], float] = {}
+        self.first_version: dict[tuple[str, int], int] = {}
+        self.last_version: dict[tuple[str, int], int] = {}
+        self.started_at: dict[str, float] = {}
         self._clock = clock
         self._disruptions: dict[tuple[Subject, str], list[Disruption]] = {}
 
@@ -66,6 +85,15 @@
         They do when neither the balancer nor the store was disrupted during
         the grace period.
         """
+        return self.has_stable_paths(balancer) and self.is_undisrupted(
+            Subject.STORE_CONTENT, ""
+        )
+
+    def has_stable_paths(self, balancer: str) -> bool:
+        """Returns whether a balancer must keep its open flows.
+
+        Unlike the time bounds, this also holds while the store is restored.
+        """
         return self.is_undisrupted(
             Subject.BALANCER, balancer
         ) and self.is_undisrupted(Subject.STORE, "")
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -64,6 +64,9 @@
         self._opened_at: dict[endpoints.FlowKey, float] = {}
         self._misdeliveries: dict[endpoints.FlowKey, list[float]] = {}
         self._runs: collections.Counter[str] = collections.Counter()
+        # Configuration versions whose effect was seen, with the times, by
+        # balancer address.
+        self._effects: dict[str, list[tuple[float, int]]] = {}
         self._cold_arrivals: dict[
             str, collections.deque[tuple[float, endpoints.FlowKey]]
         ] = {}
@@ -127,9 +130,31 @@
                 f"{route} reached {endpoint.service} from {sender}",
             )
         self._check_warmup(endpoint, (packet.source, route))
+        self._check_downgrade(route, sender)
         if self._history.is_stable(sender):
             self._check_time_bounds(endpoint, route, sender)
 
+    def record_refusal(
+        self, route: tuple[str, int], sender: str, begun_at: float
+    ) -> None:
+        """Checks that a balancer refused a flow only without a route.
+
+        Args:
+            route: The route, whose service has an endpoint for the flow.
+            sender: The balancer's address.
+            begun_at: Time at which the caller sent the first opening packet.
+        """
+        history = self._history
+        added_at = history.route_added_at.get(route)
+        if added_at is None or not history.is_stable(sender):
+            return
+        late_s = begun_at - added_at - const.CONFIGURATION_S
+        if late_s > 0:
+            self.add_violation(
+                Promise.CONFIGURATION,
+                f"{route} refused by {sender}, {late_s:.2f} s late",
+            )
+
     def record_opened(
         self, endpoint: endpoints.Endpoint, flow: endpoints.FlowKey
     ) -> None:
@@ -199,7 +224,7 @@
             and recent
             and flow[1] not in history.route_removed_at
             and history.is_undisrupted(histories.Subject.ENDPOINT, owner.id)
-            and history.is_stable(sender)
+            and history.has_stable_paths(sender)
         )
 
     def _record_misdelivery(self, flow: endpoints.FlowKey, detail: str) -> None:
@@ -246,6 +271,39 @@
                     promise, f"{endpoint.id} by {sender}, {late_s:.2f} s late"
                 )
 
+    def _check_downgrade(self, route: tuple[str, int], sender: str) -> None:
+        """Checks that a balancer did not return to an older configuration.
+
+        This holds during disruptions too, from the start of a balancer's
+        process to its end.
+        """
+        now = self._clock()
+        history = self._history
+        started_at = history.started_at.get(sender, 0.0)
+        effects = [
+            (at, version)
+            for at, version in self._effects.get(sender, [])
+            if at >= started_at
+        ]
+        seen = max(
+            (
+                version
+                for at, version in effects
+                if now - at > const.DOWNGRADE_SLACK_S
+            ),
+            default=0,
+        )
+        last = history.last_version.get(route, seen)
+        if last < seen:
+            self.add_violation(
+                Promise.CONFIGURATION,
+                f"{sender} used version {last} or older after {seen}",
+            )
+        first = history.first_version.get(route, 0)
+        if all(version < first for _, version in effects):
+            effects.append((now, first))
+        self._effects[sender] = effects
+
     def _check_warmup(
         self, endpoint: endpoints.Endpoint, flow: endpoints.FlowKey
     ) -> None:
--- a/standins/echo/callers.py
+++ b/standins/echo/callers.py
@@ -35,6 +35,7 @@
     ANSWERED = "answered"
     WRONG_ANSWER = "wrong-answer"
     NOT_OPENED = "not-opened"
+    # A balancer reset the flow before it was open.
     REFUSED = "refused"
     RESET_BY_ENDPOINT = "reset-by-endpoint"
     RESET_BY_BALANCER = "reset-by-balancer"
@@ -299,10 +300,10 @@
     def _handle_reset(
         self, flow: Flow, packet: packets.Packet, sender: link.Address
     ) -> None:
-        if flow.opened_at is None:
-            flow.finish(AttemptEnd.REFUSED)
-        elif packet.authentic:
+        if packet.authentic:
             flow.finish(AttemptEnd.RESET_BY_ENDPOINT)
+        elif flow.opened_at is None:
+            flow.finish(AttemptEnd.REFUSED)
         else:
             self._observer.record_reset(flow, sender[0])
             flow.finish(AttemptEnd.RESET_BY_BALANCER)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -12,6 +12,7 @@
 from standins.echo import packets
 
 ROUTE = ("198.18.0.1", 443)
+NEW_ROUTE = ("198.18.0.1", 444)
 CALLER = ("127.0.0.7", 40001)
 FLOW = (CALLER, ROUTE)
 SENDER = "127.0.0.11"
@@ -49,10 +50,10 @@
         )
         self.endpoint = FakeEndpoint()
 
-    def open(self, endpoint=None, port: int = 40001) -> None:
+    def open(self, endpoint=None, port: int = 40001, route=ROUTE) -> None:
         self.checker.record_opening(
             endpoint or self.endpoint,
-            make_packet(packets.Flags.OPEN, port),
+            make_packet(packets.Flags.OPEN, port, route=route),
             SENDER,
         )
 
@@ -60,10 +61,10 @@
         return [violation.promise for violation in self.checker.violations]
 
 
-def make_packet(flags, port: int = 40001, authentic: bool = True):
+def make_packet(flags, port: int = 40001, authentic: bool = True, route=ROUTE):
     return packets.Packet(
         source=(CALLER[0], port),
-        destination=ROUTE,
+        destination=route,
         flags=flags,
         authentic=authentic,
     )
@@ -147,6 +148,93 @@
     assert harness.list_broken_promises() == [promise]
 
 
+@pytest.mark.parametrize(
+    "promise", [promises.Promise.DRAINED, promises.Promise.DOMAIN_EMPTY]
+)
+def test_time_bounds_hold_after_a_restoration(harness, promise) -> None:
+    """Guards against changes that a restoration of the store undoes."""
+    history = harness.history
+    history.draining_since["i-1"] = harness.now
+    if promise is promises.Promise.DOMAIN_EMPTY:
+        history.draining_since.clear()
+        history.domain_out_since["a"] = harness.now
+    harness.now += 60
+    history.end_disruption(
+        history.begin_disruption(histories.Subject.STORE_CONTENT, "")
+    )
+    harness.now += const.DISRUPTION_GRACE_S - 0.1
+    harness.open()
+    assert harness.list_broken_promises() == []
+    harness.now += 0.1
+    harness.open()
+    assert harness.list_broken_promises() == [promise]
+
+
+@pytest.fixture
+def downgrading(harness):
+    """A balancer whose version 2 was seen, with a route of version 1 only."""
+    history = harness.history
+    history.route_services[NEW_ROUTE] = {"main"}
+    history.first_version |= {ROUTE: 1, NEW_ROUTE: 2}
+    history.last_version |= {ROUTE: 1, NEW_ROUTE: 2}
+    history.started_at[SENDER] = harness.now
+    # Downgrades count during disruptions too.
+    history.begin_disruption(histories.Subject.STORE_CONTENT, "")
+    harness.open(route=NEW_ROUTE)
+    return harness
+
+
+def test_downgrade_is_reported_during_disruptions(downgrading) -> None:
+    """Guards against balancers that apply an older, restored configuration."""
+    downgrading.now += const.DOWNGRADE_SLACK_S
+    downgrading.open()
+    downgrading.open(route=NEW_ROUTE)
+    assert downgrading.list_broken_promises() == []
+    downgrading.now += 0.1
+    downgrading.open(route=NEW_ROUTE)
+    assert downgrading.list_broken_promises() == []
+    downgrading.open()
+    assert downgrading.list_broken_promises() == [
+        promises.Promise.CONFIGURATION
+    ]
+
+
+def test_restarted_balancer_may_use_an_older_configuration(
+    downgrading,
+) -> None:
+    """Guards against false reports after a restart of the balancer."""
+    downgrading.now += 60
+    downgrading.history.started_at[SENDER] = downgrading.now
+    downgrading.open()
+    assert downgrading.list_broken_promises() == []
+
+
+def test_route_that_was_added_again_is_no_downgrade(downgrading) -> None:
+    """Guards against false reports when a later version has the route too."""
+    downgrading.now += 60
+    downgrading.history.last_version[ROUTE] = 3
+    downgrading.open()
+    assert downgrading.list_broken_promises() == []
+
+
+def test_late_refusal_of_an_added_route_is_reported(harness) -> None:
+    """Guards against added routes that a balancer does not learn of."""
+
+    def refuse(begun_at: float) -> list[promises.Promise]:
+        harness.checker.record_refusal(ROUTE, SENDER, begun_at)
+        return harness.list_broken_promises()
+
+    history = harness.history
+    assert refuse(harness.now) == []
+    history.route_added_at[ROUTE] = harness.now
+    assert refuse(harness.now + const.CONFIGURATION_S) == []
+    disruption = history.begin_disruption(histories.Subject.STORE_CONTENT, "")
+    assert refuse(harness.now + const.CONFIGURATION_S + 0.1) == []
+    history.end_disruption(disruption)
+    harness.now += 60
+    assert refuse(harness.now) == [promises.Promise.CONFIGURATION]
+
+
 def test_warmup_counts_flows_per_second(harness) -> None:
     """Guards against cold endpoints that exceed their warm-up rate."""
     harness.history.cold_until["i-1"] = harness.now + 10
@@ -171,6 +259,21 @@
     assert harness.list_broken_promises() == [promises.Promise.FLOW_KEPT]
 
 
+@pytest.mark.parametrize(
+    ("subject", "broken"),
+    [
+        (histories.Subject.STORE, []),
+        (histories.Subject.STORE_CONTENT, [promises.Promise.FLOW_KEPT]),
+    ],
+)
+def test_restoration_excuses_no_reset(harness, subject, broken) -> None:
+    """Guards against resets since an entry is missing in a restored store."""
+    harness.history.begin_disruption(subject, "")
+    harness.checker.record_opened(harness.endpoint, FLOW)
+    harness.checker.record_reset(callers.Flow(key=FLOW, sequence=1), SENDER)
+    assert harness.list_broken_promises() == broken
+
+
 def test_reset_for_a_dead_endpoint_is_allowed(harness) -> None:
     """Guards against false reports when the endpoint is dead."""
     flow = callers.Flow(key=FLOW, sequence=1)
