soak: Restore the store from an older copy of itself

A drill may take the store away for a moment and restore a copy some seconds old: later changes are gone until their writers write them again, and their revisions are given out again. No fault of the soak did that.

RestoredStore copies the store, makes it unreadable after 2 to 10 s for 0.2 to 3 s and restores the copy. The operator and the living endpoints write their present state again within 2 s; entries of ended endpoints are removed again within their lifetime. Half of the seeds have one to three restorations, each with a route that is added before and removed after it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -77,7 +77,7 @@
         vms=tuple(deployment.balancers),
         duration_s=duration_s,
         count=fault_count,
-    )
+    ) + fault_kinds.draw_restorations(seed, duration_s=duration_s)
     try:
         await deployment.async_open()
         deployment.start_load(flows_per_s)
--- a/soak/const.py
+++ b/soak/const.py
@@ -28,6 +28,9 @@
 # Entries that expired during a store outage are written again this long after
 # the outage.
 ENTRY_RESTORE_S: Final = 1.5
+# After a restoration, the operator and the endpoints write everything again
+# within this time.
+REWRITE_S: Final = 2.0
 # The address of a removed endpoint may be reused after this time.
 ADDRESS_REUSE_S: Final = 2.0
 # A draining endpoint stops this long after its entry is marked as draining.
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -118,6 +118,9 @@
         checker: Checks the promises.
         cuts: Pairs of a balancer's and an endpoint's failure domain between
             which packets are dropped.
+        heartbeats_suspended: Whether endpoints do not refresh their entries.
+        restorations: Number of running restorations of the store, during
+            which endpoints do not refresh their entries either.
     """
 
     def __init__(
@@ -140,6 +143,7 @@
         self.endpoints: list[endpoints.Endpoint] = []
         self.cuts: set[tuple[str, str]] = set()
         self.heartbeats_suspended = False
+        self.restorations = 0
         self.version = 0
         self.routes = set(ROUTES) - {SPARE_ROUTE}
         self._folder = folder
@@ -185,6 +189,7 @@
         ]
         self._tasks: set[asyncio.Task[object]] = set()
         self._endpoint_count = 0
+        self._configuration: dict[str, Any] = {}
 
     async def async_open(self) -> None:
         """Starts all parts and waits until all balancers are ready.
@@ -310,9 +315,12 @@
 
     def remove_entry(self, endpoint: endpoints.Endpoint) -> None:
         """Removes the store entry of an endpoint, if it has one."""
-        key = entries.make_endpoint_key(endpoint.id)
-        if self.store.has(key):
-            self.store.remove(key)
+        if self.has_entry(endpoint):
+            self.store.remove(entries.make_endpoint_key(endpoint.id))
+
+    def has_entry(self, endpoint: endpoints.Endpoint) -> bool:
+        """Returns whether an endpoint has an entry in the store."""
+        return self.store.has(entries.make_endpoint_key(endpoint.id))
 
     def list_ready(self, service: str) -> list[endpoints.Endpoint]:
         """Returns the ready endpoints of a service."""
@@ -323,6 +331,18 @@
             and endpoint.state is endpoints.EndpointState.READY
         ]
 
+    def list_alive(self) -> list[endpoints.Endpoint]:
+        """Returns the endpoints that refresh their entries."""
+        return [
+            endpoint
+            for endpoint in self.endpoints
+            if endpoint.state
+            in (
+                endpoints.EndpointState.READY,
+                endpoints.EndpointState.DRAINING,
+            )
+        ]
+
     def has_sound_endpoint(self, service: str) -> bool:
         """Returns whether a warm, undisrupted endpoint can get flows."""
         history = self.history
@@ -352,7 +372,7 @@
             history.route_removed_at.pop(route, None)
             history.first_version.setdefault(route, self.version)
             history.last_version[route] = self.version
-        configuration = entries.make_configuration(
+        self._configuration = entries.make_configuration(
             version=self.version,
             routes=[
                 entries.make_route(
@@ -366,7 +386,7 @@
             services=("main", "mesh"),
             warmup_per_s=const.WARMUP_PER_S,
         )
-        self.store.put(entries.CONFIGURATION_KEY, configuration)
+        self.store.put(entries.CONFIGURATION_KEY, self._configuration)
         added = {route for route, _ in present.values()}
         for route in {*ROUTES.values(), *history.first_version}:
             if route in added:
@@ -375,6 +395,29 @@
                 history.route_added_at.pop(route, None)
                 history.route_removed_at.setdefault(route, self.clock())
 
+    def take_domain_out(self, domain: str) -> None:
+        """Takes a failure domain out of service."""
+        self.store.put(entries.make_domain_out_key(domain), {})
+        self.history.domain_out_since[domain] = self.clock()
+
+    def take_domain_back(self, domain: str) -> None:
+        """Takes a failure domain back into service."""
+        del self.history.domain_out_since[domain]
+        self._write_domain(domain)
+
+    def rewrite_operator_items(self) -> None:
+        """Writes the latest configuration and the state of all domains."""
+        self.store.put(entries.CONFIGURATION_KEY, self._configuration)
+        for domain in DOMAINS:
+            self._write_domain(domain)
+
+    def _write_domain(self, domain: str) -> None:
+        key = entries.make_domain_out_key(domain)
+        if domain in self.history.domain_out_since:
+            self.store.put(key, {})
+        elif self.store.has(key):
+            self.store.remove(key)
+
     def _make_host(self, kind: int, number: int, index: int) -> str:
         return f"127.{self._block}.{10 * kind + number}.{index}"
 
@@ -464,14 +507,10 @@
         """Refreshes the store entries of running endpoints."""
         while True:
             await asyncio.sleep(const.HEARTBEAT_S)
-            if self.heartbeats_suspended:
+            if self.heartbeats_suspended or self.restorations:
                 continue
-            for endpoint in self.endpoints:
-                if endpoint.state in (
-                    endpoints.EndpointState.READY,
-                    endpoints.EndpointState.DRAINING,
-                ):
-                    self.write_entry(endpoint)
+            for endpoint in self.list_alive():
+                self.write_entry(endpoint)
 
     async def _async_watch_processes(self) -> None:
         """Reports balancers that exit unexpectedly."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,7 +11,6 @@
 from soak import history as histories
 from standins import store as stores
 from standins.echo import endpoints
-from standins.echo import entries
 from standins.echo import proxy
 
 
@@ -136,6 +135,29 @@
     """A route is added and removed again."""
 
 
+@dataclasses.dataclass(kw_only=True, frozen=True)
+class RestoredStore(Fault):
+    """The store is unreadable, then restored from an older copy of itself.
+
+    The copy is taken at `at_s`; the store is unreadable for `for_s`. After the
+    restoration, the operator and the endpoints write their items again.
+
+    Attributes:
+        age_s: Age of the copy when the store becomes unreadable.
+        fault: How calls fail while the store is unreadable.
+        operator_s: Time of the operator's writes after the restoration.
+        entries_s: Time of the last endpoint's write after the restoration.
+        removals_s: Time at which entries of ended endpoints are removed
+            again.
+    """
+
+    age_s: float
+    fault: stores.StoreFault
+    operator_s: float
+    entries_s: float
+    removals_s: float
+
+
 def draw_faults(
     generator: random.Random,
     *,
@@ -199,6 +221,62 @@
     return draw(factories)()
 
 
+def draw_restorations(seed: int, *, duration_s: float) -> list[Fault]:
+    """Returns restorations of the store and changes shortly before and after.
+
+    Half of the seeds have none. They are drawn by a generator of their own, so
+    that the other faults of a seed stay the same.
+    """
+    generator = random.Random(f"{seed}/restorations")
+    if generator.random() < 0.5:
+        return []
+    faults: list[Fault] = []
+    for _ in range(generator.randint(1, 3)):
+        faults += _draw_restoration(generator, duration_s)
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _draw_restoration(
+    generator: random.Random, duration_s: float
+) -> list[Fault]:
+    uniform = generator.uniform
+    restoration = RestoredStore(
+        at_s=uniform(0.0, duration_s),
+        for_s=uniform(0.2, 3.0),
+        age_s=uniform(2.0, 10.0),
+        fault=generator.choice(
+            (
+                stores.StoreFault.BUSY,
+                stores.StoreFault.CLOSE,
+                stores.StoreFault.SILENT,
+            )
+        ),
+        operator_s=uniform(0.1, const.REWRITE_S),
+        entries_s=uniform(0.1, const.REWRITE_S),
+        removals_s=uniform(0.1, const.ENTRY_LIFETIME_S),
+    )
+    # A route is added before the restoration and removed after it. The store
+    # gives out again the revisions that it lost, for about the age of the copy.
+    restored_s = restoration.at_s + restoration.age_s + restoration.for_s
+    added_s = uniform(restoration.at_s, restored_s)
+    removed_s = restored_s + uniform(0.0, restoration.age_s)
+    routes = ChangedRoutes(at_s=added_s, for_s=removed_s - added_s)
+    timing = {
+        "at_s": uniform(restoration.at_s, restored_s + restoration.age_s),
+        "for_s": uniform(0.5, 6.0),
+    }
+    service = generator.choice(("main", "mesh"))
+    domain = generator.choice(deployments.DOMAINS)
+    change = generator.choice(
+        (
+            DomainOut(**timing, domain=domain),
+            ReplacedEndpoint(**timing, service=service),
+            RestartedEndpoint(**timing, service=service),
+        )
+    )
+    return [restoration, routes, change]
+
+
 _FAULTY_MODES = tuple(
     mode for mode in proxy.ProxyMode if mode is not proxy.ProxyMode.PASS
 )
@@ -383,17 +461,14 @@
 
 @async_apply.register
 async def _(fault: DomainOut, deployment: deployments.Deployment) -> None:
-    key = entries.make_domain_out_key(fault.domain)
     if fault.domain in deployment.history.domain_out_since:
         return
-    deployment.store.put(key, {})
-    deployment.history.domain_out_since[fault.domain] = deployment.clock()
+    deployment.take_domain_out(fault.domain)
     await asyncio.sleep(fault.for_s + const.EVACUATION_S)
     for endpoint in deployment.endpoints:
         if endpoint.domain == fault.domain:
             _make_cold(endpoint, deployment)
-    deployment.store.remove(key)
-    del deployment.history.domain_out_since[fault.domain]
+    deployment.take_domain_back(fault.domain)
 
 
 @async_apply.register
@@ -441,6 +516,63 @@
     deployment.publish()
 
 
+@async_apply.register
+async def _(fault: RestoredStore, deployment: deployments.Deployment) -> None:
+    history = deployment.history
+    copy = deployment.store.make_copy()
+    await asyncio.sleep(fault.age_s)
+    disruption = history.begin_disruption(histories.Subject.STORE_CONTENT, "")
+    deployment.restorations += 1
+    deployment.store.fault = fault.fault
+    await asyncio.sleep(fault.for_s)
+    alive = deployment.list_alive()
+    removed = [
+        endpoint
+        for endpoint in deployment.endpoints
+        if endpoint not in alive and not deployment.has_entry(endpoint)
+    ]
+    deployment.store.restore(copy)
+    deployment.store.fault = None
+    # The grace period covers the time until all items are written again.
+    history.end_disruption(disruption)
+    writes = [
+        (fault.operator_s, deployment.rewrite_operator_items),
+        *(
+            (
+                fault.entries_s * number / len(alive),
+                functools.partial(_write_if_alive, endpoint, deployment),
+            )
+            for number, endpoint in enumerate(alive, 1)
+        ),
+        *(
+            (
+                fault.removals_s,
+                functools.partial(_remove_if_ended, endpoint, deployment),
+            )
+            for endpoint in removed
+        ),
+    ]
+    restored_at = deployment.clock()
+    for after_s, write in sorted(writes, key=lambda item: item[0]):
+        await asyncio.sleep(restored_at + after_s - deployment.clock())
+        write()
+    deployment.restorations -= 1
+
+
+def _write_if_alive(
+    endpoint: endpoints.Endpoint, deployment: deployments.Deployment
+) -> None:
+    if endpoint in deployment.list_alive():
+        deployment.write_entry(endpoint)
+
+
+def _remove_if_ended(
+    endpoint: endpoints.Endpoint, deployment: deployments.Deployment
+) -> None:
+    if endpoint not in deployment.list_alive():
+        deployment.remove_entry(endpoint)
+
+
 async def _async_drain(
     endpoint: endpoints.Endpoint, deployment: deployments.Deployment
 ) -> None:
@@ -463,12 +595,8 @@
 
 
 def _rewrite_entries(deployment: deployments.Deployment) -> None:
-    for endpoint in deployment.endpoints:
-        if endpoint.state in (
-            endpoints.EndpointState.READY,
-            endpoints.EndpointState.DRAINING,
-        ):
-            deployment.write_entry(endpoint)
+    for endpoint in deployment.list_alive():
+        deployment.write_entry(endpoint)
 
 
 def _begin_balancer_disruptions(
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -2,7 +2,8 @@
 
 A seed draws from the fault kinds in `faults`, so adding a kind changes the
 faults of all seeds. Before adding one, run these seeds on the old code and
-record the faults that they draw.
+record the faults that they draw. Restorations of the store are drawn by a
+generator of their own, so adding them left the other faults unchanged.
 """
 
 import dataclasses
