soak: Excuse warm-up reports that no balancer can avoid

The restored copy was older than the write that took it out, and showed its targets as warm until they wrote again.

While the store's content may be outdated, an opening packet now counts for warmup only if its balancer was not disrupted in the grace period and the target became cold while the store could be read. The tests cover these cases.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -301,10 +301,19 @@
         await endpoint.async_open(port)
         self.endpoints.append(endpoint)
         if cold:
-            self.history.cold_until[endpoint.id] = self.clock() + const.COLD_S
+            self.set_cold(endpoint)
         self.write_entry(endpoint)
         return endpoint
 
+    def set_cold(self, endpoint: endpoints.Endpoint) -> None:
+        """Marks an endpoint as cold; its next entry shows it."""
+        history = self.history
+        history.cold_until[endpoint.id] = self.clock() + const.COLD_S
+        if self.store.fault is None:
+            history.cold_unread.discard(endpoint.id)
+        else:
+            history.cold_unread.add(endpoint.id)
+
     def write_entry(self, endpoint: endpoints.Endpoint) -> None:
         """Writes the store entry of an endpoint."""
         left_s = self.history.cold_until.get(endpoint.id, 0.0) - self.clock()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -588,8 +588,7 @@
     endpoint: endpoints.Endpoint, deployment: deployments.Deployment
 ) -> None:
     """Makes an endpoint cold and writes its store entry."""
-    until = deployment.clock() + const.COLD_S
-    deployment.history.cold_until[endpoint.id] = until
+    deployment.set_cold(endpoint)
     if endpoint.state is endpoints.EndpointState.READY:
         deployment.write_entry(endpoint)
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -38,6 +38,8 @@
     Attributes:
         draining_since: Time of the first draining entry, by endpoint id.
         cold_until: Time at which an endpoint is warm, by endpoint id.
+        cold_unread: Ids of the endpoints that became cold while the store was
+            unreadable.
         domain_out_since: Time at which a failure domain was taken out.
         route_services: All services that a route ever had.
         route_added_at: Time at which a present route was last added.
@@ -51,6 +53,7 @@
         """Creates an empty history."""
         self.draining_since: dict[str, float] = {}
         self.cold_until: dict[str, float] = {}
+        self.cold_unread: set[str] = set()
         self.domain_out_since: dict[str, float] = {}
         self.route_services: dict[tuple[str, int], set[str]] = {}
         self.route_added_at: dict[tuple[str, int], float] = {}
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -129,7 +129,8 @@
                 Promise.OWN_SERVICE,
                 f"{route} reached {endpoint.service} from {sender}",
             )
-        self._check_warmup(endpoint, (packet.source, route))
+        if self._may_know_cold(endpoint, sender):
+            self._check_warmup(endpoint, (packet.source, route))
         self._check_downgrade(route, sender)
         if self._history.is_stable(sender):
             self._check_time_bounds(endpoint, route, sender)
@@ -304,6 +305,20 @@
             effects.append((now, first))
         self._effects[sender] = effects
 
+    def _may_know_cold(self, endpoint: endpoints.Endpoint, sender: str) -> bool:
+        """Returns whether a balancer can know that an endpoint is cold.
+
+        A restored store may show an endpoint as warm, or a domain as in
+        service, that became cold or was taken out since the copy. A balancer
+        cannot know better if it never read the entry that was lost.
+        """
+        history = self._history
+        if history.is_undisrupted(histories.Subject.STORE_CONTENT, ""):
+            return True
+        return endpoint.id not in history.cold_unread and (
+            history.is_undisrupted(histories.Subject.BALANCER, sender)
+        )
+
     def _check_warmup(
         self, endpoint: endpoints.Endpoint, flow: endpoints.FlowKey
     ) -> None:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -251,6 +251,34 @@
     assert harness.list_broken_promises() == [promises.Promise.WARMUP]
 
 
+@pytest.mark.parametrize(
+    ("unread", "restarted", "broken"),
+    [
+        (False, False, {promises.Promise.WARMUP}),
+        (True, False, set()),
+        (False, True, set()),
+    ],
+)
+def test_warmup_holds_for_what_a_balancer_read_before_a_restoration(
+    harness, unread, restarted, broken
+) -> None:
+    """Guards against lost warm-up times and reports that no one can avoid.
+
+    Seed 23 reported balancers that had started while the store was unreadable.
+    """
+    history = harness.history
+    history.cold_until["i-1"] = harness.now + 10
+    if unread:
+        history.cold_unread.add("i-1")
+    if restarted:
+        history.begin_disruption(histories.Subject.BALANCER, SENDER)
+    disruption = history.begin_disruption(histories.Subject.STORE_CONTENT, "")
+    history.end_disruption(disruption)
+    for port in range(20):
+        harness.open(port=port)
+    assert set(harness.list_broken_promises()) == broken
+
+
 def test_reset_of_a_live_flow_is_reported(harness) -> None:
     """Guards against balancers that reset live flows."""
     flow = callers.Flow(key=FLOW, sequence=1)
