Pull overrides again when a generation recurs

The flow had been opened while the domain was out, and the domain returned before the next pulls.

A generation is a hash of the endpoints of a table, so taking a domain out and back in gives the former generation again. The owner of a base target kept its pulls by owner and generation over both changes. When no pull ended while the domain was out, the pulls from before it counted as complete after its return, and the owner announced `DIRECT` without the overrides of the flows that were placed in between.

Pulls of another generation are now forgotten with each change of the table, and a pull that ends after such a change is not marked as complete.

--- a/src/chivedoor/balancer/targets.py
+++ b/src/chivedoor/balancer/targets.py
@@ -113,7 +113,7 @@
             return
         target.become_owner(now)
         peers = context.find_peer_owners(routes, endpoint)
-        target.retain_pulls(frozenset(peers))
+        target.retain_pulls(frozenset(peers), routes.table.generation)
 
     def list_pulls(self) -> list[Pull]:
         """Returns the pulls that this balancer still has to complete."""
@@ -218,9 +218,16 @@
             return
         if pull.base is None:
             target.has_records = True
-        else:
+        elif self._is_current_table(pull.base, pull.generation):
             target.mark_pulled(pull.number, pull.identity, pull.generation)
 
+    def _is_current_table(
+        self, number: ids.EndpointNumber, generation: ids.Generation
+    ) -> bool:
+        """Returns whether the table of an endpoint's service is unchanged."""
+        routes, _ = self._context.directory.endpoints_by_number[number]
+        return routes.table.generation == generation
+
     def list_direct_targets(
         self, now: float
     ) -> list[tuple[ids.EndpointNumber, ids.Generation]]:
--- a/src/chivedoor/flows/owner.py
+++ b/src/chivedoor/flows/owner.py
@@ -292,17 +292,27 @@
             if self._pulled.get(number) != (identity, generation)
         ]
 
-    def retain_pulls(self, known: frozenset[ids.EndpointNumber]) -> None:
-        """Forgets the pulls from all but the given endpoints.
+    def retain_pulls(
+        self,
+        known: frozenset[ids.EndpointNumber],
+        generation: ids.Generation,
+    ) -> None:
+        """Forgets the pulls that are not from the given endpoints and table.
 
         Endpoints without a known owner must be pulled from again: their owner
         may have admitted flows of this base target on its side of a network
-        partition.
+        partition. Pulls for another table are forgotten because a generation
+        recurs, for example when a failure domain returns, and flows that were
+        placed in between would be missing.
+
+        Args:
+          known: The endpoints with a known owner.
+          generation: The generation of the service's routing table.
         """
         self._pulled = {
             number: pull
             for number, pull in self._pulled.items()
-            if number in known
+            if number in known and pull[1] == generation
         }
 
     def is_override_free(self, now: float, duration_s: float) -> bool:
--- a/tests/balancer/test_placement.py
+++ b/tests/balancer/test_placement.py
@@ -4,6 +4,7 @@
 
 from chivedoor import ids
 from chivedoor.balancer import actions
+from chivedoor.balancer import targets
 from chivedoor.configuration import document as documents
 from chivedoor.dataplane import encapsulation
 from chivedoor.routing import hashing
@@ -638,6 +639,40 @@
                     assert bool(delivered.packet.flags & fleets.RST) == gone
 
 
+def test_flows_opened_during_a_short_outage_of_a_domain_stay(fleet, document):
+    # Guards against packets of open flows at the targets of a returned domain:
+    # their owners must pull the overrides again, although the return restores
+    # the generation of their earlier pulls.
+    fleet.apply(document, out=frozenset({ids.DomainId("a")}))
+    opened = {
+        port: _open_flow(fleet, "b0", port).packet.destination
+        for port in range(6000, 6100)
+    }
+    fleet.apply(document)
+    fleet.settle()
+    for port, target in opened.items():
+        for name in _NAMES:
+            (delivered,) = fleet.send(
+                name, fleets.make_segment(port, fleets.ACK)
+            )
+            assert delivered.packet.destination == target
+
+
+def test_pull_that_ends_after_a_table_change_does_not_count(fleet, document):
+    # Guards against overrides that are missing after the return of a domain:
+    # a delayed reply lists the flows from before the domain was out.
+    balancer = fleet.balancers[fleet.find_owner(1)]
+    balancer.discard_records(fleet.now)
+    pulls = [pull for pull in balancer.targets.list_pulls() if pull.base == 1]
+    assert pulls
+    fleet.apply(document, out=frozenset({ids.DomainId("b")}))
+    reply = targets.FlowBatch(keys=(), kinds=(), cursor=None)
+    for pull in pulls:
+        balancer.targets.accept_flows(pull, reply, fleet.now)
+    fleet.apply(document)
+    assert set(pulls) <= set(balancer.targets.list_pulls())
+
+
 def test_replica_drops_first_packet_when_domain_is_out(fleet, document):
     # Guards against delivering a SYN that was on its way to the replica when
     # the replica took the failure domain out.
--- a/tests/flows/test_owner.py
+++ b/tests/flows/test_owner.py
@@ -131,10 +131,27 @@
     assert owner.find_missing_pulls({number: first}, ids.Generation(5)) == []
     assert owner.find_missing_pulls({number: again}, ids.Generation(5))
     assert owner.find_missing_pulls({number: first}, ids.Generation(6))
-    owner.retain_pulls(frozenset())
+    owner.retain_pulls(frozenset(), ids.Generation(5))
     assert owner.find_missing_pulls({number: first}, ids.Generation(5))
 
 
+def test_pull_does_not_count_when_its_generation_recurs(owner):
+    # Guards against mode `DIRECT` without the overrides of flows that were
+    # placed while a failure domain was out: its return restores the former
+    # generation.
+    identity = owners.OwnerIdentity(
+        member=ids.VmId("b0"), incarnation=ids.Incarnation(1)
+    )
+    number = ids.EndpointNumber(2)
+    known = frozenset({number})
+    owner.mark_pulled(number, identity, ids.Generation(5))
+    owner.retain_pulls(known, ids.Generation(5))
+    assert not owner.find_missing_pulls({number: identity}, ids.Generation(5))
+    owner.retain_pulls(known, ids.Generation(6))
+    owner.retain_pulls(known, ids.Generation(5))
+    assert owner.find_missing_pulls({number: identity}, ids.Generation(5))
+
+
 @pytest.mark.parametrize("view_changed_at_s", [0.0, 20.0])
 def test_handshake_timeouts_count_unless_the_view_changed(
     owner, view_changed_at_s
