--- a/tests/daemon/test_documents.py
+++ b/tests/daemon/test_documents.py
@@ -1,6 +1,7 @@
 """Tests of the distribution of documents from the platform and peers."""
 
 import asyncio
+import dataclasses
 import itertools
 import types
 
@@ -175,3 +176,44 @@
     _exchange_entries(nodes)
     await async_wait_until(lambda: third.synchronizer.store.version == 3)
     assert third.changes == [3]
+
+
+async def test_peers_agree_after_a_version_with_two_contents(
+    nodes, async_wait_until
+):
+    # Guards against a document that nobody published: after the platform was
+    # restored from a copy, a new balancer gets other contents under a version
+    # that the others have, and passes on the difference to the next one.
+    first, second = nodes["a0"], nodes["b0"]
+    original = fleets.make_document(10)
+    domain = fleets.DOMAINS[0]
+    again = dataclasses.replace(
+        original,
+        domains={
+            **original.domains,
+            domain: dataclasses.replace(original.domains[domain], out=True),
+        },
+    )
+    newest = dataclasses.replace(again, version=ids.Version(11))
+    bodies = [
+        encoding.format_document(document)
+        for document in (original, again, newest)
+    ]
+    await _async_read(first, _make_newer_reading(10, bodies[0]))
+    await _async_read(
+        second,
+        _make_newer_reading(10, bodies[1]),
+        _make_newer_reading(11, bodies[2]),
+    )
+    await async_wait_until(
+        lambda: (
+            first.synchronizer.store.version == 10
+            and second.synchronizer.store.version == 11
+        )
+    )
+    _exchange_entries(nodes)
+    await async_wait_until(lambda: first.synchronizer.store.version == 11)
+    assert first.synchronizer.store.document.domains[domain].out
+    assert (
+        first.synchronizer.store.document == second.synchronizer.store.document
+    )
