Take an absence as proof only in a view that was followed

Open flows were reset although nobody had read the store since their endpoint was removed, or because of a route that the view had never known. Both take what is missing for proof.

An entry counted as gone when 2.5 s had passed. When the reader stops or the store is away meanwhile, the entry may be back; a balancer that wakes decides with the view from before its pause; after an outage that is too short to make the view stale, lapsed entries still have 2 s to return. Now the view has to be confirmed 2.5 s after the removal, without a gap longer than a waiting read takes. A route counted as dropped when the view lacks it. A balancer that starts while a restored store lacks the latest configuration never knew the route. Now only a configuration that drops a known route resets its flows.

Tests that expect the reset of an unknown tag confirm the view first.

--- a/src/chivedoor/edge/view_updater.py
+++ b/src/chivedoor/edge/view_updater.py
@@ -78,8 +78,7 @@
         """Records that the view was current at `confirmed_at`."""
         if self.confirmed_at is None or confirmed_at > self.confirmed_at:
             self.confirmed_at = confirmed_at
-            self._steerer.pauses.record_confirmed(confirmed_at)
-            self._steerer.absences.set_confirmed_at(confirmed_at)
+            self._steerer.confirm_view(confirmed_at)
         self.update_freshness()
 
     def update_freshness(self) -> None:
--- a/src/chivedoor/steering/absences.py
+++ b/src/chivedoor/steering/absences.py
@@ -1,10 +1,10 @@
-"""Judges whether something that the view lacks is gone or not yet known.
+"""Judges whether an endpoint that the view lacks is gone or not yet known.
 
 A view that counts as current may lag the store by up to two seconds. A flow
-can be opened by another balancer on an endpoint or a route that was added
-meanwhile and then reach this one, because the routers moved it. The view tells
-that its endpoint or route is gone only once it was confirmed after the first
-packet of the flow arrived here.
+can be opened by another balancer on an endpoint that was added meanwhile and
+then reach this one, because the routers moved it. The view tells that its
+endpoint is gone only once it was confirmed after the first packet of the flow
+arrived here.
 """
 
 import math
@@ -14,11 +14,11 @@
 
 
 class Absences:
-    """Flows whose endpoint or route is missing from the view."""
+    """Flows whose endpoint is missing from the view."""
 
     def __init__(self) -> None:
-        """Creates an empty table; without a limit on the age of the view."""
-        self._confirmed_at = math.inf
+        """Creates an empty table for a view that was never confirmed."""
+        self._confirmed_at = -math.inf
         # Arrival of the first packet of each flow, oldest first.
         self._first_packet_at: dict[segments.FlowId, float] = {}
 
@@ -30,7 +30,7 @@
         """Returns whether the view was confirmed since the flow's first packet.
 
         Args:
-            flow_id: A flow whose endpoint or route the view lacks.
+            flow_id: A flow whose endpoint the view lacks.
             now: The time at which its current packet arrived, in seconds.
         """
         if self._confirmed_at >= now:
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -22,8 +22,13 @@
 # in the known deployments. The rest covers the delivery.
 ENTRY_LIFETIME_S: Final = 5.0
 
-# Flows whose endpoint or route is unknown are remembered until the view was
-# confirmed again, which takes at most two seconds while it counts as current,
+# A view without a gap is confirmed at least this often: a waiting read of 1 s,
+# the delay of 0.25 s that collects changes, and the transit. In a longer gap
+# the store may have been away, and entries may have lapsed.
+CONFIRMATION_GAP_S: Final = 1.5
+
+# Flows whose endpoint is unknown are remembered until the view was confirmed
+# again, which takes at most two seconds while it counts as current,
 # and the caller has retransmitted, which it does after at most 1.6 s.
 ABSENCE_LIFETIME_S: Final = 5.0
 # Bounds the memory that packets with invented tags can take.
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterator
 from collections.abc import Sequence
+import math
 import random
 
 from chivedoor import ids
@@ -46,7 +47,7 @@
         reachability: Endpoints that are unreachable.
         restarts: Endpoints that have probably restarted.
         pauses: Pauses of this process.
-        absences: Flows whose endpoint or route is missing from the view.
+        absences: Flows whose endpoint is missing from the view.
         restorations: Selects the changes that a restored store reports.
         warmup_budget: This balancer's share of the rates of cold endpoints.
         peer_loads: Requests in flight through other balancers.
@@ -112,6 +113,19 @@
         # Time from which a missing entry means that the endpoint is gone;
         # None while the view is incomplete or unconfirmed.
         self._view_complete_at: float | None = None
+        # Time at which the view was last known to be current, and the time
+        # since which it was confirmed without a gap.
+        self._view_confirmed_at = -math.inf
+        self._view_followed_since = -math.inf
+
+    def confirm_view(self, confirmed_at: float) -> None:
+        """Records that the view was current at a time, in seconds."""
+        gap_s = confirmed_at - self._view_confirmed_at
+        if gap_s > const.CONFIRMATION_GAP_S:
+            self._view_followed_since = confirmed_at
+        self._view_confirmed_at = confirmed_at
+        self.pauses.record_confirmed(confirmed_at)
+        self.absences.set_confirmed_at(confirmed_at)
 
     def set_view_complete_at(self, complete_at: float | None) -> None:
         """Sets the time from which a missing entry means a removed endpoint.
@@ -132,19 +146,23 @@
         """Returns whether an endpoint has ended, as far as its entry tells.
 
         The entry of a living endpoint may lapse even while this balancer can
-        read the store. Only an entry that does not return shows the end.
+        read the store. Only an entry that has not returned in a view that was
+        followed all the while shows the end.
         """
-        return (
-            endpoint.removed_at is not None
-            and now - endpoint.removed_at >= const.LAPSED_ENTRY_RETURN_S
-            and self.is_view_complete(now)
-        )
+        if endpoint.removed_at is None or not self.is_view_complete(now):
+            return False
+        return endpoint.removed_at <= self._get_newest_end()
 
     def pop_ended_endpoints(self, now: float) -> list[views.Endpoint]:
         """Returns each endpoint once that has ended; called on every tick."""
         if not self.is_view_complete(now):
             return []
-        return self.view.pop_unlisted(now - const.LAPSED_ENTRY_RETURN_S)
+        return self.view.pop_ended(self._get_newest_end())
+
+    def _get_newest_end(self) -> float:
+        """Returns the latest removal that shows the end of an endpoint."""
+        newest = self._view_confirmed_at - const.LAPSED_ENTRY_RETURN_S
+        return newest if newest >= self._view_followed_since else -math.inf
 
     def decide(self, segment: segments.Segment, now: float) -> verdicts.Verdict:
         """Decides what is done with a packet."""
@@ -319,9 +337,7 @@
             return self._refuse(
                 segment, verdicts.RefusalReason.ENDPOINT_REMOVED
             )
-        if segment.route not in self.view.routes and self._is_absence_confirmed(
-            segment, now
-        ):
+        if self.view.is_route_dropped(segment.route):
             return self._refuse(segment, verdicts.RefusalReason.ROUTE_REMOVED)
         effect = self._record_segment(segment, endpoint, now)
         if self._should_abandon(effect, segment.flow, endpoint, now):
@@ -333,7 +349,7 @@
     def _is_absence_confirmed(
         self, segment: segments.Segment, now: float
     ) -> bool:
-        """Returns whether what the view lacks for an open flow is gone."""
+        """Returns whether the unknown endpoint of an open flow is gone."""
         return self.is_view_complete(now) and self.absences.is_confirmed(
             segment.flow, now
         )
--- a/src/chivedoor/steering/view.py
+++ b/src/chivedoor/steering/view.py
@@ -171,6 +171,8 @@
         self.services: Mapping[ids.ServiceId, ServiceLimits] = {}
         self.endpoints: dict[ids.EndpointId, Endpoint] = {}
         self.domains_out: set[ids.DomainId] = set()
+        # Routes that a configuration dropped, with the time.
+        self._dropped_routes: dict[segments.RouteKey, float] = {}
         self._by_service: dict[ids.ServiceId, dict[ids.EndpointId, Endpoint]]
         self._by_service = {}
         self._by_tag_prefix: dict[int, list[Endpoint]] = {}
@@ -199,6 +201,13 @@
         """Returns an endpoint that is listed or was removed recently."""
         return self.endpoints.get(endpoint_id) or self._removed.get(endpoint_id)
 
+    def is_route_dropped(self, route: segments.RouteKey) -> bool:
+        """Returns whether a configuration dropped a route recently.
+
+        A route that was never known may be newer than the view.
+        """
+        return route in self._dropped_routes
+
     def apply(self, change: Change, now: float) -> bool:
         """Applies a change; older configurations are ignored.
 
@@ -207,9 +216,24 @@
         """
         return _apply(change, self, now)
 
+    def set_configuration(self, change: Configuration, now: float) -> None:
+        """Replaces routes and services by those of a newer version."""
+        dropped = self.routes.keys() - change.routes.keys()
+        self._dropped_routes |= dict.fromkeys(dropped, now)
+        for route in change.routes:
+            self._dropped_routes.pop(route, None)
+        self.version = change.version
+        self.routes = change.routes
+        self.services = change.services
+
     def expire_removed(self, now: float) -> None:
-        """Forgets removed endpoints after their retention time."""
+        """Forgets removed endpoints and routes after their retention time."""
         oldest = now - const.REMOVED_ENDPOINT_RETENTION_S
+        self._dropped_routes = {
+            route: dropped_at
+            for route, dropped_at in self._dropped_routes.items()
+            if dropped_at >= oldest
+        }
         expired = [
             endpoint
             for endpoint in self._removed.values()
@@ -262,14 +286,14 @@
         endpoint.draining = True
         return True
 
-    def pop_unlisted(self, oldest: float) -> list[Endpoint]:
-        """Returns each endpoint once that was removed at `oldest` or before.
+    def pop_ended(self, removed_until: float) -> list[Endpoint]:
+        """Returns each endpoint once that was removed by a time.
 
         Endpoints whose entry returned in the meantime are not included.
         """
         due = list(
             itertools.takewhile(
-                lambda endpoint: (endpoint.removed_at or 0.0) <= oldest,
+                lambda endpoint: (endpoint.removed_at or 0.0) <= removed_until,
                 self._lapsing.values(),
             )
         )
@@ -339,9 +363,7 @@
 def _(change: Configuration, view: View, now: float) -> bool:
     if change.version <= view.version:
         return False
-    view.version = change.version
-    view.routes = change.routes
-    view.services = change.services
+    view.set_configuration(change, now)
     return True
 
 
--- a/tests/steering/conftest.py
+++ b/tests/steering/conftest.py
@@ -98,6 +98,14 @@
     )
 
 
+def confirm_view(
+    steerer: steerers.Steerer, until: float, *, since: float = 0.0
+) -> None:
+    """Confirms the view every half second up to a time."""
+    for number in range(1, round((until - since) * 2) + 1):
+        steerer.confirm_view(since + number / 2)
+
+
 def make_tag(endpoint: views.Endpoint, flow: segments.FlowId) -> ids.Tag:
     """Returns the tag of a flow on an endpoint."""
     return tags.make_tag(endpoint.tag_prefix, endpoint.numeric_id, flow)
@@ -122,6 +130,7 @@
         for endpoint in endpoints:
             steerer.view.apply(views.ListedEndpoint(endpoint=endpoint), 0.0)
         steerer.set_view_complete_at(0.0)
+        steerer.confirm_view(0.0)
         return steerer
 
     return make
