Do not take an endpoint for unreachable while others get replies

Cause: in a large domain an endpoint counted as unreachable when 6 handshakes of the domain stayed unanswered and this balancer itself had seen no progress of the endpoint for 1 s. With 39 balancers in a domain, one of them sees a flow of an endpoint only every few seconds, so that no progress is the rule, and a balancer that has just started has seen none at all. Handshakes stay unanswered without a fault of the endpoint when the opening packets wait behind a full link of some balancers, and the sums of two balancers that succeed each other in reporting them were added.

Change: a reply through any balancer of the domain, which heartbeats report already, counts as progress; the sums of a domain leave out endpoints with progress; a new sum replaces the former one; and a balancer of a large domain does not judge by reports alone before it has heard them for 1 s. The new tests of test_reachability.py failed before.

--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -28,6 +28,7 @@
 from chivedoor.feed import records
 from chivedoor.feed import relay
 from chivedoor.platform import store
+from chivedoor.steering import const as steering_const
 from chivedoor.steering import reachability
 from chivedoor.steering import steerer as steerers
 
@@ -425,6 +426,11 @@
             return
         self.steerer.suspicions.record_report(heartbeat.suspects, now)
         self._record_refusals(heartbeat, now)
+        for endpoint_id, sums in heartbeat.delays.items():
+            if sums.requests >= steering_const.REPORTED_PROGRESS_MIN_REQUESTS:
+                self.steerer.reachability.record_reported_progress(
+                    endpoint_id, now
+                )
         if heartbeat.summed:
             first = self.peers.find_top_ranked(now)
             if self.peers.is_reader_candidate() or first is None:
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -95,6 +95,9 @@
 # for this long. An endpoint that is slowed down by a factor of five still
 # completes several requests a second through each balancer of a small domain.
 NO_PROGRESS_S: Final = 1.0
+# A balancer that reports this weight of recent requests of an endpoint has seen
+# a reply within the last quarter of a second.
+REPORTED_PROGRESS_MIN_REQUESTS: Final = 0.5
 # An endpoint with stalled requests gets one new flow as a probe after this time
 # without progress, at most once per interval, to check whether it answers a
 # handshake. The caller of that flow retransmits after 200 ms and is then placed
--- a/src/chivedoor/steering/reachability.py
+++ b/src/chivedoor/steering/reachability.py
@@ -1,9 +1,11 @@
 """Detection of unreachable endpoints from retransmissions of callers.
 
 A live endpoint answers an opening packet at once, however long its requests
-take. An endpoint is considered failed or cut off if a handshake is unanswered,
+take, unless it holds as many flows as it can or the packet waited behind a full
+link. An endpoint is considered failed or cut off if a handshake is unanswered,
 requests of several callers are stalled and no flow of the endpoint makes
-progress. This is known seconds before the endpoint's entry disappears.
+progress through any balancer of the domain. This is known seconds before the
+endpoint's entry disappears.
 Retransmitted data alone is no evidence: receivers acknowledge only every
 second packet, so a request of one packet is retransmitted whenever its reply is
 slow.
@@ -16,6 +18,9 @@
 from chivedoor.steering import reports
 from chivedoor.steering import segment as segments
 
+# Only one balancer reports the sums of a domain at a time.
+_SUMS_SENDER = ids.VmId("")
+
 
 class RetransmissionKind(enum.Enum):
     """Kind of packet that a caller retransmitted."""
@@ -37,6 +42,8 @@
         # Sums over a whole domain, which include the counts of this balancer.
         self._sums = {kind: _make_reports() for kind in RetransmissionKind}
         self._last_progress_at: dict[ids.EndpointId, float] = {}
+        # Time of the first report of another balancer.
+        self._reported_since: float | None = None
         self._unreachable_until: dict[ids.EndpointId, float] = {}
         # Time of the last probe by endpoint.
         self._probed_at: dict[ids.EndpointId, float] = {}
@@ -67,6 +74,13 @@
         for retransmissions in self._retransmissions.values():
             retransmissions.pop(endpoint_id, None)
 
+    def record_reported_progress(
+        self, endpoint_id: ids.EndpointId, now: float
+    ) -> None:
+        """Records that a caller of another balancer received a reply."""
+        self._last_progress_at[endpoint_id] = now
+        self._unreachable_until.pop(endpoint_id, None)
+
     def record_report(
         self,
         vm: ids.VmId,
@@ -76,9 +90,16 @@
         *,
         summed: bool,
     ) -> None:
-        """Stores the counts of another balancer, or the sums of a domain."""
-        table = self._sums if summed else self._reports
-        table[kind].set_report(vm, counts, now)
+        """Stores the counts of another balancer, or the sums of a domain.
+
+        The sums replace those of the balancer that reported them before.
+        """
+        if self._reported_since is None:
+            self._reported_since = now
+        if summed:
+            self._sums[kind].set_report(_SUMS_SENDER, counts, now)
+        else:
+            self._reports[kind].set_report(vm, counts, now)
 
     def detect_unreachable(
         self, endpoint_id: ids.EndpointId, now: float
@@ -151,7 +172,14 @@
             own = len(self._list_recent(kind, endpoint_id, now))
             if own:
                 counts[endpoint_id] = counts.get(endpoint_id, 0) + own
-        return counts
+        if not summed:
+            return counts
+        # The others do not hear of the progress that this balancer knows of.
+        return {
+            endpoint_id: count
+            for endpoint_id, count in counts.items()
+            if not self._has_progress(endpoint_id, now)
+        }
 
     def expire(self, now: float) -> None:
         """Removes outdated records."""
@@ -183,17 +211,39 @@
     def _is_threshold_reached(
         self, endpoint_id: ids.EndpointId, now: float
     ) -> bool:
-        progress_at = self._last_progress_at.get(endpoint_id)
-        if progress_at is not None and now - progress_at < const.NO_PROGRESS_S:
+        if self._has_progress(endpoint_id, now):
             return False
         handshakes = self.count(RetransmissionKind.HANDSHAKE, endpoint_id, now)
         if not handshakes or self._is_single_caller(endpoint_id, now):
             return False
         if self._is_large_domain:
-            return handshakes >= const.UNREACHABLE_MIN_HANDSHAKES_LARGE_DOMAIN
+            return (
+                handshakes >= const.UNREACHABLE_MIN_HANDSHAKES_LARGE_DOMAIN
+                and self._may_use_reports(endpoint_id, now)
+            )
         requests = self.count(RetransmissionKind.REQUEST, endpoint_id, now)
         return handshakes + requests >= const.UNREACHABLE_MIN_FLOWS
 
+    def _has_progress(self, endpoint_id: ids.EndpointId, now: float) -> bool:
+        """Returns whether a flow of an endpoint made progress recently."""
+        progress_at = self._last_progress_at.get(endpoint_id)
+        return progress_at is not None and (
+            now - progress_at < const.NO_PROGRESS_S
+        )
+
+    def _may_use_reports(self, endpoint_id: ids.EndpointId, now: float) -> bool:
+        """Returns whether a lack of progress is known well enough.
+
+        A balancer of a large domain that has just started has seen no progress
+        of any endpoint. Reports alone then tell nothing.
+        """
+        if self._list_recent(RetransmissionKind.HANDSHAKE, endpoint_id, now):
+            return True
+        return (
+            self._reported_since is not None
+            and now - self._reported_since >= const.NO_PROGRESS_S
+        )
+
     def _needs_probe(self, endpoint_id: ids.EndpointId, now: float) -> bool:
         progress_at = self._last_progress_at.get(endpoint_id)
         probed_at = self._probed_at.get(endpoint_id)
--- a/tests/steering/test_reachability.py
+++ b/tests/steering/test_reachability.py
@@ -369,3 +369,71 @@
             )
             scenario.steerer.decide(opening, 14.0)
     assert isinstance(scenario.send_data(14.05), verdicts.Deliver)
+
+
+def test_sums_of_successive_candidates_are_not_added() -> None:
+    """Guards against handshakes that are counted once for each candidate.
+
+    When the first candidate restarts, the next one reports the same
+    handshakes before the former report has expired.
+    """
+    reach = reachability.Reachability()
+    reach.record_report(VM, HANDSHAKE, {ENDPOINT: 3}, 1.0, summed=True)
+    successor = ids.VmId("vm-3")
+    reach.record_report(successor, HANDSHAKE, {ENDPOINT: 3}, 1.5, summed=True)
+    assert reach.count(HANDSHAKE, ENDPOINT, 1.5) == 3
+
+
+def test_started_balancer_does_not_act_on_reports_alone(make_steerer) -> None:
+    """Guards against resets of live flows by a balancer that just started.
+
+    It has not seen any packet of the endpoint, so it cannot know that none of
+    its flows makes progress. The reply to the first request is only slow.
+    """
+    endpoint = conftest.make_endpoint(1)
+    steerer = make_steerer(endpoint, conftest.make_endpoint(2))
+    steerer.view.apply(conftest.make_configuration(2, idempotent=True), 0.0)
+    steerer.reachability.set_large_domain(large=True)
+    steerer.reachability.record_report(
+        VM,
+        HANDSHAKE,
+        {endpoint.id: const.UNREACHABLE_MIN_HANDSHAKES_LARGE_DOMAIN},
+        1.0,
+        summed=True,
+    )
+    data = conftest.make_segment(
+        conftest.make_flow(1),
+        tag=conftest.make_tag(endpoint, conftest.make_flow(1)),
+        acknowledged=1,
+        payload_bytes=50,
+        sequence=100,
+    )
+    steerer.decide(data, 1.1)
+    assert isinstance(steerer.decide(data, 1.3), verdicts.Deliver)
+
+
+def test_replies_through_other_balancers_show_that_an_endpoint_lives() -> None:
+    """Guards against resets of flows on an endpoint behind full links.
+
+    Opening packets through some balancers wait for longer than 200 ms. In a
+    large domain, a balancer itself seldom sees a reply of the endpoint.
+    """
+    reach = reachability.Reachability()
+    reach.set_large_domain(large=True)
+    enough = const.UNREACHABLE_MIN_HANDSHAKES_LARGE_DOMAIN
+    for now in (1.0, 2.0, 3.0):
+        reach.record_report(VM, HANDSHAKE, {ENDPOINT: enough}, now, summed=True)
+    reach.record_reported_progress(ENDPOINT, 3.0)
+    assert not reach.detect_unreachable(ENDPOINT, 3.1)
+    reach.record_report(VM, HANDSHAKE, {ENDPOINT: enough}, 4.0, summed=True)
+    assert reach.detect_unreachable(ENDPOINT, 4.1)
+
+
+def test_sums_leave_out_endpoints_with_progress() -> None:
+    """Guards against resets by balancers that do not hear of the progress."""
+    reach = reachability.Reachability()
+    reach.record_report(VM, HANDSHAKE, {ENDPOINT: 9}, 1.0, summed=False)
+    reach.record_reported_progress(ENDPOINT, 1.0)
+    assert reach.list_counts(HANDSHAKE, 1.1, summed=True) == {}
+    later = 1.0 + const.NO_PROGRESS_S
+    assert reach.list_counts(HANDSHAKE, later, summed=True) == {ENDPOINT: 9}
