Send each subscriber the newest changes once its link is free

Opening packets through the reader waited behind its full link, which also made living endpoints look unreachable (FLOW).

Cause: the reader queued a frame for each change and subscriber. A configuration of 1,650 routes takes 0.3 s on a link of 10 Mbit/s, and the reader sends it to 40 balancers; with ten configurations in 3 s the queues held all of them, and the newest change came last. Above 2 MB the subscriber was disconnected and read the store itself, which timed out behind the same link.

Now a frame is sent when the former one has left the buffer, and holds all changes since then. The kernel's buffer is bounded, since what it holds cannot be replaced. A subscriber that takes no frame for 5 s is disconnected.

--- a/src/chivedoor/feed/const.py
+++ b/src/chivedoor/feed/const.py
@@ -96,7 +96,11 @@
 FRAME_HEADER_BYTES: Final = 4
 MAX_FRAME_BYTES: Final = 8 * 1024 * 1024
 MAX_SUBSCRIBERS: Final = 400
-# A subscriber whose unsent data exceeds this size is disconnected.
-MAX_SUBSCRIBER_BACKLOG_BYTES: Final = 2 * 1024 * 1024
+# Kernel buffer of a subscriber's connection. What it holds cannot be replaced
+# by newer changes any more.
+SUBSCRIBER_BUFFER_BYTES: Final = 64 * 1024
+# A subscriber that has not received a frame for this long is disconnected. A
+# configuration of 1 MB takes 0.8 s on the slowest known link of 10 Mbit/s.
+SUBSCRIBER_STALL_S: Final = 5.0
 # Number of removals that are kept for subscribers that lag behind.
 MAX_REMOVALS: Final = 10_000
--- a/src/chivedoor/feed/relay.py
+++ b/src/chivedoor/feed/relay.py
@@ -57,6 +57,10 @@
         self._server: asyncio.Server | None = None
         self._subscribers: set[_Subscriber] = set()
 
+    def read_clock(self) -> float:
+        """Returns the current time in seconds."""
+        return self._clock()
+
     @property
     def subscribers(self) -> int:
         """The number of subscribers."""
@@ -110,16 +114,27 @@
 
 
 class _Subscriber(asyncio.Protocol):
-    """Connection of one subscriber, on the side of the reader."""
+    """Connection of one subscriber, on the side of the reader.
+
+    A frame is sent once the one before has left, and holds all changes since
+    then. Queued frames would make a slow link deliver each of many
+    configurations, the newest one last.
+    """
 
     def __init__(self, *, relay: Relay) -> None:
         self._relay = relay
         self._transport: asyncio.Transport | None = None
         self._frames = _FrameSplitter()
         self._revision: records.Revision | None = None
+        # Time since which a frame is being sent, in seconds.
+        self._sending_since: float | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=0)
+        self._transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, const.SUBSCRIBER_BUFFER_BYTES
+        )
         if not self._relay.add(self):
             self.close()
 
@@ -135,13 +150,21 @@
         except exceptions.MalformedAnswerError:
             self.close()
 
+    def pause_writing(self) -> None:
+        self._sending_since = self._relay.read_clock()
+
+    def resume_writing(self) -> None:
+        self._sending_since = None
+        self.update()
+
     def update(self) -> None:
-        """Sends the changes since the last frame."""
+        """Sends the changes since the last frame, unless one is being sent."""
         if self._revision is None or self._transport is None:
             return
-        backlog = self._transport.get_write_buffer_size()
-        if backlog > const.MAX_SUBSCRIBER_BACKLOG_BYTES:
-            self.close()
+        if self._sending_since is not None:
+            sending_s = self._relay.read_clock() - self._sending_since
+            if sending_s > const.SUBSCRIBER_STALL_S:
+                self.close()
             return
         frame = self._relay.make_frame(self._revision)
         if frame is not None:
--- a/tests/feed/test_relay.py
+++ b/tests/feed/test_relay.py
@@ -90,6 +90,50 @@
     assert ages[0] == pytest.approx(0.25)
 
 
+async def test_slow_subscriber_gets_the_newest_change_next(
+    reader, async_wait_until
+) -> None:
+    """Guards against outdated views behind a slow link.
+
+    Many large configurations in quick succession were queued for each
+    subscriber, so that a view was 6 s old and the newest change came last.
+    """
+    size = 1_000_000
+    incoming, outgoing = await asyncio.open_connection(
+        "127.0.0.1", reader.port, limit=1
+    )
+    outgoing.write(messages.encode_subscription(records.NO_REVISION))
+    await async_wait_until(lambda: reader.relay.subscribers == 1)
+    for number in range(1, 41):
+        reader.write("k", number.to_bytes(1, "big") * size, number)
+        await asyncio.sleep(0.001)
+    received = []
+    while not received or received[-1] != 40:
+        header = await incoming.readexactly(const.FRAME_HEADER_BYTES)
+        body = await incoming.readexactly(int.from_bytes(header, "big"))
+        received.append(messages.decode_frame(body).batch.revision.number)
+    outgoing.close()
+    assert len(received) <= 12
+
+
+async def test_stalled_subscriber_is_disconnected(
+    reader, async_wait_until
+) -> None:
+    """Guards against memory that is held for subscribers that read nothing."""
+    _, outgoing = await asyncio.open_connection(
+        "127.0.0.1", reader.port, limit=1
+    )
+    outgoing.write(messages.encode_subscription(records.NO_REVISION))
+    await async_wait_until(lambda: reader.relay.subscribers == 1)
+    for number in range(1, 21):
+        reader.write("k", number.to_bytes(1, "big") * 1_000_000, number)
+        await asyncio.sleep(0.001)
+    reader.now += const.SUBSCRIBER_STALL_S + 0.1
+    reader.relay.publish()
+    await async_wait_until(lambda: reader.relay.subscribers == 0)
+    outgoing.close()
+
+
 async def test_transit_delay_counts_as_age(
     reader, subscribe, async_wait_until
 ) -> None:
