Keep the flows of endpoints that a restored store lists

An endpoint lives whose entry had just lapsed, or was missing in a former copy when the store is restored twice; its flows were reset although the store listed it.

Only an endpoint that is known to have ended waits now. For the others the restored entry, or the known one if that is newer, is in force at once.

--- a/src/chivedoor/steering/restorations.py
+++ b/src/chivedoor/steering/restorations.py
@@ -81,21 +81,28 @@
         """Returns whether a newer configuration is in force."""
         return version < self._view.version
 
-    def find_newer(self, endpoint: views.Endpoint) -> views.Endpoint | None:
-        """Returns what is known of an endpoint if its entry tells less.
+    def admit_entry(self, change: views.ListedEndpoint, now: float) -> bool:
+        """Returns whether the entry of an endpoint is to be applied now.
 
-        The entry of an endpoint that was removed tells nothing new until the
-        endpoint has written it again.
+        An older entry does not replace the known one, but shows that it was not
+        removed. The entry of an endpoint that has ended is applied once it must have lapsed, because heartbeats keep
+        the entry of a living endpoint without a change.
         """
-        known = self._view.find_known(endpoint.id)
+        known = self._view.find_known(change.endpoint.id)
         if known is None:
-            return None
-        latest = (known.incarnation, known.sequence)
-        restored = (endpoint.incarnation, endpoint.sequence)
-        if restored < latest:
-            return known
-        removed = known.removed_at is not None
-        return known if removed and restored == latest else None
+            return True
+        known_at = (known.incarnation, known.sequence)
+        restored_at = (change.endpoint.incarnation, change.endpoint.sequence)
+        if known.removed_at is None or self._view.may_have_lapsed(known):
+            if restored_at >= known_at:
+                return True
+            if known.removed_at is not None:
+                self._view.relist(known)
+            return False
+        if restored_at > known_at:
+            return True
+        self.postpone(change, const.ENTRY_LIFETIME_S, now)
+        return False
 
 
 @functools.singledispatch
@@ -139,11 +146,7 @@
 def _(
     change: views.ListedEndpoint, restorations: Restorations, now: float
 ) -> bool:
-    known = restorations.find_newer(change.endpoint)
-    if known is not None and known.removed_at is not None:
-        # If the endpoint lives, heartbeats keep its entry without a change.
-        restorations.postpone(change, const.ENTRY_LIFETIME_S, now)
-    return known is None
+    return restorations.admit_entry(change, now)
 
 
 @_admit_restored.register
--- a/src/chivedoor/steering/view.py
+++ b/src/chivedoor/steering/view.py
@@ -208,6 +208,15 @@
         """
         return route in self._dropped_routes
 
+    def may_have_lapsed(self, endpoint: Endpoint) -> bool:
+        """Returns whether only the entry of a removed endpoint may be gone."""
+        return endpoint.id in self._lapsing
+
+    def relist(self, endpoint: Endpoint) -> None:
+        """Lists a removed endpoint again as it was known."""
+        endpoint.removed_at = None
+        self.add_endpoint(endpoint)
+
     def apply(self, change: Change, now: float) -> bool:
         """Applies a change; older configurations are ignored.
 
--- a/tests/steering/test_restorations.py
+++ b/tests/steering/test_restorations.py
@@ -21,6 +21,41 @@
     return restorations.Restorations(view=view)
 
 
+def add_ended_endpoint(view: views.View) -> None:
+    """Adds an endpoint that is known to have ended."""
+    endpoint = conftest.make_endpoint(1, incarnation=5, sequence=7)
+    view.add_endpoint(endpoint)
+    view.remove_endpoint(endpoint.id, 0.5)
+    assert view.pop_ended(0.5) == [endpoint]
+
+
+@pytest.mark.parametrize(
+    ("sequence", "admitted", "draining"),
+    [(6, False, True), (7, True, False), (8, True, False)],
+)
+def test_restored_entry_shows_that_an_endpoint_was_not_removed(
+    view, restored, sequence: int, admitted: bool, draining: bool
+) -> None:
+    """Guards against resets of flows on endpoints that are listed.
+
+    The entry had lapsed, or a former copy lacked it. A newer entry that is
+    known stays in force, here that of a draining endpoint.
+    """
+    known = conftest.make_endpoint(1, incarnation=5, sequence=7, draining=True)
+    view.add_endpoint(known)
+    view.remove_endpoint(known.id, 0.5)
+    change = views.ListedEndpoint(
+        endpoint=conftest.make_endpoint(1, incarnation=5, sequence=sequence)
+    )
+    assert restored.admit(change, 1.0, restored=True) is admitted
+    if admitted:
+        view.apply(change, 1.0)
+    assert view.pop_ended(9.0) == []
+    (listed,) = view.endpoints.values()
+    assert listed.removed_at is None
+    assert listed.draining is draining
+
+
 @pytest.mark.parametrize(
     ("incarnation", "sequence", "admitted"),
     [(5, 6, False), (4, 9, False), (5, 7, True), (5, 8, True), (6, 1, True)],
@@ -46,9 +81,7 @@
     view, restored, sequence: int, admitted: bool
 ) -> None:
     """Guards against flows that are placed on endpoints that have ended."""
-    known = conftest.make_endpoint(1, incarnation=5, sequence=7)
-    view.add_endpoint(known)
-    view.remove_endpoint(known.id, 0.5)
+    add_ended_endpoint(view)
     change = views.ListedEndpoint(
         endpoint=conftest.make_endpoint(1, incarnation=5, sequence=sequence)
     )
@@ -61,9 +94,7 @@
     Its entry had lapsed when the store was restored. Heartbeats keep the
     restored entry without changing it, so that no later change tells.
     """
-    known = conftest.make_endpoint(1, incarnation=5, sequence=7)
-    view.add_endpoint(known)
-    view.remove_endpoint(known.id, 0.5)
+    add_ended_endpoint(view)
     change = views.ListedEndpoint(
         endpoint=conftest.make_endpoint(1, incarnation=5, sequence=7)
     )
@@ -77,14 +108,12 @@
     view, restored
 ) -> None:
     """Guards against flows that are placed on endpoints that have ended."""
-    known = conftest.make_endpoint(1, incarnation=5, sequence=7)
-    view.add_endpoint(known)
-    view.remove_endpoint(known.id, 0.5)
+    add_ended_endpoint(view)
     change = views.ListedEndpoint(
         endpoint=conftest.make_endpoint(1, incarnation=5, sequence=6)
     )
     assert not restored.admit(change, 1.0, restored=True)
-    lapse = views.RemovedEndpoint(endpoint_id=known.id)
+    lapse = views.RemovedEndpoint(endpoint_id=change.endpoint.id)
     assert restored.admit(lapse, 4.0, restored=False)
     assert restored.pop_due(99.0) == []
 
