Ignore batches of a former era of the store

A peer's frame or a page that was on its way while another source delivered the restored state could add a key that only the former era had. No removal of it can follow, so that an endpoint or a failure domain that is out would have stayed until the next full read.

--- a/src/chivedoor/edge/view_updater.py
+++ b/src/chivedoor/edge/view_updater.py
@@ -62,7 +62,12 @@
         return round(self._clock() - self.confirmed_at, 3)
 
     def apply_batch(self, batch: records.Batch, confirmed_at: float) -> None:
-        """Applies a batch that was current at `confirmed_at`."""
+        """Applies a batch that was current at `confirmed_at`.
+
+        A batch of a former era is ignored.
+        """
+        if batch.revision.era < self.table.revision.era:
+            return
         now = self._clock()
         restored = (
             self.confirmed_at is not None
--- a/src/chivedoor/feed/table.py
+++ b/src/chivedoor/feed/table.py
@@ -24,7 +24,13 @@
         self._newest_dropped_removal = records.NO_REVISION
 
     def merge(self, batch: records.Batch) -> list[records.Record]:
-        """Applies newer records; returns the records that changed."""
+        """Applies newer records; returns the records that changed.
+
+        A batch of a former era changes nothing: keys that only it has were lost
+        in the restoration, and no removal of them follows.
+        """
+        if batch.revision.era < self.revision.era:
+            return []
         incoming: Iterable[records.Record] = batch.records
         if batch.complete:
             incoming = itertools.chain(incoming, self._list_missing(batch))
--- a/tests/feed/test_table.py
+++ b/tests/feed/test_table.py
@@ -123,7 +123,10 @@
         conftest.make_batch(current, revision=3, era=2, complete=True)
     )
     former = conftest.make_batch(
-        conftest.make_record("a", b"1", 9), revision=9, complete=True
+        conftest.make_record("a", b"1", 9),
+        conftest.make_record("b", b"1", 8),
+        revision=9,
+        complete=True,
     )
     assert records_table.merge(former) == []
     assert records_table.revision == conftest.make_revision(3, era=2)
