Keep a domain out for longer when a restored store lacks the command

A domain that the operator had taken out returned to service 2.5 s after a restoration, even when the store could not be read meanwhile. A balancer knows that the command was lost, so it waits for 10 s, counted by confirmations of the view. A real command to take the domain back is applied at once.

--- a/src/chivedoor/edge/view_updater.py
+++ b/src/chivedoor/edge/view_updater.py
@@ -98,7 +98,7 @@
         if self.confirmed_at is None:
             return
         now = self._clock()
-        for change in self._steerer.restorations.pop_due(now):
+        for change in self._steerer.restorations.pop_due(self.confirmed_at):
             self._apply_change(change, self.table.revision, now)
         current = now - self.confirmed_at < const.VIEW_MAX_AGE_S
         if current and self._view_complete_at is None:
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -27,6 +27,10 @@
 # the store may have been away, and entries may have lapsed.
 CONFIRMATION_GAP_S: Final = 1.5
 
+# A domain that is out stays out for this long when a restored store lacks the
+# operator's command. The platform names no time in which it is written again.
+LOST_COMMAND_RETURN_S: Final = 10.0
+
 # Flows whose endpoint is unknown are remembered until the view was confirmed
 # again, which takes at most two seconds while it counts as current,
 # and the caller has retransmitted, which it does after at most 1.6 s.
--- a/src/chivedoor/steering/restorations.py
+++ b/src/chivedoor/steering/restorations.py
@@ -1,8 +1,8 @@
 """Changes that a store reports after it was restored from an older copy.
 
 Such a store holds what it held seconds before. Whatever the operator and the
-endpoints wrote since then is missing until they write it again, which they do
-within `LAPSED_ENTRY_RETURN_S`. So its first state may contradict what is known:
+endpoints wrote since then is missing until they write it again. So its first
+state may contradict what is known:
 an entry may be older than the known one, and a failure domain that was taken
 out may seem to be back in service. Newer knowledge is kept meanwhile.
 """
@@ -66,12 +66,17 @@
             change=change, delay_s=delay_s, due_at=now + delay_s
         )
 
-    def pop_due(self, now: float) -> list[views.Change]:
-        """Removes and returns the postponed changes that are due."""
+    def pop_due(self, confirmed_at: float) -> list[views.Change]:
+        """Removes and returns the postponed changes that are due.
+
+        Args:
+            confirmed_at: Time at which the view was last known to be current,
+                in seconds. A store that cannot be read replaces no change.
+        """
         due = {
             subject: postponement.change
             for subject, postponement in self._postponements.items()
-            if postponement.due_at <= now
+            if postponement.due_at <= confirmed_at
         }
         for subject in due:
             del self._postponements[subject]
@@ -85,8 +90,9 @@
         """Returns whether the entry of an endpoint is to be applied now.
 
         An older entry does not replace the known one, but shows that it was not
-        removed. The entry of an endpoint that has ended is applied once it must have lapsed, because heartbeats keep
-        the entry of a living endpoint without a change.
+        removed. The entry of an endpoint that has ended is applied once it must
+        have lapsed, because heartbeats keep the entry of a living endpoint
+        without a change.
         """
         known = self._view.find_known(change.endpoint.id)
         if known is None:
@@ -154,5 +160,5 @@
     change: views.DomainState, restorations: Restorations, now: float
 ) -> bool:
     if not change.out:
-        restorations.postpone(change, const.LAPSED_ENTRY_RETURN_S, now)
+        restorations.postpone(change, const.LOST_COMMAND_RETURN_S, now)
     return change.out
--- a/tests/steering/test_restorations.py
+++ b/tests/steering/test_restorations.py
@@ -123,8 +123,8 @@
     back = views.DomainState(domain=DOMAIN, out=False)
     restored.admit(back, 1.0, restored=True)
     restored.begin(3.0)
-    assert restored.pop_due(1.0 + const.LAPSED_ENTRY_RETURN_S) == []
-    assert restored.pop_due(3.0 + const.LAPSED_ENTRY_RETURN_S) == [back]
+    assert restored.pop_due(1.0 + const.LOST_COMMAND_RETURN_S) == []
+    assert restored.pop_due(3.0 + const.LOST_COMMAND_RETURN_S) == [back]
 
 
 def test_later_entry_is_applied_whatever_its_sequence(view, restored) -> None:
@@ -142,8 +142,8 @@
     """Guards against flows to a domain whose entry the restored store lost."""
     back = views.DomainState(domain=DOMAIN, out=False)
     assert not restored.admit(back, 1.0, restored=True)
-    assert restored.pop_due(1.0 + const.LAPSED_ENTRY_RETURN_S / 2) == []
-    assert restored.pop_due(1.0 + const.LAPSED_ENTRY_RETURN_S) == [back]
+    assert restored.pop_due(1.0 + const.LOST_COMMAND_RETURN_S / 2) == []
+    assert restored.pop_due(1.0 + const.LOST_COMMAND_RETURN_S) == [back]
     assert restored.pop_due(9.0) == []
 
 
