--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -9,6 +9,9 @@
 from soak import promises
 
 SEED = 7
+# Breaks the promise of the configuration when revisions are compared as if they
+# only rose.
+RESTORATION_SEED = 11
 
 
 async def test_seeded_run_keeps_the_promises(tmp_path) -> None:
@@ -27,6 +30,24 @@
     assert sum(report.faults.values()) == 5
 
 
+async def test_seeded_run_with_restorations_keeps_the_promises(
+    tmp_path,
+) -> None:
+    """Guards against older configurations after the store was restored."""
+    report = await command.async_run(
+        seed=RESTORATION_SEED,
+        duration_s=8.0,
+        size=1,
+        fault_count=0,
+        flows_per_s=30.0,
+        folder=tmp_path,
+        block=103,
+    )
+    assert report.violations == []
+    assert report.requests["answered"] > 500
+    assert report.faults["RestoredStore"] > 0
+
+
 async def test_cold_service_respects_its_warmup_rate(tmp_path) -> None:
     """Guards against a warm-up rate that each failure domain applies alone.
 
