--- a/src/chivedoor/edge/view_updater.py
+++ b/src/chivedoor/edge/view_updater.py
@@ -121,7 +121,10 @@
     def _record_restoration(
         self, revision: records.Revision, now: float
     ) -> None:
-        """Restarts the time until missing entries mean removed endpoints."""
+        """Logs a restoration of the store.
+
+        What is missing from the view then means nothing for some time.
+        """
         self._metrics.count(metrics_module.Counter.RESTORATIONS)
         self._log.write(
             log_writer.EventType.SOURCE_RESTORED,
@@ -133,7 +136,7 @@
         )
         self._view_complete_at = None
         self._steerer.set_view_complete_at(None)
-        self._steerer.restorations.begin(now)
+        self._steerer.restorations.restart_delays(now)
 
     def _apply_record(
         self, record: records.Record, now: float, *, restored: bool
--- a/src/chivedoor/steering/restorations.py
+++ b/src/chivedoor/steering/restorations.py
@@ -39,8 +39,8 @@
         # By what the change is about.
         self._postponements: dict[object, _Postponement] = {}
 
-    def begin(self, now: float) -> None:
-        """Restarts the delays, since the store has lost its latest changes."""
+    def restart_delays(self, now: float) -> None:
+        """Restarts all delays; the store has lost its latest changes again."""
         for postponement in self._postponements.values():
             postponement.due_at = now + postponement.delay_s
 
--- a/tests/steering/test_restorations.py
+++ b/tests/steering/test_restorations.py
@@ -17,7 +17,7 @@
 
 
 @pytest.fixture
-def restored(view) -> restorations.Restorations:
+def change_filter(view) -> restorations.Restorations:
     return restorations.Restorations(view=view)
 
 
@@ -34,7 +34,7 @@
     [(6, False, True), (7, True, False), (8, True, False)],
 )
 def test_restored_entry_shows_that_an_endpoint_was_not_removed(
-    view, restored, sequence: int, admitted: bool, draining: bool
+    view, change_filter, sequence: int, admitted: bool, draining: bool
 ) -> None:
     """Guards against resets of flows on endpoints that are listed.
 
@@ -47,7 +47,7 @@
     change = views.ListedEndpoint(
         endpoint=conftest.make_endpoint(1, incarnation=5, sequence=sequence)
     )
-    assert restored.admit(change, 1.0, restored=True) is admitted
+    assert change_filter.admit(change, 1.0, restored=True) is admitted
     if admitted:
         view.apply(change, 1.0)
     assert view.pop_ended(9.0) == []
@@ -61,7 +61,7 @@
     [(5, 6, False), (4, 9, False), (5, 7, True), (5, 8, True), (6, 1, True)],
 )
 def test_older_entry_of_a_listed_endpoint_is_ignored(
-    view, restored, incarnation: int, sequence: int, admitted: bool
+    view, change_filter, incarnation: int, sequence: int, admitted: bool
 ) -> None:
     """Guards against new flows on endpoints that are known to be draining."""
     known = conftest.make_endpoint(1, incarnation=5, sequence=7, draining=True)
@@ -71,24 +71,26 @@
             1, incarnation=incarnation, sequence=sequence
         )
     )
-    assert restored.admit(change, 1.0, restored=True) is admitted
+    assert change_filter.admit(change, 1.0, restored=True) is admitted
 
 
 @pytest.mark.parametrize(
     ("sequence", "admitted"), [(6, False), (7, False), (8, True)]
 )
 def test_entry_of_a_removed_endpoint_is_ignored(
-    view, restored, sequence: int, admitted: bool
+    view, change_filter, sequence: int, admitted: bool
 ) -> None:
     """Guards against flows that are placed on endpoints that have ended."""
     add_ended_endpoint(view)
     change = views.ListedEndpoint(
         endpoint=conftest.make_endpoint(1, incarnation=5, sequence=sequence)
     )
-    assert restored.admit(change, 1.0, restored=True) is admitted
+    assert change_filter.admit(change, 1.0, restored=True) is admitted
 
 
-def test_entry_of_a_removed_endpoint_that_stays_is_used(view, restored) -> None:
+def test_entry_of_a_removed_endpoint_that_stays_is_used(
+    view, change_filter
+) -> None:
     """Guards against an endpoint that no balancer uses again.
 
     Its entry had lapsed when the store was restored. Heartbeats keep the
@@ -98,83 +100,85 @@
     change = views.ListedEndpoint(
         endpoint=conftest.make_endpoint(1, incarnation=5, sequence=7)
     )
-    assert not restored.admit(change, 1.0, restored=True)
+    assert not change_filter.admit(change, 1.0, restored=True)
     lapsed_at = 1.0 + const.ENTRY_LIFETIME_S
-    assert restored.pop_due(lapsed_at - 0.1) == []
-    assert restored.pop_due(lapsed_at) == [change]
+    assert change_filter.pop_due(lapsed_at - 0.1) == []
+    assert change_filter.pop_due(lapsed_at) == [change]
 
 
 def test_entry_of_a_removed_endpoint_that_lapses_is_not_used(
-    view, restored
+    view, change_filter
 ) -> None:
     """Guards against flows that are placed on endpoints that have ended."""
     add_ended_endpoint(view)
     change = views.ListedEndpoint(
         endpoint=conftest.make_endpoint(1, incarnation=5, sequence=6)
     )
-    assert not restored.admit(change, 1.0, restored=True)
+    assert not change_filter.admit(change, 1.0, restored=True)
     lapse = views.RemovedEndpoint(endpoint_id=change.endpoint.id)
-    assert restored.admit(lapse, 4.0, restored=False)
-    assert restored.pop_due(99.0) == []
+    assert change_filter.admit(lapse, 4.0, restored=False)
+    assert change_filter.pop_due(99.0) == []
 
 
-def test_second_restoration_restarts_the_delays(restored) -> None:
+def test_second_restoration_restarts_the_delays(change_filter) -> None:
     """Guards against flows to a domain whose entry was lost a second time."""
     back = views.DomainState(domain=DOMAIN, out=False)
-    restored.admit(back, 1.0, restored=True)
-    restored.begin(3.0)
-    assert restored.pop_due(1.0 + const.LOST_COMMAND_RETURN_S) == []
-    assert restored.pop_due(3.0 + const.LOST_COMMAND_RETURN_S) == [back]
+    change_filter.admit(back, 1.0, restored=True)
+    change_filter.restart_delays(3.0)
+    assert change_filter.pop_due(1.0 + const.LOST_COMMAND_RETURN_S) == []
+    assert change_filter.pop_due(3.0 + const.LOST_COMMAND_RETURN_S) == [back]
 
 
-def test_later_entry_is_applied_whatever_its_sequence(view, restored) -> None:
+def test_later_entry_is_applied_whatever_its_sequence(
+    view, change_filter
+) -> None:
     """Guards against ignoring an endpoint that restarted under its id."""
     view.add_endpoint(conftest.make_endpoint(1, incarnation=0, sequence=7))
     change = views.ListedEndpoint(
         endpoint=conftest.make_endpoint(1, incarnation=0, sequence=1)
     )
-    assert restored.admit(change, 1.0, restored=False)
+    assert change_filter.admit(change, 1.0, restored=False)
 
 
 def test_domain_stays_out_until_its_entry_would_be_written_again(
-    restored,
+    change_filter,
 ) -> None:
     """Guards against flows to a domain whose entry the restored store lost."""
     back = views.DomainState(domain=DOMAIN, out=False)
-    assert not restored.admit(back, 1.0, restored=True)
-    assert restored.pop_due(1.0 + const.LOST_COMMAND_RETURN_S / 2) == []
-    assert restored.pop_due(1.0 + const.LOST_COMMAND_RETURN_S) == [back]
-    assert restored.pop_due(9.0) == []
+    assert not change_filter.admit(back, 1.0, restored=True)
+    assert change_filter.pop_due(1.0 + const.LOST_COMMAND_RETURN_S / 2) == []
+    assert change_filter.pop_due(1.0 + const.LOST_COMMAND_RETURN_S) == [back]
+    assert change_filter.pop_due(9.0) == []
 
 
 @pytest.mark.parametrize("out", [True, False])
 def test_later_change_of_a_domain_replaces_the_postponed_one(
-    restored, out: bool
+    change_filter, out: bool
 ) -> None:
     """Guards against a domain that returns though it was taken out again."""
-    restored.admit(
+    change_filter.admit(
         views.DomainState(domain=DOMAIN, out=False), 1.0, restored=True
     )
     change = views.DomainState(domain=DOMAIN, out=out)
-    assert restored.admit(change, 1.5, restored=False)
-    assert restored.pop_due(9.0) == []
+    assert change_filter.admit(change, 1.5, restored=False)
+    assert change_filter.pop_due(9.0) == []
 
 
 def test_domain_that_a_restored_store_takes_out_is_out_at_once(
-    restored,
+    change_filter,
 ) -> None:
     """Guards against flows to a domain that was taken out just now."""
     change = views.DomainState(domain=DOMAIN, out=True)
-    assert restored.admit(change, 1.0, restored=True)
+    assert change_filter.admit(change, 1.0, restored=True)
 
 
 @pytest.mark.parametrize(
     ("version", "admitted"), [(4, False), (5, True), (6, True)]
 )
 def test_older_configuration_is_ignored(
-    view, restored, version: int, admitted: bool
+    view, change_filter, version: int, admitted: bool
 ) -> None:
     """Guards against a configuration that comes back older."""
     view.apply(conftest.make_configuration(5), 0.5)
     change = conftest.make_configuration(version)
-    assert restored.admit(change, 1.0, restored=True) is admitted
+    assert change_filter.admit(change, 1.0, restored=True) is admitted
