Judge by replies of other balancers in large domains only

In a small one, a balancer that alone does not reach an endpoint would then never abandon its callers' requests, which wait until their time limit. There each balancer sees flows of each endpoint several times a second, so its own observation is enough, as before. Found while reading the change again; test_balancer_of_a_small_domain_relies_on_what_it_sees failed before.

--- a/src/chivedoor/steering/reachability.py
+++ b/src/chivedoor/steering/reachability.py
@@ -4,8 +4,8 @@
 take, unless it holds as many flows as it can or the packet waited behind a full
 link. An endpoint is considered failed or cut off if a handshake is unanswered,
 requests of several callers are stalled and no flow of the endpoint makes
-progress through any balancer of the domain. This is known seconds before the
-endpoint's entry disappears.
+progress, in a large domain through any of its balancers. This is known seconds
+before the endpoint's entry disappears.
 Retransmitted data alone is no evidence: receivers acknowledge only every
 second packet, so a request of one packet is retransmitted whenever its reply is
 slow.
@@ -77,7 +77,13 @@
     def record_reported_progress(
         self, endpoint_id: ids.EndpointId, now: float
     ) -> None:
-        """Records that a caller of another balancer received a reply."""
+        """Records that a caller of another balancer received a reply.
+
+        A balancer of a small domain sees progress of each endpoint itself. If
+        it sees none, it may be the one that does not reach the endpoint.
+        """
+        if not self._is_large_domain:
+            return
         self._last_progress_at[endpoint_id] = now
         self._unreachable_until.pop(endpoint_id, None)
 
--- a/tests/steering/test_reachability.py
+++ b/tests/steering/test_reachability.py
@@ -429,9 +429,22 @@
     assert reach.detect_unreachable(ENDPOINT, 4.1)
 
 
+def test_balancer_of_a_small_domain_relies_on_what_it_sees() -> None:
+    """Guards against requests that wait behind a cut of one balancer.
+
+    The others reach the endpoint, and their callers get replies.
+    """
+    reach = reachability.Reachability()
+    enough = const.UNREACHABLE_MIN_FLOWS
+    reach.record_report(VM, HANDSHAKE, {ENDPOINT: enough}, 1.0, summed=False)
+    reach.record_reported_progress(ENDPOINT, 1.0)
+    assert reach.detect_unreachable(ENDPOINT, 1.1)
+
+
 def test_sums_leave_out_endpoints_with_progress() -> None:
     """Guards against resets by balancers that do not hear of the progress."""
     reach = reachability.Reachability()
+    reach.set_large_domain(large=True)
     reach.record_report(VM, HANDSHAKE, {ENDPOINT: 9}, 1.0, summed=False)
     reach.record_reported_progress(ENDPOINT, 1.0)
     assert reach.list_counts(HANDSHAKE, 1.1, summed=True) == {}
