--- a/review/standin/platform.py
+++ b/review/standin/platform.py
@@ -94,6 +94,26 @@
         self._file.close()
 
 
+class _Item(dict):
+    """An item or event, encoded once."""
+
+    def __init__(self, **fields):
+        super().__init__(fields)
+        self.encoded = json.dumps(fields).encode()
+
+
+def _encode(body):
+    """Encodes a response."""
+    parts = []
+    for name, value in body.items():
+        if isinstance(value, list):
+            data = b"[" + b",".join(item.encoded for item in value) + b"]"
+        else:
+            data = json.dumps(value).encode()
+        parts.append(b'"%s":%s' % (name.encode(), data))
+    return b"{" + b",".join(parts) + b"}"
+
+
 class Store:
     """The platform's metadata store, as PROTOCOL.md describes it."""
 
@@ -104,15 +124,19 @@
         self.revision, self.oldest = 1, 0
         self.history_s, self.answer_s = history_s, answer_s
         self.leases = {}  # key -> time of expiry
+        # Size from which an answer to a watch holds no further event; None
+        # for no such limit. The page names one for `kv-range` only.
+        self.watch_bytes = self.PAGE_BYTES
         self.record = record
-        self.down = False
+        # Addresses that machines can't reach; calls there hang.
+        self.cut_hosts = set()
         self.largest_watch = 0
         self._changed = asyncio.Event()
         self._writers = set()
 
-    async def open(self, host, port):
-        """Starts to listen."""
-        self._server = await asyncio.start_server(self._serve, host, port)
+    async def open(self, hosts, port):
+        """Starts to listen; each machine has an address of its own."""
+        self._server = await asyncio.start_server(self._serve, hosts, port)
         self._task = asyncio.create_task(self._expire())
 
     async def close(self):
@@ -133,13 +157,13 @@
             if key in self.items
             else self.revision
         )
-        item = {
-            "key": key,
-            "value": base64.b64encode(data).decode(),
-            "revision": self.revision,
-            "created_rev": created,
-            "lease": 7 if lease_s else 0,
-        }
+        item = _Item(
+            key=key,
+            value=base64.b64encode(data).decode(),
+            revision=self.revision,
+            created_rev=created,
+            lease=7 if lease_s else 0,
+        )
         self.items[key] = item
         self._append(item)
         self.renew(key, lease_s)
@@ -162,9 +186,7 @@
         self.leases.pop(key, None)
         if self.items.pop(key, None) is not None:
             self.revision += 1
-            self._append(
-                {"key": key, "revision": self.revision, "deleted": True}
-            )
+            self._append(_Item(key=key, revision=self.revision, deleted=True))
         return self.record.now()
 
     def _append(self, event):
@@ -185,17 +207,19 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        host = writer.get_extra_info("sockname")[0]
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 target = head.split(b" ", 2)[1].decode()
                 path, _, query = target.partition("?")
                 q = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
-                if self.down:
-                    await asyncio.Event().wait()
                 status, body = await self._answer(path, q)
                 await asyncio.sleep(self.answer_s)
-                data = json.dumps(body).encode()
+                if host in self.cut_hosts:
+                    # The answer is lost, and with it the connection.
+                    await asyncio.Event().wait()
+                data = _encode(body)
                 if path == "/v1/kv-watch":
                     self.largest_watch = max(self.largest_watch, len(data))
                 writer.write(
@@ -249,7 +273,15 @@
             if e["revision"] > after
             and e["key"].startswith(q.get("prefix", ""))
         ]
-        return 200, {"events": events, "store_revision": self.revision}
+        revision, size = self.revision, 0
+        for number, event in enumerate(events, 1):
+            size += len(event.encoded)
+            if self.watch_bytes is None:
+                continue
+            if number == self.PAGE_ITEMS or size > self.watch_bytes:
+                events, revision = events[:number], event["revision"]
+                break
+        return 200, {"events": events, "store_revision": revision}
 
 
 class _Udp(asyncio.DatagramProtocol):
@@ -390,8 +422,6 @@
 
     def _beat_once(self):
         """Writes the entry if more than its sequence would change."""
-        if self.store.down:
-            return
         key = f"servers/{self.id}"
         try:
             known = json.loads(self.store.get(key) or b"null")
--- a/review/standin/processes.py
+++ b/review/standin/processes.py
@@ -87,6 +87,7 @@
     settings: pathlib.Path = None
     process: subprocess.Popen = None
     peer_host: str = ""
+    store_host: str = ""
 
     async def read_state(self):
         """Returns the state page of the process."""
@@ -183,6 +184,7 @@
             readiness=(host, self.ready_port),
             metrics=(host, 9464),
             peer_host=f"127.{self.block}.{50 + z}.{i}",
+            store_host=f"127.{self.block}.{200 + z}.{i}",
         )
         seed_hosts = [
             f"127.{self.block}.{(50 if self.proxy else 0) + s}.1"
@@ -218,7 +220,7 @@
             },
             "policy_params": PARAMS,
             "platform": {
-                "address": f"127.{self.block}.200.7:{self.store_port}",
+                "address": f"{node.store_host}:{self.store_port}",
                 "forwarding_mode": "read",
                 "reads_per_s": 2000,
                 "history_s": 20,
@@ -289,7 +291,9 @@
 
     async def open(self):
         """Starts everything and waits until all nodes are in rotation."""
-        await self.store.open(f"127.{self.block}.200.7", self.store_port)
+        await self.store.open(
+            [node.store_host for node in self.nodes], self.store_port
+        )
         for endpoint in self.endpoints:
             await endpoint.open()
         for group in self.requesters.values():
@@ -348,12 +352,13 @@
         self._udp, self._servers = {}, []
 
     def cut(self, nodes):
-        """Partitions nodes from all others; an empty list heals."""
+        """Partitions nodes from the others and the store; none heals."""
         self._cut = {node.id for node in nodes}
+        self._deployment.store.cut_hosts = {n.store_host for n in nodes}
 
     def is_cut(self, one, other):
         """Returns whether two machines are partitioned."""
-        return one.id in self._cut or other.id in self._cut
+        return (one.id in self._cut) != (other.id in self._cut)
 
     async def open(self):
         """Opens the addresses of all machines."""
