Review: machines with outdated seeds stay alone

review/5 shows the rule FAILBACK broken: six added machines each act as the holder of a cold endpoint's rate.

--- a/review/standin/platform.py
+++ b/review/standin/platform.py
@@ -563,6 +563,13 @@
             asyncio.create_task(self._probe(node)) for node in self.nodes
         ]
 
+    def add(self, node):
+        """Adds a machine, which isn't in rotation yet."""
+        if node not in self.nodes:
+            self.nodes.append(node)
+        self._misses[node.id] = 2
+        self._tasks.append(asyncio.create_task(self._probe(node)))
+
     def close(self):
         """Stops and closes everything."""
         for task in self._tasks:
--- a/review/standin/processes.py
+++ b/review/standin/processes.py
@@ -86,7 +86,6 @@
     metrics: tuple
     settings: pathlib.Path = None
     process: subprocess.Popen = None
-    peer_host: str = ""
     store_host: str = ""
 
     async def read_state(self):
@@ -109,7 +108,6 @@
         folder,
         per_zone=4,
         warmup_per_s=8.0,
-        peer_proxy=False,
         heartbeat_s=1.2,
     ):
         self.record = platform.Record(pathlib.Path(folder) / "record.txt")
@@ -126,7 +124,6 @@
         self.store = platform.Store(self.record)
         self.operator = platform.Operator(self.record, self.store, warmup_per_s)
         self.endpoints, self.requesters = [], {}
-        self.proxy = PeerProxy(self) if peer_proxy else None
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
         self._deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())[
             "roles"
@@ -183,13 +180,17 @@
             packets=(host, self.port),
             readiness=(host, self.ready_port),
             metrics=(host, 9464),
-            peer_host=f"127.{self.block}.{50 + z}.{i}",
             store_host=f"127.{self.block}.{200 + z}.{i}",
         )
-        seed_hosts = [
-            f"127.{self.block}.{(50 if self.proxy else 0) + s}.1"
-            for s in range(3)
-        ]
+        node.settings = self._folder / f"{node.id}.ini"
+        self.write_settings(
+            node, [f"127.{self.block}.{zone}.1" for zone in range(3)]
+        )
+        return node
+
+    def write_settings(self, node, seeds):
+        """Writes the settings file of a machine, from the template."""
+        host = node.host
         fields = {
             "node_name": node.id,
             "role": "edge",
@@ -199,7 +200,7 @@
             "zone": node.zone,
             "region": "r",
             "internal_port_range": [self.peer_port, self.peer_port],
-            "seeds": [f"{s}:{self.peer_port}" for s in seed_hosts],
+            "seeds": [f"{seed}:{self.peer_port}" for seed in seeds],
             "bootstrap": True,
             "heartbeat_ms": round(self.heartbeat_s * 1000),
             "hash_method": "steady",
@@ -228,18 +229,10 @@
             },
         }
         text = render((ROOT / self._deploy["template"]).read_text(), fields)
-        if self.proxy:
-            # The address at which the others reach this one, as in the
-            # project's soak; packets between balancers pass the proxy.
-            text = text.replace(
-                "[peers]\n", f"[peers]\naddress = {node.peer_host}\n"
-            )
-        node.settings = self._folder / f"{node.id}.ini"
         node.settings.write_text(text)
-        return node
 
     def add_endpoint(self, id, service, zone, **options):
-        """Add endpoint."""
+        """Adds an endpoint, which is started later."""
         n = len(self.endpoints) + 1
         endpoint = platform.Endpoint(
             record=self.record,
@@ -289,17 +282,29 @@
         )
         node.process.send_signal(number)
 
+    def add_node(self, zone, number, seeds):
+        """Adds a machine and starts its process."""
+        node = self._make_node(ZONES.index(zone), number)
+        self.write_settings(node, seeds)
+        self.nodes.append(node)
+        self.start(node)
+        self.router.add(node)
+        return node
+
     async def open(self):
         """Starts everything and waits until all nodes are in rotation."""
         await self.store.open(
-            [node.store_host for node in self.nodes], self.store_port
+            [
+                f"127.{self.block}.{200 + zone}.{number}"
+                for zone in range(3)
+                for number in range(1, 10)
+            ],
+            self.store_port,
         )
         for endpoint in self.endpoints:
             await endpoint.open()
         for group in self.requesters.values():
             await group.open()
-        if self.proxy:
-            await self.proxy.open()
         for node in self.nodes:
             self.start(node)
         self.router.start()
@@ -325,8 +330,6 @@
                 node.process.kill()
                 node.process.wait()
         self.router.close()
-        if self.proxy:
-            self.proxy.close()
         for group in self.requesters.values():
             group.close()
         for endpoint in self.endpoints:
@@ -339,89 +342,6 @@
             shutil.rmtree(self._folder)
 
 
-class PeerProxy:
-    """Forwards traffic between the balancers; machines can be cut off.
-
-    A balancer is known to the others by its peer address, where the proxy
-    listens. Cut traffic is dropped in silence.
-    """
-
-    def __init__(self, deployment):
-        self._deployment = deployment
-        self._cut = set()
-        self._udp, self._servers = {}, []
-
-    def cut(self, nodes):
-        """Partitions nodes from the others and the store; none heals."""
-        self._cut = {node.id for node in nodes}
-        self._deployment.store.cut_hosts = {n.store_host for n in nodes}
-
-    def is_cut(self, one, other):
-        """Returns whether two machines are partitioned."""
-        return (one.id in self._cut) != (other.id in self._cut)
-
-    async def open(self):
-        """Opens the addresses of all machines."""
-        by_host = {node.host: node for node in self._deployment.nodes}
-        port = self._deployment.peer_port
-        for node in self._deployment.nodes:
-
-            def forward(data, sender, target=node):
-                source = by_host.get(sender[0])
-                if source is not None and not self.is_cut(source, target):
-                    self._udp[source.id].sendto(data, (target.host, port))
-
-            self._udp[node.id] = await platform.open_udp(
-                (node.peer_host, port), forward
-            )
-            self._servers.append(
-                await asyncio.start_server(
-                    lambda r, w, target=node: self._relay(
-                        r, w, by_host, target
-                    ),
-                    node.peer_host,
-                    port,
-                )
-            )
-
-    def close(self):
-        """Stops listening."""
-        for transport in self._udp.values():
-            transport.close()
-        for server in self._servers:
-            server.close()
-
-    async def _relay(self, reader, writer, by_host, target):
-        source = by_host.get(writer.get_extra_info("peername")[0])
-        try:
-            while self.is_cut(source, target):
-                await asyncio.sleep(0.05)
-            there, back = await asyncio.open_connection(
-                target.host,
-                self._deployment.peer_port,
-                local_addr=(source.peer_host, 0),
-            )
-            try:
-                await asyncio.gather(
-                    self._pump(reader, back, source, target),
-                    self._pump(there, writer, source, target),
-                )
-            finally:
-                back.transport.abort()
-        except (OSError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.transport.abort()
-
-    async def _pump(self, reader, writer, source, target):
-        while data := await reader.read(65536):
-            while self.is_cut(source, target):
-                await asyncio.sleep(0.05)
-            writer.write(data)
-            await writer.drain()
-        raise ConnectionResetError
-
-
 async def _run(play, trouble, options):
     deployment = Deployment(**options)
     try:
