Review: flows of a full endpoint are reset

review/1 shows the rule FLOW broken by planned work: an endpoint that holds all the flows it may hold leaves handshakes unanswered, and balancers reset its open flows as if it were unreachable.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
-"""DRAIN: an entry of another writer with missing fields is used."""
+"""FLOW: flows of an endpoint that is full are reset."""
 
 import asyncio
+import collections
 import pathlib
 import sys
 
@@ -8,65 +9,68 @@
 from standin import processes
 
 ROUTE = ("198.18.0.1", 8443)
+USERS_PER_ZONE = 40
+MAX_CONNECTIONS = 80
+# macoustic-lb.toml: evacuate, for_s = 60.0, how = "warm".
+EVACUATED_S = 60
 
 
 async def play(d, trouble):
     """Plays the case; returns whether the rule was broken."""
-    for number, zone in (
-        (0x7F3A91C2, "a"),
-        (0x11B2C3D4, "a"),
-        (0x2233AA55, "b"),
-        (0x3344BB66, "c"),
-    ):
-        d.add_endpoint(f"i-{number:08x}", "orders", zone)
-    d.operator.add_route(ROUTE, "orders")
+    for id, zone in (("i-7f3a91c2", "a"), ("i-2233aa55", "b")):
+        d.add_endpoint(
+            id,
+            "orders",
+            zone,
+            work_s=0.055,
+            slow_share=0.1,
+            slow_s=0.3,
+            reply_bytes=2000,
+            max_connections=MAX_CONNECTIONS,
+        )
+    d.operator.add_route(ROUTE, "orders", "idempotent")
+    d.operator.max_connections = MAX_CONNECTIONS
     d.operator.write()
     for endpoint in d.endpoints:
         endpoint.start(cold=False)
     await d.open()
-    loads = [
-        asyncio.create_task(group.load(ROUTE, 20))
+    users = [
+        asyncio.create_task(group.use(ROUTE, requests=6, pause_s=3.0))
         for group in d.requesters.values()
+        for _ in range(USERS_PER_ZONE)
     ]
-    await asyncio.sleep(5)
-
-    endpoint = d.endpoints[0]
-    acked = endpoint.drain()
-    await asyncio.sleep(5)
+    await asyncio.sleep(15)
     if trouble:
-        # The fields `version`, `warmup_left_ms`, `sequence` and `born` are
-        # missing. The endpoint's next heartbeat replaces the entry.
-        host, port = endpoint.address
-        d.store.put(
-            f"servers/{endpoint.id}",
-            {
-                "service": "orders",
-                "address": f"{host}:{port}",
-                "zone": endpoint.zone,
-                "concurrency": 4,
-                "state": "ready",
-            },
+        d.operator.evacuate("b")
+    for _ in range(EVACUATED_S // 10):
+        await asyncio.sleep(10)
+        print(
+            f"{d.record.now():7.2f} s  flows at the endpoints:",
+            [len(e.flows) for e in d.endpoints],
+            "opening packets left unanswered:",
+            [e.full_count for e in d.endpoints],
         )
-        d.record.say("entry of another writer", id=endpoint.id)
-    await asyncio.sleep(4)
-    for load in loads:
-        load.cancel()
-    await asyncio.sleep(1)
-    endpoint.leave()
-
-    bound = acked + processes.PARAMS["drain_timeout_ms"] / 1000
-    late = [
+    for user in users:
+        user.cancel()
+    await asyncio.sleep(0.2)
+    lines = d.record.read("request")
+    print(dict(collections.Counter(line["result"] for line in lines)))
+    ran = {line["request"] for line in d.record.read("run")}
+    opened = {line["flow"] for line in d.record.read("flow open")}
+    # Both endpoints live all the while, and neither has sent a reset.
+    resets = [
         line
-        for line in d.record.read("syn taken")
-        if line["id"] == endpoint.id and line["t"] > bound
+        for line in lines
+        if line["result"] == "reset by system" and line["flow"] in opened
     ]
-    for line in late[:5]:
-        print("late:", line)
+    for line in resets[:3]:
+        print(line)
+    running = sum(line["request"] in ran for line in resets)
     print(
-        "opening packets at the draining endpoint "
-        f"later than {bound:.2f} s: {len(late)}"
+        f"open flows reset by the system: {len(resets)}, "
+        f"with a request that the endpoint had begun: {running}"
     )
-    return bool(late)
+    return bool(resets)
 
 
 processes.main(play, folder=pathlib.Path(__file__).parent)
--- a/review/standin/platform.py
+++ b/review/standin/platform.py
@@ -17,12 +17,15 @@
 import zlib
 
 SYN, FIN, RST, ACK = 128, 64, 16, 8
+# Marks the flags of a packet whose sum is that of an end.
+AUTHENTIC = 256
 HEADER = struct.Struct(">IH4s4sHIIIBBH")
 KEY = b"known to both ends only"
 # PROTOCOL.md, "Flows": copies of the SYN after 200 ms and 600 ms, end of the
 # attempt after 1.4 s.
 SYN_COPIES_S = (0.2, 0.6)
 SYN_TIMEOUT_S = 1.4
+PAYLOAD_BYTES = 1200
 RETRANSMIT_FIRST_S, RETRANSMIT_MAX_S = 0.2, 1.6
 
 
@@ -327,6 +330,10 @@
         heartbeat_s=1.2,
         warmup_s=2.0,
         queue=16,
+        max_connections=4000,
+        slow_share=0.0,
+        slow_s=0.0,
+        reply_bytes=0,
     ):
         self.record, self.store = record, store
         self.id, self.service, self.zone, self.address = (
@@ -339,9 +346,14 @@
         self.requester_port = requester_port
         self.slots, self.work_s, self.queue = slots, work_s, queue
         self.heartbeat_s, self.warmup_s = heartbeat_s, warmup_s
+        self.max_connections, self.reply_bytes = max_connections, reply_bytes
+        # This share of the requests takes slow_s instead of work_s.
+        self.slow_share, self.slow_s = slow_share, slow_s
+        self.full_count = 0
         self.alive, self.dark, self.draining = False, False, False
         self.cold_until = 0.0
         self.flows, self.sequence, self.busy = {}, 0, 0
+        self._slots = asyncio.Semaphore(slots)
         self._sequences = random.Random(id)
         self._transport = self._task = None
 
@@ -359,7 +371,8 @@
     def start(self, *, cold, entry_delay_s=0.004):
         """Starts the process: a new lifetime that knows nothing of before."""
         self.alive, self.dark, self.draining = True, False, False
-        self.flows, self.sequence = {}, 0
+        self.flows, self.sequence, self.busy = {}, 0, 0
+        self._slots = asyncio.Semaphore(self.slots)
         self.born = round(time.time() * 1000)
         self.cold_until = self.record.now() + self.warmup_s if cold else 0.0
         self.record.write(
@@ -455,8 +468,13 @@
             if not self.alive:
                 self._send(src, pack(dst, src, RST, echo))
                 return
+            if flow is None and self._is_full():
+                # It sends nothing if it is full.
+                self.full_count += 1
+                return
             if flow is None:
                 flow = self.flows[key] = {
+                    "at": self.record.now(),
                     "seq": self._sequences.getrandbits(32),
                     "next": seq + 1,
                     "echo": echo,
@@ -483,6 +501,7 @@
         flow["echo"] = echo
         if flags & RST:
             del self.flows[key]
+            self.record.write("aborted by requester", flow=name(src, dst))
             return
         if not flow["open"]:
             if ack != (flow["seq"] + 1) & 0xFFFFFFFF:
@@ -494,9 +513,11 @@
             flow["buffer"] += data
             if flow["buffer"].endswith(b"\r\n\r\n"):
                 text, flow["buffer"] = flow["buffer"], b""
+                flow["busy"] = True
                 asyncio.create_task(self._run(key, flow, text))
-        elif data and flow.get("answer"):
-            send(ACK, seq=flow["sent"], ack=flow["next"], data=flow["answer"])
+        elif data and flow.get("answer") and not flow["busy"]:
+            # A repeated request whose answer was lost.
+            self._send_answer(src, dst, flow)
         if flags & FIN:
             send(
                 FIN | ACK,
@@ -517,27 +538,60 @@
             )
         else:
             self.busy += 1
-            while self.busy > self.slots and self.alive:
-                await asyncio.sleep(0.002)
-            self.record.write(
-                "run", id=self.id, service=self.service, request=request_id
-            )
-            slow = 1.6 if self.record.now() < self.cold_until else 1.0
-            await asyncio.sleep(self.work_s * slow)
+            lifetime = self.born
+            async with self._slots:
+                self.record.write(
+                    "run",
+                    id=self.id,
+                    service=self.service,
+                    request=request_id,
+                )
+                slow = self._sequences.random() < self.slow_share
+                work_s = self.slow_s if slow else self.work_s
+                cold = self.record.now() < self.cold_until
+                await asyncio.sleep(work_s * (1.6 if cold else 1.0))
+            if self.born != lifetime:
+                return
             self.busy -= 1
+            content = request_id.ljust(self.reply_bytes, ".")
             body = (
                 "HTTP/1.1 200 OK\r\n"
                 f"Chivedoor-Response-Signature: {self.id}\r\n"
-                f"Content-Length: {len(request_id)}\r\n\r\n{request_id}"
+                f"Content-Length: {len(content)}\r\n\r\n{content}"
             ).encode()
+        flow["busy"] = False
         if self.flows.get(key) is not flow:
             return
-        flow["sent"] = flow["seq"] + 1
+        flow["sent"] = flow.get("end", flow["seq"] + 1)
         flow["answer"], flow["end"] = body, flow["sent"] + len(body)
-        self._send(
-            src,
-            pack(dst, src, ACK, flow["echo"], flow["sent"], flow["next"], body),
-        )
+        self._send_answer(src, dst, flow)
+
+    def _send_answer(self, src, dst, flow):
+        body = flow["answer"]
+        for at in range(0, len(body), PAYLOAD_BYTES):
+            self._send(
+                src,
+                pack(
+                    dst,
+                    src,
+                    ACK,
+                    flow["echo"],
+                    flow["sent"] + at,
+                    flow["next"],
+                    body[at : at + PAYLOAD_BYTES],
+                ),
+            )
+
+    def _is_full(self):
+        """Returns whether it holds all the flows that it may hold.
+
+        A handshake that wasn't completed within 2 s is forgotten.
+        """
+        now = self.record.now()
+        for key, flow in tuple(self.flows.items()):
+            if not flow["open"] and flow["at"] < now - 2.0:
+                del self.flows[key]
+        return len(self.flows) >= self.max_connections
 
     def _send(self, requester, packet):
         self._transport.sendto(packet, (requester[0], self.requester_port))
@@ -776,7 +830,8 @@
             return
         queue = self._flows.get(dst)
         if queue is not None:
-            queue.put_nowait((flags, echo, seq, ack, data))
+            mark = AUTHENTIC if authentic else 0
+            queue.put_nowait((flags | mark, echo, seq, ack, data))
 
 
 class Operator:
@@ -785,6 +840,7 @@
     def __init__(self, record, store, warmup_per_s):
         self.record, self.store, self.warmup_per_s = record, store, warmup_per_s
         self.version, self.routes, self.services = 3, {}, set()
+        self.max_connections = 4000
 
     def add_route(self, route, service, kind="non_idempotent"):
         """Adds a route without writing the configuration."""
@@ -816,7 +872,7 @@
                 {
                     "name": s,
                     "health_path": "/health",
-                    "max_connections": 4000,
+                    "max_connections": self.max_connections,
                     "protocol": "h1",
                     "tls": False,
                     "warmup_s": 2.0,
--- a/review/standin/processes.py
+++ b/review/standin/processes.py
@@ -15,6 +15,7 @@
 import tomllib
 
 from standin import platform
+from standin import sessions
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ("a", "b", "c")
@@ -135,7 +136,7 @@
         ]
         self.router = platform.Router(self.record, self.nodes)
         for z, zone in enumerate(ZONES):
-            self.requesters[zone] = platform.Requesters(
+            self.requesters[zone] = sessions.Sessions(
                 record=self.record,
                 router=self.router,
                 zone=zone,
