Review: a copy of a delivered opening packet is refused

review/5 shows the rule FLOW broken by planned work: while all endpoints of a service are cold, the copy of an opening packet is reset although the first one was delivered, and the request runs.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,76 +1,85 @@
-"""FAILBACK: machines that start with outdated seeds stay alone."""
+"""FLOW: a flow is reset by the answer to a copy of its opening packet."""
 
 import asyncio
+import collections
 import pathlib
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
-from standin import judge
 from standin import processes
 
 ROUTE = ("198.18.0.1", 8443)
-WARMUP_PER_S = 4.0
-# plata-orders.toml: two spare machines in each zone; add_nodes, share = 1.0.
-ADDED = [(zone, number) for zone in processes.ZONES for number in (5, 6)]
+WARMUP_PER_S = 8.0
+# SYSTEM.md on vlf-gabarits: "One way, ... 3 ms to requesters."
+REQUESTER_DELAY_S = 0.003
+COLD_HANDSHAKE_S = (0.15, 0.25)
+ROUNDS = 18
 
 
 async def play(d, trouble):
     """Plays the case; returns whether the rule was broken."""
-    one = d.add_endpoint("i-7f3a91c2", "orders", "a")
-    new = d.add_endpoint("i-5566cc77", "orders", "a")
+    endpoints = [
+        d.add_endpoint(
+            f"i-{0x11000000 + 4096 * number:08x}",
+            "orders",
+            processes.ZONES[number % 3],
+            work_s=0.029,
+            cold_handshake_s=COLD_HANDSHAKE_S,
+        )
+        for number in range(2 * ROUNDS)
+    ]
     d.operator.add_route(ROUTE, "orders")
     d.operator.write()
-    one.start(cold=False)
+    serving = endpoints[:2]
+    for endpoint in serving:
+        endpoint.start(cold=False)
+    for group in d.requesters.values():
+        group.delay_s = REQUESTER_DELAY_S
     await d.open()
     loads = [
-        asyncio.create_task(group.load(ROUTE, 40))
+        asyncio.create_task(group.load(ROUTE, 20))
         for group in d.requesters.values()
     ]
-    await asyncio.sleep(3)
-
-    # Planned: machines are added. Their seeds are outdated at first: nobody is
-    # at these addresses any more. The settings file changes soon after.
-    current = [f"127.{d.block}.{zone}.1" for zone in range(3)]
-    outdated = [f"127.{d.block}.{zone}.9" for zone in range(3)]
-    added = [
-        d.add_node(zone, number, outdated if trouble else current)
-        for zone, number in ADDED
-    ]
-    await asyncio.sleep(processes.PARAMS["seed_staleness_s"])
-    for node in added:
-        d.write_settings(node, current)
-    d.record.say("the settings files name current seeds")
-    await asyncio.sleep(10)
-
-    # Planned: the endpoint is replaced; the new one starts first, the old one
-    # drains.
-    new.start(cold=True)
-    started = d.record.now()
-    await asyncio.sleep(0.01)
-    one.drain()
     await asyncio.sleep(4)
-    one.leave()
+    leaving = []
+    for number, new in enumerate(endpoints[2:]):
+        # Planned: the endpoints are replaced one after the other, a second
+        # apart; the new one starts first, the old one drains.
+        if trouble:
+            new.start(cold=True)
+            await asyncio.sleep(0.01)
+            old = serving.pop(0)
+            old.drain()
+            serving.append(new)
+            leaving.append(old)
+        await asyncio.sleep(4.0 if number % 2 else 1.0)
+        if len(leaving) == 2:
+            for old in leaving:
+                old.leave()
+            leaving = []
     for load in loads:
         load.cancel()
     await asyncio.sleep(1)
 
-    for node in d.nodes:
-        state = await node.read_state()
-        d.record.write("peers", node=node.id, peers=state["peers"])
-        print(node.id, "hears", len(state["peers"]), "others of its zone")
-    most, limit, start = judge.find_failback(
-        d.record,
-        new.id,
-        started,
-        started + new.warmup_s,
-        WARMUP_PER_S,
-        processes.PARAMS,
-    )
+    attempts = d.record.read("attempt")
+    print(dict(collections.Counter(line["result"] for line in attempts)))
+    opened = {line["flow"]: line["t"] for line in d.record.read("flow open")}
+    ran = {line["request"] for line in d.record.read("run")}
+    resets = [
+        line
+        for line in attempts
+        if line["result"] == "reset by system on open flow"
+        and opened.get(line["flow"], line["t"]) < line["t"]
+    ]
+    for line in resets[:3]:
+        print(line)
+    # Counted are resets that came after the endpoint had the flow open.
+    running = sum(line["request"] in ran for line in resets)
     print(
-        f"most requests at the cold endpoint in a second: {most} "
-        f"(from {start}), limit {limit}"
+        f"open flows reset by the system: {len(resets)}, "
+        f"with a request that the endpoint had begun: {running}"
     )
-    return most > limit
+    return bool(resets)
 
 
 processes.main(
--- a/review/standin/platform.py
+++ b/review/standin/platform.py
@@ -334,6 +334,7 @@
         slow_share=0.0,
         slow_s=0.0,
         reply_bytes=0,
+        cold_handshake_s=None,
     ):
         self.record, self.store = record, store
         self.id, self.service, self.zone, self.address = (
@@ -349,6 +350,8 @@
         self.max_connections, self.reply_bytes = max_connections, reply_bytes
         # This share of the requests takes slow_s instead of work_s.
         self.slow_share, self.slow_s = slow_share, slow_s
+        # Shortest and longest time to answer a SYN while cold.
+        self.cold_handshake_s = cold_handshake_s
         self.full_count = 0
         self.alive, self.dark, self.draining = False, False, False
         self.cold_until = 0.0
@@ -492,7 +495,16 @@
                     draining=self.draining,
                 )
             flow["echo"] = echo
-            send(SYN | ACK, seq=flow["seq"], ack=flow["next"])
+            answer = pack(dst, src, SYN | ACK, echo, flow["seq"], flow["next"])
+            if self.cold_handshake_s and self.record.now() < self.cold_until:
+                asyncio.get_running_loop().call_later(
+                    self._sequences.uniform(*self.cold_handshake_s),
+                    self._send,
+                    src,
+                    answer,
+                )
+            else:
+                self._send(src, answer)
             return
         if flow is None:
             if not flags & RST:
@@ -594,6 +606,8 @@
         return len(self.flows) >= self.max_connections
 
     def _send(self, requester, packet):
+        if self._transport.is_closing():
+            return
         self._transport.sendto(packet, (requester[0], self.requester_port))
 
 
@@ -688,6 +702,7 @@
             hosts,
             port,
         )
+        self.delay_s = 0.0  # one way
         self._flows, self._ports, self._transports, self._tasks = (
             {},
             {},
@@ -746,7 +761,8 @@
         self._flows[src] = queue
 
         def send(flags, **fields):
-            self._transports[host].sendto(
+            self._later(
+                self._transports[host].sendto,
                 pack(src, route, flags, **fields),
                 self.router.choose(self.zone, src, route).packets,
             )
@@ -809,7 +825,8 @@
                 send(ACK, echo=echo, seq=seq + 1, ack=peer, data=text)
                 continue
             if flags & RST:
-                return "reset on open flow"
+                sender = "endpoint" if flags & AUTHENTIC else "system"
+                return f"reset by {sender} on open flow"
             if flags & SYN:
                 continue
             echo = tag
@@ -831,7 +848,14 @@
         queue = self._flows.get(dst)
         if queue is not None:
             mark = AUTHENTIC if authentic else 0
-            queue.put_nowait((flags | mark, echo, seq, ack, data))
+            self._later(queue.put_nowait, (flags | mark, echo, seq, ack, data))
+
+    def _later(self, call, *arguments):
+        if self.delay_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.delay_s, call, *arguments)
+        else:
+            call(*arguments)
 
 
 class Operator:
