Do not refuse copies of opening packets

Cause: a copy of an opening packet was placed like the packet of a new flow. While all endpoints of a service are cold, their rate allows no further flow, so the copy was refused (no-endpoint), although the answer to the first packet was on its way.

A reset is only safe if no earlier packet can have been delivered. Copies are now refused only for a dropped route. Otherwise a copy that cannot be placed goes to the endpoint of the first packet again, or is dropped when that endpoint is unknown, drains or is out. The same cause on related paths: a copy for a route that only newer views have, a copy through another balancer, a copy that the end of its handshake overtook, an endpoint that drains between two copies, and records of copies that were not placed, which counted as refused by the host and kept the endpoint at its cold rate.

--- a/src/chivedoor/steering/placement.py
+++ b/src/chivedoor/steering/placement.py
@@ -95,8 +95,7 @@
         usable = [
             endpoint
             for endpoint in self._list_endpoints(service, lapsed_since)
-            if not endpoint.draining
-            and endpoint.domain not in self._view.domains_out
+            if self.is_usable(endpoint)
         ]
         warm = [
             endpoint
@@ -113,6 +112,13 @@
             reason=verdicts.RefusalReason.NO_ENDPOINT
         )
 
+    def is_usable(self, endpoint: views.Endpoint) -> bool:
+        """Returns whether an endpoint neither drains nor is taken out."""
+        return (
+            not endpoint.draining
+            and endpoint.domain not in self._view.domains_out
+        )
+
     def _list_endpoints(
         self, service: ids.ServiceId, lapsed_since: float | None
     ) -> list[views.Endpoint]:
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -244,11 +244,11 @@
             return _DROPS[verdicts.DropReason.NO_VIEW]
         route = self.view.routes.get(segment.route)
         if route is None:
-            if self.is_view_complete(now):
-                return _REFUSALS[verdicts.RefusalReason.NO_ROUTE]
-            return _DROPS[verdicts.DropReason.STALE_VIEW]
+            return self._decide_unrouted_opening(segment, now)
         if self.pauses.is_view_outdated(now):
             return _DROPS[verdicts.DropReason.PAUSED]
+        if self._is_copy_of_open_flow(segment, now):
+            return _DROPS[verdicts.DropReason.REPEATED_OPENING]
         unanswered = self._find_unanswered(segment, now)
         lapsed_since = (
             None
@@ -265,17 +265,65 @@
             may_refuse=not segment.retransmissions,
         )
         if isinstance(endpoint, verdicts.Refuse):
+            if segment.retransmissions:
+                return self._repeat_delivery(segment, now)
             return endpoint
         self.flows.open_flow(segment.flow, endpoint.id, now)
         if not segment.retransmissions:
             self._pending_handshakes.append((now, segment.flow))
-        return verdicts.Deliver(
-            endpoint=endpoint,
-            tag=tags.make_tag(
-                endpoint.tag_prefix, endpoint.numeric_id, segment.flow
-            ),
+        return _deliver_opening(segment, endpoint)
+
+    def _decide_unrouted_opening(
+        self, segment: segments.Segment, now: float
+    ) -> verdicts.Verdict:
+        """Decides on an opening packet to a route that the view lacks.
+
+        Another balancer may have a newer view and have delivered an earlier
+        copy, so copies are refused only if the route was dropped.
+        """
+        if not self.is_view_complete(now):
+            return _DROPS[verdicts.DropReason.STALE_VIEW]
+        if segment.retransmissions and not self.view.is_route_dropped(
+            segment.route
+        ):
+            return _DROPS[verdicts.DropReason.REPEATED_OPENING]
+        return _REFUSALS[verdicts.RefusalReason.NO_ROUTE]
+
+    def _is_copy_of_open_flow(
+        self, segment: segments.Segment, now: float
+    ) -> bool:
+        """Returns whether a copy was overtaken by the end of its handshake.
+
+        An older record belongs to an earlier flow of the same caller port.
+        """
+        if not segment.retransmissions:
+            return False
+        flow = self.flows.get(segment.flow)
+        return (
+            flow is not None
+            and flow.state is not flow_tables.FlowState.OPENING
+            and now - flow.opened_at < const.HANDSHAKE_LIFETIME_S
         )
 
+    def _repeat_delivery(
+        self, segment: segments.Segment, now: float
+    ) -> verdicts.Verdict:
+        """Decides on a copy that no endpoint may take as a new flow.
+
+        An earlier copy may have opened the flow, through this balancer or
+        another one, and a reset would end it. The copy goes to the endpoint of
+        the earlier one if that is known and still takes flows. The record is
+        replaced or removed, because a handshake with a copy was not refused by
+        the endpoint's host.
+        """
+        flow = self.flows.get(segment.flow)
+        endpoint = flow and self.view.endpoints.get(flow.endpoint_id)
+        if not endpoint or not self.placement.is_usable(endpoint):
+            self.flows.close_flow(segment.flow)
+            return _DROPS[verdicts.DropReason.REPEATED_OPENING]
+        self.flows.open_flow(segment.flow, endpoint.id, now)
+        return _deliver_opening(segment, endpoint)
+
     def _find_unanswered(
         self, segment: segments.Segment, now: float
     ) -> ids.EndpointId | None:
@@ -428,3 +476,15 @@
         if segment.kind is segments.SegmentKind.ABORT:
             return _DROPS[verdicts.DropReason.UNANSWERED_RESET]
         return _REFUSALS[reason]
+
+
+def _deliver_opening(
+    segment: segments.Segment, endpoint: views.Endpoint
+) -> verdicts.Deliver:
+    """Returns the delivery of an opening packet, with the tag of its flow."""
+    return verdicts.Deliver(
+        endpoint=endpoint,
+        tag=tags.make_tag(
+            endpoint.tag_prefix, endpoint.numeric_id, segment.flow
+        ),
+    )
--- a/src/chivedoor/steering/verdicts.py
+++ b/src/chivedoor/steering/verdicts.py
@@ -12,6 +12,8 @@
     NO_VIEW = "no-view"
     STALE_VIEW = "stale-view"
     PAUSED = "paused"
+    # A copy of an opening packet whose flow may be open already.
+    REPEATED_OPENING = "repeated-opening"
     UNKNOWN_TAG = "unknown-tag"
     NO_TAG = "no-tag"
     UNANSWERED_RESET = "unanswered-reset"
