Check the host of a silent endpoint before its flows are abandoned

Cause: an endpoint that holds max_connections flows leaves handshakes unanswered. Unanswered handshakes, retransmitted requests and one second without progress counted as proof that an endpoint is unreachable, and slow requests meet the rest by chance. Balancers do not see packets of endpoints, so no number of retransmissions tells a full endpoint from one that is cut off.

The retransmissions now only lead to a check: two connection attempts, 200 ms apart, without a request. If the host accepts or rejects one, the flows stay. This holds for all ways in which an endpoint is taken for unreachable: in small and large domains, by own counts and by those of others. Suspicions only order the endpoints, and the project's own interface sees the packets of targets; neither changes.

--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -13,6 +13,7 @@
 
 from chivedoor import ids
 from chivedoor.edge import const
+from chivedoor.edge import contact_checker
 from chivedoor.edge import exceptions
 from chivedoor.edge import forwarder as forwarders
 from chivedoor.edge import log_writer
@@ -29,8 +30,10 @@
 from chivedoor.feed import relay
 from chivedoor.platform import store
 from chivedoor.steering import const as steering_const
+from chivedoor.steering import contacts
 from chivedoor.steering import reachability
 from chivedoor.steering import steerer as steerers
+from chivedoor.steering import view as views
 
 
 def read_clock() -> float:
@@ -72,6 +75,9 @@
             generator=generator,
             observer=observer.Observer(log=log, metrics=self.metrics),
         )
+        self._contact_checker = contact_checker.ContactChecker(
+            on_result=self._apply_contact
+        )
         self.forwarder = forwarders.Forwarder(
             address=settings.packets.host,
             port=settings.packets.port,
@@ -79,6 +85,7 @@
             log=log,
             metrics=self.metrics,
             clock=clock,
+            check_contact=self._contact_checker.start,
             packet_socket=packet_socket,
         )
         self.view_updater = view_updater_module.ViewUpdater(
@@ -177,6 +184,7 @@
         finally:
             for task in tasks:
                 task.cancel()
+            self._contact_checker.close()
             self._peer_protocol.close()
             self._relay.close()
             self._metrics_server.close()
@@ -323,6 +331,12 @@
         )
         self._log.flush()
 
+    def _apply_contact(
+        self, endpoint: views.Endpoint, result: contacts.Contact
+    ) -> None:
+        self.steerer.record_contact(endpoint, result, self._clock())
+        self.forwarder.reset_abandoned_flows()
+
     def _make_follower(self) -> followers.Follower:
         return followers.Follower(
             source=self._store,
--- a/src/chivedoor/edge/const.py
+++ b/src/chivedoor/edge/const.py
@@ -41,6 +41,12 @@
 DRAIN_QUIET_S: Final = 0.5
 DRAIN_CHECK_INTERVAL_S: Final = 0.1
 
+# Connection attempts before an endpoint counts as silent, and the time from one
+# attempt to the next, or to the end. An answer takes one round trip, some 10 ms
+# between the failure domains of the known deployments.
+CONTACT_ATTEMPTS: Final = 2
+CONTACT_ATTEMPT_INTERVAL_S: Final = 0.2
+
 READINESS_PATH: Final = "/v1/readiness"
 METRICS_PATH: Final = "/metrics"
 STATE_PATH: Final = "/state"
--- a/src/chivedoor/edge/forwarder.py
+++ b/src/chivedoor/edge/forwarder.py
@@ -15,6 +15,7 @@
 from chivedoor.steering import segment as segments
 from chivedoor.steering import steerer as steerers
 from chivedoor.steering import verdicts
+from chivedoor.steering import view as views
 
 
 class Forwarder:
@@ -35,9 +36,22 @@
         log: log_writer.LogWriter,
         metrics: metrics_module.Metrics,
         clock: Callable[[], float],
+        check_contact: Callable[[views.Endpoint], None],
         packet_socket: socket.socket | None = None,
     ) -> None:
-        """Creates a forwarder; `start` begins to receive packets."""
+        """Creates a forwarder; `start` begins to receive packets.
+
+        Args:
+            address: The local address that packets are sent to.
+            port: The port of the packets, also at the callers.
+            steerer: Decides what is done with each packet.
+            log: Writes a line for each decision.
+            metrics: Counts packets and decisions.
+            clock: Returns the time in seconds.
+            check_contact: Called with each endpoint whose host is to be
+                checked.
+            packet_socket: The bound packet socket; None to open one.
+        """
         self.last_packet_at: float | None = None
         self.view_updater: view_updater_module.ViewUpdater | None = None
         self._caller_port = port
@@ -45,6 +59,7 @@
         self._log = log
         self._metrics = metrics
         self._clock = clock
+        self._check_contact = check_contact
         self._port = ports.PacketPort(
             address=address,
             port=port,
@@ -100,6 +115,13 @@
                 flow_id, flow, verdicts.RefusalReason.ENDPOINT_REMOVED
             )
 
+    def reset_abandoned_flows(self) -> None:
+        """Resets stalled flows of endpoints that have become unreachable."""
+        for flow_id, flow in self._steerer.pop_abandoned_flows(self._clock()):
+            self._reset_flow(
+                flow_id, flow, verdicts.RefusalReason.ENDPOINT_UNREACHABLE
+            )
+
     def _reset_flow(
         self,
         flow_id: segments.FlowId,
@@ -132,10 +154,8 @@
                 continue
             self._apply_verdict(decide(segment, now), segment, datagram)
         self._steerer.check_handshakes(now)
-        for flow_id, flow in self._steerer.pop_abandoned_flows(now):
-            self._reset_flow(
-                flow_id, flow, verdicts.RefusalReason.ENDPOINT_UNREACHABLE
-            )
+        for endpoint in self._steerer.pop_contact_checks():
+            self._check_contact(endpoint)
         duration_s = self._clock() - now
         self._metrics.histograms[metrics_module.Timing.BATCH].observe(
             duration_s
--- a/src/chivedoor/edge/log_writer.py
+++ b/src/chivedoor/edge/log_writer.py
@@ -40,6 +40,7 @@
     ENDPOINT_LISTED = "endpoint-listed"
     ENDPOINT_REMOVED = "endpoint-removed"
     ENDPOINT_SUSPECTED = "endpoint-suspected"
+    ENDPOINT_CHECKED = "endpoint-checked"
     ENDPOINT_UNREACHABLE = "endpoint-unreachable"
     ENDPOINT_ANSWERED = "endpoint-answered"
     FLOW_PLACED = "flow-placed"
--- a/src/chivedoor/edge/metrics.py
+++ b/src/chivedoor/edge/metrics.py
@@ -14,6 +14,7 @@
     """Counters, most of them split by a `kind` label."""
 
     CHANGES = "changes"
+    CONTACTS = "contacts"
     FLOWS_MOVED = "flows_moved"
     FLOWS_PLACED = "flows_placed"
     FLOWS_REFUSED = "flows_refused"
--- a/src/chivedoor/edge/observer.py
+++ b/src/chivedoor/edge/observer.py
@@ -4,6 +4,7 @@
 from chivedoor.edge import flow_names
 from chivedoor.edge import log_writer
 from chivedoor.edge import metrics as metrics_module
+from chivedoor.steering import contacts
 from chivedoor.steering import segment as segments
 
 
@@ -50,6 +51,17 @@
             unanswered_flows=counts,
         )
 
+    def on_contact_checked(
+        self, endpoint_id: ids.EndpointId, result: contacts.Contact
+    ) -> None:
+        """Logs and counts the check of an endpoint that seems unreachable."""
+        self._metrics.count(metrics_module.Counter.CONTACTS, result.value)
+        self._log.write(
+            log_writer.EventType.ENDPOINT_CHECKED,
+            endpoint=endpoint_id,
+            result=result.value,
+        )
+
     def on_cleared(self, endpoint_id: ids.EndpointId) -> None:
         """Logs a suspected endpoint that answers again."""
         self._log.write(
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -111,6 +111,12 @@
 # Entries of failed endpoints are removed within this time in the known
 # deployments. An endpoint that is still listed afterwards is tried again.
 UNREACHABLE_DURATION_S: Final = 4.0
+# An endpoint that seems unreachable is checked at most once in this time. Each
+# check opens a connection, which takes a file descriptor of the endpoint.
+CONTACT_CHECK_INTERVAL_S: Final = 2.0
+# Checks at the same time. When a whole domain is cut off, its endpoints are
+# checked in turn; each check takes 0.4 s at most.
+MAX_CONTACT_CHECKS: Final = 32
 # Callers retransmit an opening packet after 200 ms. A copy that arrives sooner
 # was queued together with the first one while this balancer was paused.
 OPENING_RETRANSMISSION_MIN_S: Final = 0.1
--- a/src/chivedoor/steering/observer.py
+++ b/src/chivedoor/steering/observer.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from chivedoor import ids
+from chivedoor.steering import contacts
 from chivedoor.steering import segment as segments
 
 
@@ -33,6 +34,11 @@
             counts: Flows with retransmissions by the value of their kind.
         """
 
+    def on_contact_checked(
+        self, endpoint_id: ids.EndpointId, result: contacts.Contact
+    ) -> None:
+        """Called with the result of a check of a silent endpoint."""
+
     def on_tag_changed(
         self,
         flow_id: segments.FlowId,
@@ -70,6 +76,11 @@
     ) -> None:
         """Does nothing."""
 
+    def on_contact_checked(
+        self, endpoint_id: ids.EndpointId, result: contacts.Contact
+    ) -> None:
+        """Does nothing."""
+
     def on_tag_changed(
         self,
         flow_id: segments.FlowId,
--- a/src/chivedoor/steering/reachability.py
+++ b/src/chivedoor/steering/reachability.py
@@ -2,10 +2,11 @@
 
 A live endpoint answers an opening packet at once, however long its requests
 take, unless it holds as many flows as it can or the packet waited behind a full
-link. An endpoint is considered failed or cut off if a handshake is unanswered,
-requests of several callers are stalled and no flow of the endpoint makes
-progress, in a large domain through any of its balancers. This is known seconds
-before the endpoint's entry disappears.
+link. An endpoint is silent if a handshake is unanswered, requests of several
+callers are stalled and no flow of the endpoint makes progress, in a large
+domain through any of its balancers. It is considered failed or cut off if its
+host does not answer a connection attempt either (`contacts`). This is known
+seconds before the endpoint's entry disappears.
 Retransmitted data alone is no evidence: receivers acknowledge only every
 second packet, so a request of one packet is retransmitted whenever its reply is
 slow.
@@ -110,12 +111,12 @@
     def detect_unreachable(
         self, endpoint_id: ids.EndpointId, now: float
     ) -> bool:
-        """Updates the state of an endpoint.
+        """Updates the state of an endpoint whose host does not answer.
 
         Returns:
             Whether the endpoint is unreachable now and was not before.
         """
-        if not self._is_threshold_reached(endpoint_id, now):
+        if not self.is_silent(endpoint_id, now):
             return False
         known = self.is_unreachable(endpoint_id, now)
         self._unreachable_until[endpoint_id] = (
@@ -214,9 +215,12 @@
             if at >= oldest
         }
 
-    def _is_threshold_reached(
-        self, endpoint_id: ids.EndpointId, now: float
-    ) -> bool:
+    def is_silent(self, endpoint_id: ids.EndpointId, now: float) -> bool:
+        """Returns whether an endpoint answers no caller, as far as is known.
+
+        This also holds for an endpoint that takes no further flow while all its
+        requests are slow. Whether it is unreachable has to be checked.
+        """
         if self._has_progress(endpoint_id, now):
             return False
         handshakes = self.count(RetransmissionKind.HANDSHAKE, endpoint_id, now)
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -9,6 +9,7 @@
 from chivedoor import ids
 from chivedoor.steering import absences
 from chivedoor.steering import const
+from chivedoor.steering import contacts as contact_module
 from chivedoor.steering import delays
 from chivedoor.steering import flows as flow_tables
 from chivedoor.steering import observer as observers
@@ -45,6 +46,7 @@
         flows: Flows and requests in flight.
         suspicions: Endpoints that left handshakes unanswered.
         reachability: Endpoints that are unreachable.
+        contacts: Checks of endpoints that seem unreachable.
         restarts: Endpoints that have probably restarted.
         pauses: Pauses of this process.
         absences: Flows whose endpoint is missing from the view.
@@ -80,6 +82,7 @@
         )
         self.suspicions = suspicion.Suspicions()
         self.reachability = reachability.Reachability()
+        self.contacts = contact_module.Contacts()
         self.restarts = restarts.Restarts()
         self.pauses = pauses.Pauses()
         self.absences = absences.Absences()
@@ -188,19 +191,53 @@
         """
         endpoint_ids, self._newly_unreachable = self._newly_unreachable, []
         abandoned = [
-            (flow_id, flow)
+            pair
             for endpoint_id in endpoint_ids
-            for flow_id in self.reachability.list_stalled_flows(
-                endpoint_id, now
-            )
-            if self._is_idempotent(flow_id)
-            and (flow := self.flows.get(flow_id)) is not None
-            and flow.endpoint_id == endpoint_id
+            for pair in self._iterate_abandonable(endpoint_id, now)
         ]
         for flow_id, _ in abandoned:
             self.flows.close_flow(flow_id)
         return abandoned
 
+    def pop_contact_checks(self) -> list[views.Endpoint]:
+        """Returns the endpoints whose hosts are to be checked, each once.
+
+        `record_contact` must be called with each result.
+        """
+        return [
+            endpoint
+            for endpoint_id in self.contacts.pop_requested()
+            if (endpoint := self.view.find_known(endpoint_id)) is not None
+        ]
+
+    def record_contact(
+        self,
+        endpoint: views.Endpoint,
+        result: contact_module.Contact,
+        now: float,
+    ) -> None:
+        """Records the result of a check.
+
+        An endpoint is unreachable if its host did not answer and it is still
+        silent. A result for a former address tells nothing.
+        """
+        self.contacts.finish(endpoint.id)
+        self._observer.on_contact_checked(endpoint.id, result)
+        known = self.view.find_known(endpoint.id)
+        if known is None or known.address != endpoint.address:
+            return
+        if result is not contact_module.Contact.SILENT:
+            return
+        if self.reachability.detect_unreachable(endpoint.id, now):
+            self._newly_unreachable.append(endpoint.id)
+            self._observer.on_unreachable(
+                endpoint.id,
+                {
+                    kind.value: self.reachability.count(kind, endpoint.id, now)
+                    for kind in reachability.RetransmissionKind
+                },
+            )
+
     def check_handshakes(self, now: float) -> None:
         """Suspects endpoints that refused a handshake.
 
@@ -231,6 +268,7 @@
         self.flows.expire(now)
         self.suspicions.expire(now)
         self.reachability.expire(now)
+        self.contacts.expire(now)
         self.absences.expire(now)
         self.restarts.expire(now, view_complete=self.is_view_complete(now))
         self.warmup_budget.expire(now)
@@ -349,15 +387,27 @@
     def _check_reachability(
         self, endpoint_id: ids.EndpointId, now: float
     ) -> None:
-        if self.reachability.detect_unreachable(endpoint_id, now):
-            self._newly_unreachable.append(endpoint_id)
-            self._observer.on_unreachable(
-                endpoint_id,
-                {
-                    kind.value: self.reachability.count(kind, endpoint_id, now)
-                    for kind in reachability.RetransmissionKind
-                },
+        """Requests a check of an endpoint if flows may have to be abandoned."""
+        if (
+            self.reachability.is_silent(endpoint_id, now)
+            and not self.reachability.is_unreachable(endpoint_id, now)
+            and any(self._iterate_abandonable(endpoint_id, now))
+        ):
+            self.contacts.request(endpoint_id, now)
+
+    def _iterate_abandonable(
+        self, endpoint_id: ids.EndpointId, now: float
+    ) -> Iterator[tuple[segments.FlowId, flow_tables.Flow]]:
+        """Returns the flows of an endpoint with stalled idempotent requests."""
+        return (
+            (flow_id, flow)
+            for flow_id in self.reachability.list_stalled_flows(
+                endpoint_id, now
             )
+            if self._is_idempotent(flow_id)
+            and (flow := self.flows.get(flow_id)) is not None
+            and flow.endpoint_id == endpoint_id
+        )
 
     def _suspect(self, endpoint: views.Endpoint, now: float) -> None:
         new = self.suspicions.record_unanswered(
--- a/tests/edge/test_process.py
+++ b/tests/edge/test_process.py
@@ -1,6 +1,7 @@
 """End-to-end tests of the edge balancer process."""
 
 import asyncio
+import contextlib
 import signal
 import socket
 
@@ -145,6 +146,89 @@
     assert "flow-reset" not in events
 
 
+async def async_stall_requests(edge) -> None:
+    """Lets an endpoint leave a request and handshakes unanswered.
+
+    The request is idempotent, and two callers retransmit for longer than an
+    endpoint needs to show progress.
+    """
+    opening_packet = await async_open_flow(edge)
+    request = conftest.make_packet(
+        CALLER_PORT,
+        flags=conftest.ACK,
+        tag=opening_packet.tag,
+        acknowledged=1,
+        payload=b"request",
+    )
+    for count in range(6):
+        edge.send(request)
+        for port in range(5):
+            edge.send(
+                conftest.make_packet(
+                    50_000 + port,
+                    flags=conftest.SYN,
+                    # Number of copies sent before.
+                    acknowledged=min(count, 2),
+                    caller="127.0.0.8",
+                )
+            )
+        await asyncio.sleep(0.25)
+    edge.send(request)
+
+
+async def async_wait_checked(edge, result: str) -> None:
+    """Waits until the endpoint was checked with a result."""
+    async with asyncio.timeout(20):
+        while True:
+            results = [
+                line["result"]
+                for line in edge.read_lines()
+                if line["message_type"] == "endpoint-checked"
+            ]
+            if results:
+                break
+            await asyncio.sleep(0.05)
+    assert results == [result]
+
+
+async def test_flow_of_a_full_endpoint_is_kept(edge) -> None:
+    """Guards against resets of flows whose endpoint works on their requests.
+
+    An endpoint that holds as many flows as it can answers no handshake, and
+    its requests are slow. Its host accepts connections (review/1).
+    """
+    await async_start_ready(edge)
+    with socket.create_server(edge.endpoint_socket.getsockname()):
+        await async_stall_requests(edge)
+        await asyncio.sleep(1.0)
+        events = [line["message_type"] for line in edge.read_lines()]
+        assert "flow-reset" not in events
+        assert "flow-refused" not in events
+        await async_wait_checked(edge, "answered")
+
+
+async def test_flow_of_an_unreachable_endpoint_is_reset(edge) -> None:
+    """Guards against callers that wait for an endpoint without power.
+
+    Its host answers no connection attempt: the queue of the listener is full.
+    """
+    await async_start_ready(edge)
+    address = edge.endpoint_socket.getsockname()
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(socket.create_server(address, backlog=0))
+        for _ in range(4):
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(address)
+        await async_stall_requests(edge)
+        await async_wait_checked(edge, "silent")
+        reset = packets.decode_packet(
+            await edge.async_receive(edge.caller_socket)
+        )
+    assert reset.flags == conftest.RST
+    assert reset.destination[1] == CALLER_PORT
+
+
 async def test_malformed_input_does_not_stop_the_process(edge) -> None:
     """Guards against invalid entries or datagrams that end the process."""
     await async_start_ready(edge)
