Reject entries of endpoints that lack a field

Cause: the decoder gave missing fields a default, rounded fractions, accepted UTF-16, any address, and ports with spaces, underscores or other digits. With such an entry a draining endpoint counted as ready, and a cold one as warm.

An entry now needs all fields that endpoints write, whole numbers, UTF-8, a unicast address and a port of ASCII digits. Open: complete entries with a service that no configuration names, and keys with the hex digits of a living endpoint.

--- a/bench/steering.py
+++ b/bench/steering.py
@@ -59,6 +59,7 @@
             "service": f"s{number % services}",
             "address": f"10.1.{number // 250}.{number % 250 + 1}:8080",
             "zone": f"d{number % 4}",
+            "version": "v1",
             "concurrency": 4,
             "state": "ready",
             "warmup_left_ms": 0,
--- a/src/chivedoor/platform/items.py
+++ b/src/chivedoor/platform/items.py
@@ -2,11 +2,15 @@
 
 Other writers also put entries under the endpoints' prefix. An invalid value is
 reported and changes nothing else, except that an endpoint whose own entry is
-invalid gets no new flows.
+invalid gets no new flows. Endpoints write all fields of their entry, so one
+that lacks a field is invalid: a default could make a draining or cold endpoint
+look ready and warm.
 """
 
 from collections.abc import Mapping
+import ipaddress
 import json
+import re
 from typing import Any
 
 from chivedoor import ids
@@ -20,6 +24,7 @@
 _CONFIGURATION_KEY = "op/config"
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 _MAX_ID_HEX_DIGITS = 16
+_PORT_PATTERN = re.compile("[1-9][0-9]{0,4}")
 # Callers also retry downloads, whose requests change nothing.
 _IDEMPOTENT_ROUTE_TYPES = frozenset({"idempotent", "download"})
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
@@ -67,7 +72,9 @@
     entry = _parse_json_object(record.value)
     # `warmup_left_ms` counts from the time of writing. Here it is added to
     # the time of reading, so the endpoint counts as cold slightly too long.
-    cold_s = _get_number(entry, "warmup_left_ms", 0) / 1000.0
+    cold_s = _get_number(entry, "warmup_left_ms") / 1000.0
+    # The software version is not used, but each endpoint writes it.
+    _get_text(entry, "version")
     return views.ListedEndpoint(
         endpoint=views.Endpoint(
             id=endpoint_id,
@@ -76,11 +83,11 @@
             service=ids.ServiceId(_get_text(entry, "service")),
             domain=ids.DomainId(_get_text(entry, "zone")),
             # `concurrency` is the number of requests served in parallel.
-            slots=max(1, int(_get_number(entry, "concurrency", 1))),
+            slots=max(1, _get_whole_number(entry, "concurrency")),
             # `born` is the start time of the process, not of the entry.
-            incarnation=int(_get_number(entry, "born", 0)),
+            incarnation=_get_whole_number(entry, "born"),
             # `sequence` counts the writes of the endpoint since its start.
-            sequence=int(_get_number(entry, "sequence", 0)),
+            sequence=_get_whole_number(entry, "sequence"),
             draining=_get_draining(entry),
             cold_until=now + cold_s if cold_s > 0.0 else 0.0,
         )
@@ -147,7 +154,8 @@
 
 def _parse_json_object(value: bytes) -> Mapping[str, Any]:
     try:
-        loaded = json.loads(value)
+        # Given bytes, json.loads would also accept UTF-16 and UTF-32.
+        loaded = json.loads(value.decode())
     except (ValueError, RecursionError) as error:
         raise UnusableValueError("not valid JSON") from error
     if not isinstance(loaded, dict):
@@ -162,7 +170,9 @@
     return value
 
 
-def _get_number(fields: Mapping[str, Any], name: str, default: float) -> float:
+def _get_number(
+    fields: Mapping[str, Any], name: str, default: float | None = None
+) -> float:
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise UnusableValueError(name)
@@ -172,6 +182,13 @@
     return value
 
 
+def _get_whole_number(fields: Mapping[str, Any], name: str) -> int:
+    value = _get_number(fields, name)
+    if not isinstance(value, int):
+        raise UnusableValueError(name)
+    return value
+
+
 def _get_list(fields: Mapping[str, Any], name: str) -> list[Mapping[str, Any]]:
     value = fields.get(name)
     if not isinstance(value, list):
@@ -197,8 +214,15 @@
 
 def _parse_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
+    # int would also accept signs, spaces, underscores and digits of other
+    # scripts.
+    if not _PORT_PATTERN.fullmatch(port):
+        raise UnusableValueError("address")
     try:
         packets.make_route_key(host, int(port))
+        parsed = ipaddress.IPv4Address(host)
     except ValueError as error:
         raise UnusableValueError("address") from error
+    if parsed.is_unspecified or parsed.is_multicast or parsed.is_reserved:
+        raise UnusableValueError("address")
     return host, int(port)
--- a/tests/edge/conftest.py
+++ b/tests/edge/conftest.py
@@ -94,20 +94,24 @@
             ),
         )
 
-    def publish_endpoint(self, state: str = "ready") -> None:
+    def make_entry(self, state: str = "ready") -> dict[str, object]:
+        """Returns the entry of the endpoint."""
         host, port = self.endpoint_socket.getsockname()
+        return {
+            "service": "s",
+            "address": f"{host}:{port}",
+            "zone": "a",
+            "version": "v1",
+            "concurrency": 4,
+            "state": state,
+            "warmup_left_ms": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+
+    def publish_endpoint(self, state: str = "ready") -> None:
         self.store.put(
-            entries.make_endpoint_key(ENDPOINT_ID),
-            {
-                "service": "s",
-                "address": f"{host}:{port}",
-                "zone": "a",
-                "concurrency": 4,
-                "state": state,
-                "warmup_left_ms": 0,
-                "sequence": 1,
-                "born": 1,
-            },
+            entries.make_endpoint_key(ENDPOINT_ID), self.make_entry(state)
         )
 
     async def async_start(self) -> None:
--- a/tests/edge/test_process.py
+++ b/tests/edge/test_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import signal
 import socket
 
@@ -250,6 +251,49 @@
     assert 'chivedoor_malformed_packets_total{kind="short"}' in text
 
 
+async def test_odd_entries_do_not_stop_the_process(edge) -> None:
+    """Guards against processes that end, or stop following, at odd entries.
+
+    They are read while the process serves and again at its next start. A
+    configuration that is written afterwards must come into force.
+    """
+    await async_start_ready(edge)
+    entry = edge.make_entry()
+    odd_values = [
+        b'{"a":' * 100_000,
+        b"[" * 100_000 + b"]" * 100_000,
+        b'{"born":' + b"9" * 5_000 + b"}",
+        b'{"warmup_left_ms":1e400}',
+        *(
+            json.dumps(entry | {"address": f"127.0.0.9:{port}"}).encode()
+            for port in (0, 65536, -1, "9" * 5_000)
+        ),
+    ]
+    for number, value in enumerate(odd_values):
+        edge.store.put(f"servers/i-{number:x}", value)
+    for version in (2, 3):
+        edge.publish_configuration(version)
+        async with asyncio.timeout(20):
+            while not any(
+                line["message_type"] == "configuration-applied"
+                and line["version"] == version
+                for line in edge.read_lines()
+            ):
+                await asyncio.sleep(0.05)
+        assert edge.child.returncode is None
+        assert (await async_open_flow(edge)).tag
+        edge.child.kill()
+        await edge.child.wait()
+        await edge.async_start()
+        await edge.async_wait_ready()
+    keys = {
+        line["key"]
+        for line in edge.read_lines()
+        if line["message_type"] == "record-unusable"
+    }
+    assert len(keys) == len(odd_values)
+
+
 async def test_view_is_kept_while_the_store_is_down(edge) -> None:
     """Guards against a balancer that stops serving during a store outage."""
     await async_start_ready(edge)
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -103,6 +103,19 @@
         {"warmup_left_ms": -5},
         {"warmup_left_ms": float("nan")},
         {"born": "yesterday"},
+        {"born": 1.5},
+        {"born": 10**4000},
+        {"sequence": 4.5},
+        {"concurrency": 4.0},
+        {"version": 1},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:65536"},
+        {"address": "10.0.0.1: 80"},
+        {"address": "10.0.0.1:8_0"},
+        {"address": "10.0.0.1:\u0661"},
+        {"address": "0.0.0.0:80"},
+        {"address": "224.0.0.1:80"},
+        {"address": "255.255.255.255:80"},
     ],
 )
 def test_invalid_entry_is_rejected(change: dict) -> None:
@@ -111,6 +124,34 @@
         decode("servers/i-1", ENDPOINT_ENTRY | change)
 
 
+@pytest.mark.parametrize("name", sorted(ENDPOINT_ENTRY))
+def test_entry_without_a_field_is_rejected(name: str) -> None:
+    """Guards against defaults that make a draining endpoint ready (review/2).
+
+    Another writer put an entry under its id; endpoints write all fields.
+    """
+    entry = {key: ENDPOINT_ENTRY[key] for key in ENDPOINT_ENTRY if key != name}
+    with pytest.raises(items.UnusableValueError):
+        decode("servers/i-1", entry)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        json.dumps(ENDPOINT_ENTRY).encode("utf-16"),
+        json.dumps(ENDPOINT_ENTRY).encode("utf-32"),
+        b'{"a":' * 200_000,
+        b'{"a":' * 200_000 + b"1" + b"}" * 200_000,
+        b'{"born":' + b"9" * 5_000 + b"}",
+        b'{"born":1e400}',
+    ],
+)
+def test_undecodable_entry_is_rejected(value: bytes) -> None:
+    """Guards against entries of other writers that end the process."""
+    with pytest.raises(items.UnusableValueError):
+        decode("servers/i-1", value)
+
+
 @pytest.mark.parametrize("endpoint_id", ["", "xyz", "i-" + "f" * 17])
 def test_unusable_endpoint_id_is_rejected(endpoint_id: str) -> None:
     """Guards against endpoints without a number to address packets by."""
