Finish contact checks of endpoints that are gone

A check that was requested for an endpoint which the view then forgot was never finished: it counted for good towards the limit of 32, and the endpoint was not checked again.

--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -204,11 +204,14 @@
 
         `record_contact` must be called with each result.
         """
-        return [
-            endpoint
-            for endpoint_id in self.contacts.pop_requested()
-            if (endpoint := self.view.find_known(endpoint_id)) is not None
-        ]
+        known = []
+        for endpoint_id in self.contacts.pop_requested():
+            endpoint = self.view.find_known(endpoint_id)
+            if endpoint is None:
+                self.contacts.finish(endpoint_id)
+            else:
+                known.append(endpoint)
+        return known
 
     def record_contact(
         self,
--- a/tests/steering/test_reachability.py
+++ b/tests/steering/test_reachability.py
@@ -382,6 +382,22 @@
     assert scenario.steerer.pop_abandoned_flows(later + 0.4)
 
 
+def test_check_of_an_endpoint_that_is_gone_is_finished(scenario) -> None:
+    """Guards against a limit of checks that fills up with ended endpoints.
+
+    The view forgets the endpoint between the request and the start of its
+    check. The endpoint is checked again when it comes back.
+    """
+    steerer, dead = scenario.steerer, scenario.dead
+    steerer.contacts.request(dead.id, 10.0)
+    steerer.view.apply(views.RemovedEndpoint(endpoint_id=dead.id), 10.0)
+    steerer.view.expire_removed(10.1 + const.REMOVED_ENDPOINT_RETENTION_S)
+    assert steerer.pop_contact_checks() == []
+    steerer.view.apply(views.ListedEndpoint(endpoint=dead), 200.0)
+    steerer.contacts.request(dead.id, 200.0)
+    assert steerer.pop_contact_checks() == [dead]
+
+
 def test_result_is_ignored_after_progress(scenario) -> None:
     """Guards against resets of flows of an endpoint that was cut off briefly.
 
