--- a/standins/overload.py
+++ b/standins/overload.py
@@ -1,8 +1,9 @@
 """Emulation of demand around the capacity of a service, in virtual time.
 
-Balancers are real steerers that exchange load reports. Endpoints have slots, a
-bounded queue and a factor of slowness; callers open a flow for each request
-and retry a refused one at once. Runs with the same seed are identical.
+Balancers are real steerers that exchange load reports. In a large domain, the
+reports pass through one of the balancers. Endpoints have slots, a bounded queue
+and a factor of slowness; callers open a flow for each request and retry a
+refused one at once. Runs with the same seed are identical.
 """
 
 from collections.abc import Callable
@@ -23,6 +24,7 @@
 
 _SERVICE = ids.ServiceId("service")
 _ROUTE = packets.make_route_key("198.18.0.1", 443)
+_IMPORTANT_ROUTE = packets.make_route_key("198.18.0.1", 8443)
 _ONE_WAY_S = 0.001
 _REPLY_BYTES = 800
 _REFUSAL_BYTES = 146
@@ -55,12 +57,14 @@
             speed.
         slow_endpoints: Number of endpoints that are slow.
         slowness: Factor by which their service times grow.
+        important_load: Demand of the more important route, as `load`.
     """
 
     duration_s: float
     load: float
     slow_endpoints: int = 0
     slowness: float = 1.0
+    important_load: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
