Decode priorities of routes and limits of flows

Cause: the importance of a route and the flows that an endpoint holds are in the configuration, but were not read. Change: both are fields of the view. Measured: no decision uses them yet; the test of decoding fails before.

--- a/src/chivedoor/platform/items.py
+++ b/src/chivedoor/platform/items.py
@@ -122,6 +122,8 @@
         weighted_services=_decode_weighted_services(route),
         idempotent=route.get("type") in _IDEMPOTENT_ROUTE_TYPES,
         goal_s=_get_number(route, "target_latency_ms", 0) / 1000.0,
+        # 0 is the most important.
+        priority=int(_get_number(route, "priority", 0)),
     )
 
 
@@ -148,7 +150,8 @@
     service: Mapping[str, Any],
 ) -> tuple[ids.ServiceId, views.ServiceLimits]:
     return ids.ServiceId(_get_text(service, "name")), views.ServiceLimits(
-        warmup_per_s=_get_number(service, "warmup_per_s", 0)
+        warmup_per_s=_get_number(service, "warmup_per_s", 0),
+        max_flows=int(_get_number(service, "max_connections", 0)),
     )
 
 
--- a/src/chivedoor/steering/view.py
+++ b/src/chivedoor/steering/view.py
@@ -85,12 +85,14 @@
             failed request even if it may have been executed.
         goal_s: Time within which a request is to be answered, in seconds; 0
             if the configuration names none.
+        priority: Importance among the routes of a service; 0 is the highest.
     """
 
     name: str
     weighted_services: tuple[tuple[ids.ServiceId, float], ...]
     idempotent: bool
     goal_s: float = 0.0
+    priority: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -99,9 +101,11 @@
 
     Attributes:
         warmup_per_s: New flows per second that a cold endpoint can take.
+        max_flows: Flows that each endpoint holds; 0 if not limited.
     """
 
     warmup_per_s: float
+    max_flows: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -216,6 +216,22 @@
     assert [route.goal_s for route in change.routes.values()] == [0.251, 0.0]
 
 
+def test_priorities_and_flow_limits_are_decoded() -> None:
+    """Guards against an important route that is treated like all others."""
+    first, second = CONFIGURATION["routes"]
+    change = decode(
+        "op/config",
+        CONFIGURATION
+        | {
+            "routes": [first | {"priority": 2}, second],
+            "services": [{"name": "s1", "max_connections": 3194}],
+        },
+    )
+    assert isinstance(change, views.Configuration)
+    assert [route.priority for route in change.routes.values()] == [2, 0]
+    assert change.services["s1"].max_flows == 3194
+
+
 def test_domain_evacuation_keys() -> None:
     """Guards against a domain that stays out after its key was deleted."""
     change = decode("op/evacuate/a", {})
