steering: shared limits of requests in flight in a shortage

Cause: with most endpoints slow, two random ones are both slow, so that the fast ones, half of the capacity, got a fifth of the flows; counts in flight are several service times old, so that endpoints got more than they can answer in time. Change: in a large domain, the requests that an endpoint may hold are divided among the balancers; more important routes have larger limits.

--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -32,6 +32,7 @@
 from chivedoor.steering import const as steering_const
 from chivedoor.steering import contacts
 from chivedoor.steering import reachability
+from chivedoor.steering import shortage
 from chivedoor.steering import steerer as steerers
 from chivedoor.steering import view as views
 
@@ -157,6 +158,8 @@
         self._stopping = asyncio.Event()
         self._created_at = clock()
         self._ready = False
+        # Whether a service was congested on the last tick.
+        self._congested = False
 
     async def async_run(self) -> None:
         """Runs until a stop requested with `stop` is complete.
@@ -276,12 +279,36 @@
             self.steerer.warmup_budget.set_members(
                 self.peers.list_warmup_members(now), self._settled_at
             )
-            self.steerer.delay_table.update(now)
+            self.steerer.shortage.set_members(self._find_members())
+            self.steerer.update_delays(now)
+            self._report_congestion(now)
             ticks += 1
             if ticks % const.EXPIRY_INTERVAL_TICKS == 0:
                 self.steerer.expire(now)
             self._log.flush()
 
+    def _find_members(self) -> shortage.Members | None:
+        """Returns the balancers that divide the limits of the endpoints.
+
+        In a small domain, reports are recent enough to do without.
+        """
+        if not self.peers.is_large_domain():
+            return None
+        vms = sorted(
+            [self._settings.vm, *(p.vm for p in self.peers.iterate_domain())]
+        )
+        return shortage.Members(
+            counts=dict.fromkeys(self._settings.domains, len(vms)),
+            position=vms.index(self._settings.vm),
+        )
+
+    def _report_congestion(self, now: float) -> None:
+        """Sends a heartbeat at once when a service becomes congested."""
+        congested = self.steerer.placement.is_congested(now)
+        if congested and not self._congested and self.peers.is_large_domain():
+            self._peer_protocol.send_heartbeats()
+        self._congested = congested
+
     async def _async_drain(self) -> None:
         """Keeps serving until the fabric has removed this balancer."""
         self._log.flush()
@@ -401,7 +428,10 @@
                 self._clock(),
                 summed=False,
             ),
-            delays=self.steerer.delay_table.list_report(summed=summed),
+            delays=self.steerer.delay_table.list_report(
+                summed=summed,
+                short=self.steerer.placement.is_congested(self._clock()),
+            ),
             refusals=self._list_refusals(),
         )
 
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -172,3 +172,31 @@
 # the fixed burst allowance of five flows. The fifth flow covers the time in
 # which balancers of a domain have different member lists.
 WARMUP_HOLDERS: Final = 4
+
+# Factor by which the sums of a capacity estimate decay on each tick of 0.25 s;
+# half of the weight is younger than half a second.
+CAPACITY_DECAY_PER_TICK: Final = 0.7
+# Endpoints of the known deployments hold five requests for each slot before
+# they reject. The rest is left to flows that other domains send.
+MAX_REQUESTS_PER_SLOT: Final = 3.5
+# Share of the goal within which the last request that an endpoint holds is to
+# be answered, for the least important route of a service and for the others.
+# Service times vary by half of their mean.
+SHORTAGE_WAIT_SHARE: Final = 0.6
+SHORTAGE_IMPORTANT_WAIT_SHARE: Final = 0.8
+# A shortage lasts while the requests in flight exceed this share of the limits.
+SHORTAGE_END_SHARE: Final = 0.6
+# Reports of a large domain are up to 1 s old.
+SHORTAGE_LIFETIME_S: Final = 1.0
+# A request in flight shows that an endpoint may have become slow, before the
+# first of its requests has completed, from this multiple of its goal on.
+WAITING_MIN_GOALS: Final = 0.25
+# Endpoints that are compared for a flow of a more important route. With half of
+# the capacity in a few fast endpoints, one of them is among four with a
+# probability of 15 in 16.
+SHORTAGE_CHOICES: Final = 4
+# Smaller service times count as this one in weights.
+MIN_SERVICE_S: Final = 0.001
+# With fewer requests in flight than this share of the limits, other balancers
+# have room, and a flow of the least important route is placed as well.
+SHORTAGE_ROOM_SHARE: Final = 0.75
--- a/src/chivedoor/steering/delays.py
+++ b/src/chivedoor/steering/delays.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
+from typing import Protocol
 
 from chivedoor import ids
 from chivedoor.steering import const
@@ -57,6 +58,13 @@
         self.weighted_load_s *= factor
 
 
+class SumTable(Protocol):
+    """Delay sums by endpoint, of any period."""
+
+    def get(self, endpoint_id: ids.EndpointId) -> DelaySums | None:
+        """Returns the sums of an endpoint, None without a request."""
+
+
 class DelayTable:
     """Delay sums by endpoint, of this balancer and of its peers."""
 
@@ -123,17 +131,25 @@
         """Returns the sums over all balancers, None without a request."""
         return self._totals.get(endpoint_id)
 
-    def list_report(self, *, summed: bool) -> dict[ids.EndpointId, DelaySums]:
+    def list_totals(self) -> Mapping[ids.EndpointId, DelaySums]:
+        """Returns the sums over all balancers by endpoint."""
+        return self._totals
+
+    def list_report(
+        self, *, summed: bool, short: bool = False
+    ) -> dict[ids.EndpointId, DelaySums]:
         """Returns the sums to report to other balancers.
 
         Args:
             summed: Whether to add the reports of the others. The result is
                 empty unless requests wait at some endpoint, because it is sent
                 to all balancers of a large domain.
+            short: Whether a service is short of capacity. Its limits depend on
+                the sums even while they keep the queues short.
         """
         if not summed:
             return self._local
-        if not any(map(_is_slow, self._totals.values())):
+        if not short and not any(map(_is_slow, self._totals.values())):
             return {}
         return self._totals
 
@@ -173,7 +189,7 @@
     """
 
     def __init__(
-        self, *, endpoints: Iterable[views.Endpoint], table: DelayTable
+        self, *, endpoints: Iterable[views.Endpoint], table: SumTable
     ) -> None:
         """Creates an estimate from the recent requests of the endpoints."""
         self._table = table
--- a/src/chivedoor/steering/flows.py
+++ b/src/chivedoor/steering/flows.py
@@ -102,6 +102,8 @@
         self._on_reply = on_reply
         self._flows: dict[segments.FlowId, Flow] = {}
         self._in_flight: dict[ids.EndpointId, int] = {}
+        # Flows with a request or a handshake in flight.
+        self._active: dict[segments.FlowId, Flow] = {}
 
     def __len__(self) -> int:
         """Returns the number of flows in the table."""
@@ -123,6 +125,18 @@
             if count
         }
 
+    def count_active(self) -> int:
+        """Returns the number of flows with a request or handshake in flight."""
+        return len(self._active)
+
+    def iterate_working(self) -> Iterator[tuple[segments.FlowId, Flow]]:
+        """Returns the flows with a request in flight."""
+        return (
+            (flow_id, flow)
+            for flow_id, flow in self._active.items()
+            if flow.state is FlowState.WORKING
+        )
+
     def iterate_flows(
         self, endpoint_id: ids.EndpointId
     ) -> Iterator[tuple[segments.FlowId, Flow]]:
@@ -143,12 +157,14 @@
         self.close_flow(flow_id)
         if len(self._flows) >= const.MAX_FLOWS:
             return
-        self._flows[flow_id] = Flow(
+        flow = Flow(
             endpoint_id=endpoint_id,
             state=FlowState.OPENING,
             acknowledged=0,
             now=now,
         )
+        self._flows[flow_id] = flow
+        self._active[flow_id] = flow
         self._adjust_in_flight(endpoint_id, 1)
 
     def record_segment(
@@ -173,6 +189,7 @@
             flow.acknowledged = segment.acknowledged
             self._observer.on_handshake(now - flow.opened_at)
             self._set_state(
+                segment.flow,
                 flow,
                 FlowState.WORKING if segment.payload_bytes else FlowState.IDLE,
                 now,
@@ -195,6 +212,7 @@
         """Removes the record of a flow."""
         flow = self._flows.pop(flow_id, None)
         if flow is not None and flow.state is not FlowState.IDLE:
+            self._active.pop(flow_id, None)
             self._adjust_in_flight(flow.endpoint_id, -1)
 
     def expire(self, now: float) -> None:
@@ -212,12 +230,9 @@
         for flow_id in expired:
             self.close_flow(flow_id)
         overdue = now - const.REQUEST_LIFETIME_S
-        for flow in self._flows.values():
-            if (
-                flow.state is FlowState.WORKING
-                and flow.state_changed_at < overdue
-            ):
-                self._set_state(flow, FlowState.IDLE, now)
+        for flow_id, flow in tuple(self.iterate_working()):
+            if flow.state_changed_at < overdue:
+                self._set_state(flow_id, flow, FlowState.IDLE, now)
 
     def _add_established(
         self,
@@ -237,6 +252,7 @@
         _record_data(flow, segment)
         self._flows[segment.flow] = flow
         if working:
+            self._active[segment.flow] = flow
             self._adjust_in_flight(endpoint_id, 1)
 
     def _record_progress(
@@ -255,17 +271,27 @@
                 )
         if segment.payload_bytes:
             if progressed or flow.state is FlowState.IDLE:
-                self._set_state(flow, FlowState.WORKING, now)
+                self._set_state(segment.flow, flow, FlowState.WORKING, now)
         elif progressed:
-            self._set_state(flow, FlowState.IDLE, now)
+            self._set_state(segment.flow, flow, FlowState.IDLE, now)
         return progressed
 
-    def _set_state(self, flow: Flow, state: FlowState, now: float) -> None:
+    def _set_state(
+        self,
+        flow_id: segments.FlowId,
+        flow: Flow,
+        state: FlowState,
+        now: float,
+    ) -> None:
         was_idle = flow.state is FlowState.IDLE
         is_idle = state is FlowState.IDLE
         flow.state = state
         flow.state_changed_at = now
         if was_idle != is_idle:
+            if is_idle:
+                self._active.pop(flow_id, None)
+            else:
+                self._active[flow_id] = flow
             self._adjust_in_flight(flow.endpoint_id, -1 if is_idle else 1)
 
     def _adjust_in_flight(
--- a/src/chivedoor/steering/placement.py
+++ b/src/chivedoor/steering/placement.py
@@ -22,6 +22,7 @@
 from chivedoor.steering import reachability as reachability_module
 from chivedoor.steering import reports
 from chivedoor.steering import restarts as restart_module
+from chivedoor.steering import shortage as shortage_module
 from chivedoor.steering import suspicion
 from chivedoor.steering import verdicts
 from chivedoor.steering import view as views
@@ -43,9 +44,11 @@
         warmup_budget: warmup.WarmupBudget,
         peer_loads: reports.PeerCounts,
         delay_table: delays.DelayTable,
+        shortage: shortage_module.Shortage,
         generator: random.Random,
     ) -> None:
         """Creates a placement for a balancer in `domain`."""
+        self._shortage = shortage
         self._domain = domain
         self._view = view
         self._flows = flows
@@ -107,7 +110,9 @@
         ] or warm
         if others:
             probe = None if avoided else self._choose_probe(others, now)
-            return probe or self._choose_warm(route, others, now, may_refuse)
+            return probe or self._choose_warm(
+                route, service, others, now, may_refuse
+            )
         return self._choose_cold(service, usable, now) or verdicts.Refuse(
             reason=verdicts.RefusalReason.NO_ENDPOINT
         )
@@ -171,6 +176,7 @@
     def _choose_warm(
         self,
         route: views.Route,
+        service: ids.ServiceId,
         endpoints: Sequence[views.Endpoint],
         now: float,
         may_refuse: bool,
@@ -178,6 +184,23 @@
         estimate = delays.DelayEstimate(
             endpoints=endpoints, table=self._delay_table
         )
+        if self._shortage.may_apply(
+            route=route,
+            service=service,
+            congested=estimate.is_congested,
+            now=now,
+        ):
+            decision = self._shortage.decide(
+                route=route,
+                service=service,
+                endpoints=self._omit_doubtful(endpoints, now),
+                congested=estimate.is_congested,
+                may_refuse=may_refuse,
+                now=now,
+            )
+            if decision is not None:
+                self._congested_at = now
+                return decision
         if not estimate.is_congested:
             return self._choose_best(endpoints, estimate, now)
         self._congested_at = now
@@ -283,6 +306,16 @@
             return sampled
         return self._generator.sample(healthy, min(count, len(healthy)))
 
+    def _omit_doubtful(
+        self, endpoints: Sequence[views.Endpoint], now: float
+    ) -> Sequence[views.Endpoint]:
+        """Returns the endpoints that are not doubtful, or all if all are."""
+        return [
+            endpoint
+            for endpoint in endpoints
+            if not self._is_doubtful(endpoint, now)
+        ] or endpoints
+
     def _is_doubtful(self, endpoint: views.Endpoint, now: float) -> bool:
         """Returns whether an endpoint is suspected or its entry has lapsed."""
         return endpoint.removed_at is not None or bool(
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -20,6 +20,7 @@
 from chivedoor.steering import restarts
 from chivedoor.steering import restorations
 from chivedoor.steering import segment as segments
+from chivedoor.steering import shortage as shortage_module
 from chivedoor.steering import suspicion
 from chivedoor.steering import tags
 from chivedoor.steering import verdicts
@@ -54,6 +55,7 @@
         warmup_budget: This balancer's share of the rates of cold endpoints.
         peer_loads: Requests in flight through other balancers.
         delay_table: Recent delays of requests by endpoint.
+        shortage: Limits of services that are short of capacity.
         placement: Selects the endpoints of new flows.
     """
 
@@ -94,6 +96,13 @@
             lifetime_s=const.LOAD_REPORT_LIFETIME_S
         )
         self.delay_table = delays.DelayTable()
+        self.shortage = shortage_module.Shortage(
+            domain=domain,
+            view=self.view,
+            flows=self.flows,
+            peer_loads=self.peer_loads,
+            generator=generator,
+        )
         self.placement = placement.Placement(
             domain=domain,
             view=self.view,
@@ -104,6 +113,7 @@
             warmup_budget=self.warmup_budget,
             peer_loads=self.peer_loads,
             delay_table=self.delay_table,
+            shortage=self.shortage,
             generator=generator,
         )
         # Flows whose first opening packet was delivered, with the time of that
@@ -266,6 +276,17 @@
                 self.restarts.record_refused(endpoint, opened_at)
                 self._suspect(endpoint, now)
 
+    def update_delays(self, now: float) -> None:
+        """Updates the delays of the endpoints; called per tick."""
+        self.delay_table.update(now)
+        self.shortage.set_waiting(
+            any(
+                self._is_waiting(flow_id, flow, now)
+                for flow_id, flow in self.flows.iterate_working()
+            )
+        )
+        self.shortage.capacity.update(self.delay_table, self.view.endpoints)
+
     def expire(self, now: float) -> None:
         """Removes outdated state; called once a second."""
         self.flows.expire(now)
@@ -275,6 +296,7 @@
         self.absences.expire(now)
         self.restarts.expire(now, view_complete=self.is_view_complete(now))
         self.warmup_budget.expire(now)
+        self.shortage.expire(now)
         self.peer_loads.expire(now)
         self.view.expire_removed(now)
 
@@ -463,15 +485,23 @@
     ) -> None:
         route = self.view.routes.get(segments.get_route(flow_id))
         endpoint = self.view.endpoints.get(endpoint_id)
-        if route is None or endpoint is None:
-            return
-        in_flight = self.placement.count_in_flight(endpoint)
-        self.delay_table.record(
-            endpoint_id,
-            delay_s=delay_s,
-            goal_s=route.goal_s,
-            load=in_flight / endpoint.slots,
-        )
+        if route is not None and endpoint is not None:
+            self.delay_table.record(
+                endpoint_id,
+                delay_s=delay_s,
+                goal_s=route.goal_s,
+                load=self.placement.count_in_flight(endpoint) / endpoint.slots,
+            )
+
+    def _is_waiting(
+        self, flow_id: segments.FlowId, flow: flow_tables.Flow, now: float
+    ) -> bool:
+        """Returns whether the request of a flow takes long already."""
+        route = self.view.routes.get(segments.get_route(flow_id))
+        if route is None or not route.goal_s:
+            return False
+        age_s = now - flow.state_changed_at
+        return age_s > const.WAITING_MIN_GOALS * route.goal_s
 
     def _record_segment(
         self,
--- a/src/chivedoor/steering/view.py
+++ b/src/chivedoor/steering/view.py
@@ -175,6 +175,7 @@
         self.services: Mapping[ids.ServiceId, ServiceLimits] = {}
         self.endpoints: dict[ids.EndpointId, Endpoint] = {}
         self.domains_out: set[ids.DomainId] = set()
+        self._lowest_priorities: dict[ids.ServiceId, int] = {}
         # Routes that a configuration dropped, with the time.
         self._dropped_routes: dict[segments.RouteKey, float] = {}
         self._by_service: dict[ids.ServiceId, dict[ids.EndpointId, Endpoint]]
@@ -238,6 +239,11 @@
         self.version = change.version
         self.routes = change.routes
         self.services = change.services
+        self._lowest_priorities = _find_lowest_priorities(change.routes)
+
+    def get_lowest_priority(self, service: ids.ServiceId) -> int:
+        """Returns the priority of the least important route of a service."""
+        return self._lowest_priorities.get(service, 0)
 
     def expire_removed(self, now: float) -> None:
         """Forgets removed endpoints and routes after their retention time."""
@@ -352,6 +358,18 @@
             self._by_tag_prefix.pop(endpoint.tag_prefix, None)
 
 
+def _find_lowest_priorities(
+    routes: Mapping[segments.RouteKey, Route],
+) -> dict[ids.ServiceId, int]:
+    lowest: dict[ids.ServiceId, int] = {}
+    for route in routes.values():
+        for service, _ in route.weighted_services:
+            lowest[service] = max(
+                route.priority, lowest.get(service, route.priority)
+            )
+    return lowest
+
+
 @functools.singledispatch
 def _apply(change: object, view: View, now: float) -> bool:
     raise TypeError(type(change).__name__)
--- a/standins/overload.py
+++ b/standins/overload.py
@@ -6,6 +6,7 @@
 refused one at once. Runs with the same seed are identical.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
@@ -18,6 +19,7 @@
 from chivedoor.feed import const as feed_const
 from chivedoor.platform import packets
 from chivedoor.steering import segment as segments
+from chivedoor.steering import shortage
 from chivedoor.steering import steerer as steerers
 from chivedoor.steering import verdicts
 from chivedoor.steering import view as views
@@ -45,6 +47,7 @@
     NO_REFUSAL = "no refusal"
     FIXED_LIMIT = "fixed limit"
     OBSERVED_DELAY = "observed delay"
+    SHARED_LIMITS = "shared limits"
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -81,6 +84,7 @@
         goal_s: Time within which a request is to be answered, in seconds.
         retries: Number of times that a caller retries a refused request.
         limit_per_slot: Limit of `Policy.FIXED_LIMIT`.
+        large: Whether reports pass through the first balancer of a domain.
     """
 
     domains: int = 3
@@ -92,6 +96,7 @@
     goal_s: float = 0.25
     retries: int = 2
     limit_per_slot: float = 2.0
+    large: bool = False
 
     @property
     def capacity_per_s(self) -> float:
@@ -137,10 +142,21 @@
 class _Request:
     """A request with the attempts of its caller."""
 
-    __slots__ = ("asked_at", "attempts", "balancer", "domain", "flow", "tag")
+    __slots__ = (
+        "asked_at",
+        "attempts",
+        "balancer",
+        "domain",
+        "flow",
+        "important",
+        "tag",
+    )
 
-    def __init__(self, *, asked_at: float, domain: int) -> None:
+    def __init__(
+        self, *, asked_at: float, domain: int, important: bool
+    ) -> None:
         self.asked_at = asked_at
+        self.important = important
         self.domain = domain
         self.attempts = 0
         self.balancer: steerers.Steerer | None = None
@@ -154,6 +170,7 @@
     Attributes:
         now: The current time, in seconds.
         outcomes: Results by second in which the request began.
+        important_outcomes: The same for the more important route.
     """
 
     def __init__(
@@ -167,6 +184,7 @@
         """Creates an emulation at time 0."""
         self.now = 0.0
         self.outcomes: dict[int, Outcome] = {}
+        self.important_outcomes: dict[int, Outcome] = {}
         self._scenario = scenario
         self._phases = phases
         self._policy = policy
@@ -184,12 +202,13 @@
         }
         self._balancers = {
             domain: [
-                self._make_balancer(f"{domain}-{number}", domain)
+                self._make_balancer(domain, number, domains)
                 for number in range(scenario.balancers)
             ]
             for domain in domains
         }
         self._domains = domains
+        self._congested: set[tuple[ids.DomainId, int]] = set()
 
     def run(self) -> None:
         """Plays all phases, and then waits for the last replies."""
@@ -199,17 +218,26 @@
             starts_at += phase.duration_s
         ends_at = starts_at + 10.0 * self._scenario.goal_s
         for domain in self._domains:
-            self._schedule(0.0, lambda domain=domain: self._report(domain))
+            self._schedule_reports(domain)
             self._schedule(0.0, lambda domain=domain: self._tick(domain))
         while self._events and self._events[0][0] < ends_at:
             self.now, _, handle = heapq.heappop(self._events)
             handle()
 
-    def sum_outcomes(self, start_s: int, end_s: int) -> Outcome:
-        """Returns the results of requests that began in a span of seconds."""
+    def sum_outcomes(
+        self, start_s: int, end_s: int, *, important: bool = False
+    ) -> Outcome:
+        """Returns the results of requests that began in a span of seconds.
+
+        Args:
+            start_s: First second of the span.
+            end_s: Second after the last one.
+            important: Whether to sum the more important route only.
+        """
+        outcomes = self.important_outcomes if important else self.outcomes
         total = Outcome()
         for second in range(start_s, end_s):
-            outcome = self.outcomes.get(second, Outcome())
+            outcome = outcomes.get(second, Outcome())
             for field in dataclasses.fields(Outcome):
                 value = getattr(total, field.name) + getattr(
                     outcome, field.name
@@ -238,23 +266,33 @@
         ]
 
     def _make_balancer(
-        self, name: str, domain: ids.DomainId
+        self,
+        domain: ids.DomainId,
+        number: int,
+        domains: Sequence[ids.DomainId],
     ) -> steerers.Steerer:
         balancer = steerers.Steerer(
-            local=ids.VmId(name),
+            local=ids.VmId(f"{domain}-{number}"),
             domain=domain,
             generator=random.Random(self._generator.random()),
         )
-        refusing = self._policy is Policy.OBSERVED_DELAY
-        route = views.Route(
-            name="route",
-            weighted_services=((_SERVICE, 1.0),),
-            idempotent=True,
-            goal_s=self._scenario.goal_s if refusing else 0.0,
+        refusing = self._policy in (
+            Policy.OBSERVED_DELAY,
+            Policy.SHARED_LIMITS,
         )
+        routes = {
+            key: views.Route(
+                name=f"route-{priority}",
+                weighted_services=((_SERVICE, 1.0),),
+                idempotent=True,
+                goal_s=self._scenario.goal_s if refusing else 0.0,
+                priority=priority,
+            )
+            for key, priority in ((_IMPORTANT_ROUTE, 1), (_ROUTE, 2))
+        }
         configuration = views.Configuration(
             version=ids.Version(1),
-            routes={_ROUTE: route},
+            routes=routes,
             services={_SERVICE: views.ServiceLimits(warmup_per_s=0.0)},
         )
         entries = [endpoint.entry for endpoint in self._endpoints.values()]
@@ -264,6 +302,13 @@
         ):
             balancer.view.apply(change, 0.0)
         balancer.set_view_complete_at(0.0)
+        if self._policy is Policy.SHARED_LIMITS:
+            balancer.shortage.set_members(
+                shortage.Members(
+                    counts=dict.fromkeys(domains, self._scenario.balancers),
+                    position=number,
+                )
+            )
         return balancer
 
     def _schedule(self, at: float, handle: Callable[[], None]) -> None:
@@ -273,29 +318,39 @@
         for number, endpoint in enumerate(self._endpoints.values()):
             slow = number < phase.slow_endpoints
             endpoint.slowness = phase.slowness if slow else 1.0
-        self._schedule_arrival(phase, self.now + phase.duration_s)
+        ends_at = self.now + phase.duration_s
+        for load, important in (
+            (phase.load, False),
+            (phase.important_load, True),
+        ):
+            if load > 0.0:
+                self._schedule_arrival(load, important, ends_at)
 
-    def _schedule_arrival(self, phase: Phase, ends_at: float) -> None:
-        rate_per_s = phase.load * self._scenario.capacity_per_s
+    def _schedule_arrival(
+        self, load: float, important: bool, ends_at: float
+    ) -> None:
+        rate_per_s = load * self._scenario.capacity_per_s
         at = self.now + self._generator.expovariate(rate_per_s)
         if at < ends_at:
-            self._schedule(at, lambda: self._arrive(phase, ends_at))
+            self._schedule(at, lambda: self._arrive(load, important, ends_at))
 
-    def _arrive(self, phase: Phase, ends_at: float) -> None:
+    def _arrive(self, load: float, important: bool, ends_at: float) -> None:
         request = _Request(
             asked_at=self.now,
             domain=self._generator.randrange(self._scenario.domains),
+            important=important,
         )
-        self._get_outcome(request).asked += 1
+        for outcome in self._list_outcomes(request):
+            outcome.asked += 1
         self._attempt(request)
-        self._schedule_arrival(phase, ends_at)
+        self._schedule_arrival(load, important, ends_at)
 
     def _attempt(self, request: _Request) -> None:
         """Sends the opening packet of an attempt through some balancer."""
         request.attempts += 1
         number = next(self._flow_numbers)
         request.flow = segments.FlowId(
-            _ROUTE
+            (_IMPORTANT_ROUTE if request.important else _ROUTE)
             + (0x64400000 + number // _PORTS_PER_CALLER).to_bytes(4, "big")
             + (1024 + number % _PORTS_PER_CALLER).to_bytes(2, "big")
         )
@@ -351,11 +406,11 @@
         endpoint.busy -= 1
         self._start_waiting(endpoint)
         delay_s = self.now + _ONE_WAY_S - request.asked_at
-        outcome = self._get_outcome(request)
-        if delay_s <= self._scenario.goal_s:
-            outcome.in_goal += 1
-        else:
-            outcome.late += 1
+        for outcome in self._list_outcomes(request):
+            if delay_s <= self._scenario.goal_s:
+                outcome.in_goal += 1
+            else:
+                outcome.late += 1
         self._send_later(request, _REPLY_BYTES)
 
     def _send_later(self, request: _Request, reply_bytes: int) -> None:
@@ -376,20 +431,19 @@
 
     def _fail(self, request: _Request, *, refused: bool) -> None:
         """Retries a refused request, or counts it."""
-        outcome = self._get_outcome(request)
-        if refused and any(
+        with_free_slots = refused and any(
             endpoint.busy < self._scenario.slots
             for endpoint in self._endpoints.values()
-        ):
-            outcome.refused_with_free_slots += 1
-        if request.attempts <= self._scenario.retries:
+        )
+        retrying = request.attempts <= self._scenario.retries
+        for outcome in self._list_outcomes(request):
+            outcome.refused_with_free_slots += with_free_slots
+            outcome.refused += refused and not retrying
+            outcome.turned_away += not refused and not retrying
+        if retrying:
             self._schedule(
                 self.now + 2 * _ONE_WAY_S, lambda: self._attempt(request)
             )
-        elif refused:
-            outcome.refused += 1
-        else:
-            outcome.turned_away += 1
 
     def _send(
         self,
@@ -414,7 +468,7 @@
         opening = kind is segments.SegmentKind.OPEN
         return segments.Segment(
             flow=flow,
-            route=_ROUTE,
+            route=segments.get_route(flow),
             kind=kind,
             tag=ids.Tag(0) if opening else tag,
             retransmissions=0,
@@ -423,8 +477,68 @@
             payload_bytes=payload_bytes,
         )
 
-    def _get_outcome(self, request: _Request) -> Outcome:
-        return self.outcomes.setdefault(int(request.asked_at), Outcome())
+    def _list_outcomes(self, request: _Request) -> list[Outcome]:
+        tables = [self.outcomes]
+        if request.important:
+            tables.append(self.important_outcomes)
+        second = int(request.asked_at)
+        return [table.setdefault(second, Outcome()) for table in tables]
+
+    def _schedule_reports(self, domain: ids.DomainId) -> None:
+        if not self._scenario.large:
+            self._schedule(0.0, lambda: self._report(domain))
+            return
+        for number in range(self._scenario.balancers):
+            self._schedule(
+                self._generator.uniform(
+                    0.0, feed_const.LARGE_DOMAIN_HEARTBEAT_INTERVAL_S
+                ),
+                lambda number=number: self._report_in_large_domain(
+                    domain, number
+                ),
+            )
+
+    def _report_in_large_domain(
+        self, domain: ids.DomainId, number: int
+    ) -> None:
+        self._send_report(domain, number)
+        self._schedule(
+            self.now + feed_const.LARGE_DOMAIN_HEARTBEAT_INTERVAL_S,
+            lambda: self._report_in_large_domain(domain, number),
+        )
+
+    def _send_report(self, domain: ids.DomainId, number: int) -> None:
+        """Sends a report to the first balancer, or its sums to all others."""
+        first, *others = self._balancers[domain]
+        sender = self._balancers[domain][number]
+        vm = ids.VmId(f"{domain}-{number}")
+        in_flight = collections.Counter(sender.flows.list_in_flight())
+        receivers = [first]
+        if sender is first:
+            in_flight.update(first.peer_loads.list_counts())
+            receivers = others
+        reported = sender.delay_table.list_report(
+            summed=sender is first,
+            short=sender.placement.is_congested(self.now),
+        )
+        sums = {
+            endpoint_id: dataclasses.replace(value)
+            for endpoint_id, value in reported.items()
+        }
+        for receiver in receivers:
+            receiver.peer_loads.set_report(vm, dict(in_flight), self.now)
+            receiver.delay_table.set_report(vm, sums, self.now)
+
+    def _report_early(self, domain: ids.DomainId, number: int) -> None:
+        """Reports at once when a service becomes congested."""
+        balancer = self._balancers[domain][number]
+        congested = balancer.placement.is_congested(self.now)
+        if congested and (domain, number) not in self._congested:
+            self._send_report(domain, number)
+        if congested:
+            self._congested.add((domain, number))
+        else:
+            self._congested.discard((domain, number))
 
     def _report(self, domain: ids.DomainId) -> None:
         """Exchanges the load reports of a domain."""
@@ -456,9 +570,11 @@
         )
 
     def _tick(self, domain: ids.DomainId) -> None:
-        for balancer in self._balancers[domain]:
-            balancer.delay_table.update(self.now)
+        for number, balancer in enumerate(self._balancers[domain]):
+            balancer.update_delays(self.now)
             balancer.check_handshakes(self.now)
+            if self._scenario.large:
+                self._report_early(domain, number)
             if int(self.now) != int(self.now - _TICK_S):
                 balancer.expire(self.now)
         self._schedule(self.now + _TICK_S, lambda: self._tick(domain))
