feed, steering: count demand and exchange load reports

Cause: a balancer of a large domain knows neither the demand of its domain nor the load of other domains. Change: demand is counted from opening packets, and load reports (message kind 4) are sent, summed by the two candidates, forwarded and kept in a table that Application.load_reports provides. No decision uses them yet; list_capacity and decide_shares of the steerer are empty.

--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -24,6 +24,8 @@
 from chivedoor.edge import web
 from chivedoor.feed import coordinator
 from chivedoor.feed import follower as followers
+from chivedoor.feed import load_exchange
+from chivedoor.feed import load_reports
 from chivedoor.feed import peer_protocol
 from chivedoor.feed import peers as peer_sets
 from chivedoor.feed import records
@@ -42,7 +44,16 @@
 
 
 class Application:
-    """An edge balancer with its servers, peers and connection to the store."""
+    """An edge balancer with its servers, peers and connection to the store.
+
+    Attributes:
+        metrics: Counters and histograms.
+        steerer: Steering decisions for packets.
+        forwarder: Receives and sends packets.
+        view_updater: Applies changes of the store to the view.
+        peers: The known balancers.
+        load_reports: Loads that the balancers of all domains reported.
+    """
 
     def __init__(
         self,
@@ -118,8 +129,22 @@
             bandwidth_mbps=settings.bandwidth_mbps,
             generator=generator,
         )
+        self.load_reports = load_reports.LoadReports(
+            local=settings.vm,
+            domain=settings.domain,
+            list_candidates=self.peers.list_warmup_members,
+        )
         self._peer_protocol = peer_protocol.PeerProtocol(
             peers=self.peers,
+            exchange=load_exchange.LoadExchange(
+                local=settings.vm,
+                domain=settings.domain,
+                domains=settings.domains,
+                host=settings.peer_host,
+                peers=self.peers,
+                reports=self.load_reports,
+                source=self.steerer,
+            ),
             port=settings.peer_port,
             make_heartbeat=self._make_heartbeat,
             on_heartbeat=self._apply_heartbeat,
--- a/src/chivedoor/feed/const.py
+++ b/src/chivedoor/feed/const.py
@@ -104,3 +104,13 @@
 SUBSCRIBER_STALL_S: Final = 5.0
 # Number of removals that are kept for subscribers that lag behind.
 MAX_REMOVALS: Final = 10_000
+
+# Load reports and sums of them expire after this time, three heartbeat
+# intervals of a large domain, so that two lost datagrams change nothing.
+LOAD_REPORT_LIFETIME_S: Final = 1.5
+# Recipients of a sum in each other domain. With two candidates and two
+# recipients each, up to three of four may be unreachable.
+REMOTE_REPORT_RECIPIENTS: Final = 2
+# Upper limit for a received number in a load report, well above that of any
+# domain.
+MAX_LOAD_REPORT_VALUE: Final = 1 << 40
--- a/src/chivedoor/feed/messages.py
+++ b/src/chivedoor/feed/messages.py
@@ -1,7 +1,10 @@
 """CBOR encoding of messages between balancers."""
 
+from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 import functools
+import math
 from typing import Any
 
 import cbor2
@@ -9,13 +12,16 @@
 from chivedoor import ids
 from chivedoor.feed import const
 from chivedoor.feed import exceptions
+from chivedoor.feed import load_reports
 from chivedoor.feed import peers
 from chivedoor.feed import records
 from chivedoor.steering import delays
+from chivedoor.steering import demand as demands
 
 _HEARTBEAT = 1
 _DISCOVERY_REQUEST = 2
 _DISCOVERY_REPLY = 3
+_LOAD_REPORT = 4
 _HEARTBEAT_FIELDS = tuple(
     field.name for field in dataclasses.fields(peers.Heartbeat)
 )
@@ -48,6 +54,15 @@
 }
 # Upper limit for a received sum, well above that of any domain.
 _MAX_DELAY_SUM = 1 << 40
+# Rates in load reports are sent as integers in hundredths, and shares in
+# ten-thousandths. Durations of handshakes are sent as floating-point numbers:
+# a balancer may see less than half a millisecond of them a second, and whole
+# milliseconds would add up to zero over a domain.
+_RATE_SCALE = 100.0
+_SHARE_SCALE = 10_000
+# Added before a share is rounded down, since products of binary fractions may
+# lie just below an integer.
+_SHARE_EPSILON = 1e-6
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -72,7 +87,12 @@
     peers: tuple[peers.PeerAddress, ...]
 
 
-Message = peers.Heartbeat | DiscoveryRequest | DiscoveryReply
+Message = (
+    peers.Heartbeat
+    | DiscoveryRequest
+    | DiscoveryReply
+    | load_reports.LoadReport
+)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -122,6 +142,66 @@
     )
 
 
+@encode_message.register
+def _(message: load_reports.LoadReport) -> bytes:
+    return append_position(encode_load_report(message), message.position)
+
+
+def encode_load_report(report: load_reports.LoadReport) -> bytes:
+    """Encodes a report without its position, which is the last field.
+
+    A candidate sends the same report to its whole domain, with a position for
+    each recipient.
+    """
+    position = 0
+    encoded = cbor2.dumps(
+        [
+            _LOAD_REPORT,
+            report.vm,
+            report.domain,
+            report.host,
+            int(report.scope),
+            report.balancers,
+            {
+                service: _encode_rates(rates)
+                for service, rates in report.demand.items()
+            },
+            {
+                service: [_encode_rate(value) for value in capacity]
+                for service, capacity in report.capacity.items()
+            },
+            {
+                domain: [
+                    _encode_rate(handshakes.number),
+                    handshakes.duration_s * 1e3,
+                ]
+                for domain, handshakes in report.handshakes.items()
+            },
+            {
+                service: [
+                    _encode_rate(transfer.flows),
+                    round(transfer.payload_bytes),
+                ]
+                for service, transfer in report.transfers.items()
+            },
+            {
+                service: {
+                    domain: _encode_share(share)
+                    for domain, share in shares.items()
+                }
+                for service, shares in report.shares.items()
+            },
+            position,
+        ]
+    )
+    return encoded[: -len(cbor2.dumps(position))]
+
+
+def append_position(encoded: bytes, position: int) -> bytes:
+    """Completes a report that `encode_load_report` returned."""
+    return encoded + cbor2.dumps(position)
+
+
 def decode_message(data: bytes) -> Message:
     """Decodes a datagram.
 
@@ -135,6 +215,8 @@
             return DiscoveryRequest(sender=_decode_address(sender))
         case [int(kind), list(addresses)] if kind == _DISCOVERY_REPLY:
             return DiscoveryReply(peers=tuple(map(_decode_address, addresses)))
+        case [int(kind), *values] if kind == _LOAD_REPORT:
+            return _decode_load_report(values)
     raise exceptions.MalformedAnswerError("unknown message type")
 
 
@@ -271,6 +353,128 @@
     raise exceptions.MalformedAnswerError("delays")
 
 
+def _encode_rate(rate: float) -> int:
+    return round(rate * _RATE_SCALE)
+
+
+def _encode_rates(rates: Mapping[int, float]) -> dict[int, int]:
+    return {priority: _encode_rate(rate) for priority, rate in rates.items()}
+
+
+def _encode_share(share: float) -> int:
+    """Rounds down, so that the shares of a service never exceed 1."""
+    return math.floor(share * _SHARE_SCALE + _SHARE_EPSILON)
+
+
+def _decode_load_report(values: list[Any]) -> load_reports.LoadReport:
+    match values:
+        case [
+            str(vm),
+            str(domain),
+            str(host),
+            scope,
+            balancers,
+            demand,
+            capacity,
+            handshakes,
+            transfers,
+            shares,
+            position,
+        ]:
+            return load_reports.LoadReport(
+                vm=ids.VmId(vm),
+                domain=ids.DomainId(domain),
+                host=host,
+                scope=_decode_scope(scope),
+                balancers=_decode_count(balancers),
+                demand=_decode_map(
+                    demand,
+                    ids.ServiceId,
+                    lambda rates: _decode_map(
+                        rates, _decode_count, _decode_rate
+                    ),
+                ),
+                capacity=_decode_map(
+                    capacity,
+                    ids.ServiceId,
+                    lambda pair: demands.Capacity(
+                        *_decode_pair(pair, _decode_rate, _decode_rate)
+                    ),
+                ),
+                handshakes=_decode_map(
+                    handshakes,
+                    ids.DomainId,
+                    lambda pair: demands.Handshakes(
+                        *_decode_pair(pair, _decode_rate, _decode_duration)
+                    ),
+                ),
+                transfers=_decode_map(
+                    transfers,
+                    ids.ServiceId,
+                    lambda pair: demands.Transfer(
+                        *_decode_pair(pair, _decode_rate, _decode_count)
+                    ),
+                ),
+                shares=_decode_map(shares, ids.ServiceId, _decode_shares),
+                position=_decode_count(position),
+            )
+    raise exceptions.MalformedAnswerError("load report")
+
+
+def _decode_map(
+    value: Any, decode_key: Callable[[Any], Any], decode: Callable[[Any], Any]
+) -> dict[Any, Any]:
+    """Decodes a map; keys are strings unless they are counts."""
+    expected = int if decode_key is _decode_count else str
+    if type(value) is not dict or not all(
+        type(key) is expected for key in value
+    ):
+        raise exceptions.MalformedAnswerError("load report")
+    return {decode_key(key): decode(item) for key, item in value.items()}
+
+
+def _decode_pair(
+    value: Any,
+    decode_first: Callable[[Any], float],
+    decode_second: Callable[[Any], float],
+) -> tuple[float, float]:
+    match value:
+        case [first, second]:
+            return decode_first(first), decode_second(second)
+    raise exceptions.MalformedAnswerError("load report")
+
+
+def _decode_count(value: Any) -> int:
+    if type(value) is int and 0 <= value <= const.MAX_LOAD_REPORT_VALUE:
+        return value
+    raise exceptions.MalformedAnswerError("load report")
+
+
+def _decode_rate(value: Any) -> float:
+    return _decode_count(value) / _RATE_SCALE
+
+
+def _decode_duration(value: Any) -> float:
+    # The comparison is false for a value that is not a number.
+    if type(value) is float and 0.0 <= value <= const.MAX_LOAD_REPORT_VALUE:
+        return value / 1e3
+    raise exceptions.MalformedAnswerError("handshakes")
+
+
+def _decode_scope(value: Any) -> load_reports.Scope:
+    try:
+        return load_reports.Scope(_decode_count(value))
+    except ValueError as error:
+        raise exceptions.MalformedAnswerError("scope") from error
+
+
+def _decode_shares(value: Any) -> dict[ids.DomainId, float]:
+    counts = _decode_map(value, ids.DomainId, _decode_count)
+    if sum(counts.values()) > _SHARE_SCALE:
+        raise exceptions.MalformedAnswerError("shares")
+    return {domain: count / _SHARE_SCALE for domain, count in counts.items()}
+
+
 def _encode_address(address: peers.PeerAddress) -> list[Any]:
     return [
         address.vm,
--- a/src/chivedoor/feed/peer_protocol.py
+++ b/src/chivedoor/feed/peer_protocol.py
@@ -1,4 +1,4 @@
-"""Datagrams between balancers: heartbeats and peer discovery."""
+"""Datagrams between balancers: heartbeats, discovery and load reports."""
 
 import asyncio
 from collections.abc import Callable
@@ -7,12 +7,14 @@
 
 from chivedoor.feed import const
 from chivedoor.feed import exceptions
+from chivedoor.feed import load_exchange
+from chivedoor.feed import load_reports
 from chivedoor.feed import messages
 from chivedoor.feed import peers as peer_sets
 
 
 class PeerProtocol(asyncio.DatagramProtocol):
-    """Sends heartbeats to the domain and discovers peers.
+    """Sends heartbeats and load reports, and discovers peers.
 
     Peers are discovered through the seeds and through known balancers.
 
@@ -24,6 +26,7 @@
         self,
         *,
         peers: peer_sets.Peers,
+        exchange: load_exchange.LoadExchange,
         port: int,
         make_heartbeat: Callable[[], peer_sets.Heartbeat],
         on_heartbeat: Callable[[peer_sets.Heartbeat], None],
@@ -35,6 +38,7 @@
 
         Args:
             peers: The known balancers.
+            exchange: Makes and records load reports.
             port: The port, the same on all VMs.
             make_heartbeat: Returns the current heartbeat of this balancer.
             on_heartbeat: Called with each received heartbeat.
@@ -44,6 +48,7 @@
         """
         self.malformed = 0
         self._peers = peers
+        self._exchange = exchange
         self._port = port
         self._make_heartbeat = make_heartbeat
         self._on_heartbeat = on_heartbeat
@@ -75,6 +80,7 @@
         while True:
             self.send_heartbeats()
             now = self._clock()
+            self.send_load_reports(now)
             if now >= self._next_request_at:
                 self._send_requests()
                 alone = not self._peers.list_live(now)
@@ -94,6 +100,11 @@
         for peer in self._peers.list_heartbeat_recipients():
             self._send(data, peer.host)
 
+    def send_load_reports(self, now: float) -> None:
+        """Sends the load reports that follow a heartbeat."""
+        for data, host in self._exchange.list_messages(now):
+            self._send(data, host)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
         self._transport = cast(asyncio.DatagramTransport, transport)
@@ -119,6 +130,8 @@
                 self._handle_request(message, address[0])
             case messages.DiscoveryReply():
                 self._handle_reply(message)
+            case load_reports.LoadReport():
+                self._handle_load_report(message, data, address[0])
 
     def _handle_heartbeat(
         self, heartbeat: peer_sets.Heartbeat, host: str
@@ -132,6 +145,22 @@
             # Lets a new peer know this balancer before the next interval.
             data = messages.encode_message(self._make_heartbeat())
             self._send(data, heartbeat.host)
+            answer = self._exchange.make_answer(
+                heartbeat.vm, heartbeat.domain, self._clock()
+            )
+            if answer is not None:
+                self._send(answer, heartbeat.host)
+
+    def _handle_load_report(
+        self, report: load_reports.LoadReport, data: bytes, sender: str
+    ) -> None:
+        try:
+            hosts = self._exchange.record(report, sender, self._clock())
+        except exceptions.MalformedAnswerError:
+            self.malformed += 1
+            return
+        for host in hosts:
+            self._send(data, host)
 
     def _handle_request(
         self, request: messages.DiscoveryRequest, host: str
--- a/src/chivedoor/feed/peers.py
+++ b/src/chivedoor/feed/peers.py
@@ -193,6 +193,13 @@
             peer.last_heard_at = now
             peer.heard_directly = True
 
+    def record_heard(self, vm: ids.VmId, host: str, now: float) -> None:
+        """Records a message of a known balancer of another domain."""
+        peer = self._peers.get(vm)
+        if peer is not None and peer.host == host:
+            peer.last_heard_at = now
+            peer.heard_directly = True
+
     def list_addresses(self, domain: ids.DomainId) -> list[PeerAddress]:
         """Returns the peers of a domain that were heard from directly."""
         return [
@@ -259,6 +266,26 @@
         first = peers[: const.READER_CANDIDATES]
         return [*first, self._generator.choice(peers)]
 
+    def list_candidates(self) -> list[Peer]:
+        """Returns the other candidates for the reader of the domain."""
+        count = const.READER_CANDIDATES - self.is_reader_candidate()
+        return sorted(self.iterate_domain(), key=lambda peer: peer.rank)[:count]
+
+    def choose_remote(self, domain: ids.DomainId) -> list[Peer]:
+        """Returns random balancers of another domain, to report loads to.
+
+        Balancers that were only advertised may be dead and are chosen only if
+        too few others are known.
+        """
+        known = [peer for peer in self._peers.values() if peer.domain == domain]
+        self._generator.shuffle(known)
+        known.sort(key=lambda peer: not peer.heard_directly)
+        return known[: const.REMOTE_REPORT_RECIPIENTS]
+
+    def is_domain_host(self, host: str) -> bool:
+        """Returns whether an address is that of a peer of the domain."""
+        return any(peer.host == host for peer in self.iterate_domain())
+
     def iterate_domain(self) -> Iterator[Peer]:
         """Returns the peers of the local domain, whether live or not."""
         return (
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -172,3 +172,12 @@
 # the fixed burst allowance of five flows. The fifth flow covers the time in
 # which balancers of a domain have different member lists.
 WARMUP_HOLDERS: Final = 4
+
+# Time constant of the demand that balancers report. Reports are sent every
+# 0.5 s, so a change shows in two or three of them.
+DEMAND_DECAY_S: Final = 1.0
+# Age at which the reference of the weights is moved. They reach exp(30), which
+# leaves the precision of the sums untouched.
+DEMAND_REFERENCE_LIFETIME_S: Final = 30.0
+# Lower rates are dropped. A handshake of 0.2 ms every ten seconds is above it.
+DEMAND_MIN_RATE_PER_S: Final = 1e-6
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Iterator
+from collections.abc import Mapping
 from collections.abc import Sequence
 import math
 import random
@@ -11,6 +12,7 @@
 from chivedoor.steering import const
 from chivedoor.steering import contacts as contact_module
 from chivedoor.steering import delays
+from chivedoor.steering import demand as demands
 from chivedoor.steering import flows as flow_tables
 from chivedoor.steering import observer as observers
 from chivedoor.steering import pauses
@@ -54,6 +56,7 @@
         warmup_budget: This balancer's share of the rates of cold endpoints.
         peer_loads: Requests in flight through other balancers.
         delay_table: Recent delays of requests by endpoint.
+        demand: Rates of new flows, handshakes and payload.
         placement: Selects the endpoints of new flows.
     """
 
@@ -94,6 +97,7 @@
             lifetime_s=const.LOAD_REPORT_LIFETIME_S
         )
         self.delay_table = delays.DelayTable()
+        self.demand = demands.Demand()
         self.placement = placement.Placement(
             domain=domain,
             view=self.view,
@@ -266,6 +270,22 @@
                 self.restarts.record_refused(endpoint, opened_at)
                 self._suspect(endpoint, now)
 
+    def list_capacity(
+        self, now: float
+    ) -> Mapping[ids.ServiceId, demands.Capacity]:
+        """Returns the capacity of the local domain by service."""
+        return {}
+
+    def decide_shares(
+        self, now: float
+    ) -> Mapping[ids.ServiceId, Mapping[ids.DomainId, float]]:
+        """Returns the shares of new flows that leave the local domain.
+
+        Called on each heartbeat of a candidate for the reader. The shares are
+        listed by service and destination, from 0 to 1.
+        """
+        return {}
+
     def expire(self, now: float) -> None:
         """Removes outdated state; called once a second."""
         self.flows.expire(now)
@@ -290,6 +310,8 @@
             return _DROPS[verdicts.DropReason.PAUSED]
         if self._is_copy_of_open_flow(segment, now):
             return _DROPS[verdicts.DropReason.REPEATED_OPENING]
+        if not segment.retransmissions:
+            self.demand.record_opening(route, now)
         unanswered = self._find_unanswered(segment, now)
         lapsed_since = (
             None
@@ -312,6 +334,7 @@
         self.flows.open_flow(segment.flow, endpoint.id, now)
         if not segment.retransmissions:
             self._pending_handshakes.append((now, segment.flow))
+            self.demand.record_admitted(endpoint.service, now)
         return _deliver_opening(segment, endpoint)
 
     def _decide_unrouted_opening(
@@ -479,6 +502,7 @@
         endpoint: views.Endpoint,
         now: float,
     ) -> flow_tables.SegmentEffect:
+        self.demand.record_payload(endpoint.service, segment.payload_bytes, now)
         if segment.kind is not segments.SegmentKind.ESTABLISHED:
             self.flows.finish_flow(segment, now)
             return flow_tables.SegmentEffect.NONE
@@ -490,6 +514,10 @@
             if flow is not None:
                 self.restarts.record_progress(endpoint.id, flow.opened_at)
         opened = effect is flow_tables.SegmentEffect.OPENED
+        if opened and (flow := self.flows.get(segment.flow)) is not None:
+            self.demand.record_handshake(
+                endpoint.domain, now - flow.opened_at, now
+            )
         if opened and self.suspicions.record_opened(
             endpoint.id, endpoint.domain
         ):
