--- a/tests/feed/conftest.py
+++ b/tests/feed/conftest.py
@@ -7,11 +7,14 @@
 
 from chivedoor import ids
 from chivedoor.feed import exceptions
+from chivedoor.feed import load_reports
 from chivedoor.feed import peers as peer_sets
 from chivedoor.feed import records
 from chivedoor.steering import delays
+from chivedoor.steering import demand as demands
 
 DOMAIN = ids.DomainId("a")
+SERVICE = ids.ServiceId("orders")
 
 
 def make_revision(number: int, era: int = 1) -> records.Revision:
@@ -143,3 +146,28 @@
 @pytest.fixture
 def source() -> Source:
     return Source()
+
+
+def make_load_report(
+    number: int,
+    *,
+    domain: str = "a",
+    scope: load_reports.Scope = load_reports.Scope.BALANCER,
+    balancers: int = 1,
+    shares: dict[ids.ServiceId, dict[ids.DomainId, float]] | None = None,
+    position: int = 0,
+) -> load_reports.LoadReport:
+    """Returns a report whose numbers survive encoding unchanged."""
+    return load_reports.LoadReport(
+        vm=ids.VmId(f"vm-{number}"),
+        domain=ids.DomainId(domain),
+        host=f"10.0.0.{number}",
+        scope=scope,
+        balancers=balancers,
+        demand={SERVICE: {0: 2.5, 3: 0.25}},
+        capacity={SERVICE: demands.Capacity(800.5, 12.0)},
+        handshakes={ids.DomainId("b"): demands.Handshakes(4.0, 0.0625)},
+        transfers={SERVICE: demands.Transfer(2.5, 1200)},
+        shares=shares or {},
+        position=position,
+    )
