--- a/src/chivedoor/feed/load_exchange.py
+++ b/src/chivedoor/feed/load_exchange.py
@@ -182,8 +182,24 @@
             yield messages.append_position(self._sum, position), peer.host
         remote = messages.append_position(self._sum, 0)
         for domain in self._domains - {self._domain}:
-            for peer in self._peers.choose_remote(domain):
-                yield remote, peer.host
+            for host in self._choose_remote_hosts(domain, now):
+                yield remote, host
+
+    def _choose_remote_hosts(
+        self, domain: ids.DomainId, now: float
+    ) -> list[str]:
+        """Returns the recipients of a sum in another domain.
+
+        A balancer often knows only the seeds of another domain, but the
+        candidates of that domain send reports, which need no forwarding back.
+        """
+        hosts = dict.fromkeys(
+            [
+                *self._reports.list_hosts(domain, now),
+                *(peer.host for peer in self._peers.choose_remote(domain)),
+            ]
+        )
+        return list(hosts)[: const.REMOTE_REPORT_RECIPIENTS]
 
     def _list_members(self, now: float) -> list[ids.VmId]:
         """Returns the sorted ids of the live balancers of the domain."""
--- a/src/chivedoor/feed/load_reports.py
+++ b/src/chivedoor/feed/load_reports.py
@@ -159,7 +159,8 @@
     def get_domain(self, domain: ids.DomainId, now: float) -> LoadReport | None:
         """Returns the report that counts for a domain, None without any."""
         if domain != self._domain:
-            return self._find_largest(domain, now)
+            sums = _list_ranked(self._sums.get(domain, {}), now)
+            return sums[0] if sums else None
         oldest = now - const.LOAD_REPORT_LIFETIME_S
         if self._chosen is None or self._chosen[0] < oldest:
             self._chosen = self._choose_local(now)
@@ -178,6 +179,13 @@
             if (report := self.get_domain(domain, now)) is not None
         }
 
+    def list_hosts(self, domain: ids.DomainId, now: float) -> list[str]:
+        """Returns the addresses from which sums of a domain come."""
+        return [
+            report.host
+            for report in _list_ranked(self._sums.get(domain, {}), now)
+        ]
+
     def list_remote(self, now: float) -> dict[ids.DomainId, LoadReport]:
         """Returns the reports of the other domains.
 
@@ -236,26 +244,21 @@
         if not sums or not recent:
             return None
         if self._list_candidates is None:
-            report = self._find_largest(self._domain, now)
-            return None if report is None else sums[report.vm]
+            return sums[_list_ranked(sums, now)[0].vm]
         first = next(
             (vm for vm in self._list_candidates(now) if vm in recent), None
         )
         return None if first is None else sums[first]
 
-    def _find_largest(
-        self, domain: ids.DomainId, now: float
-    ) -> LoadReport | None:
-        return min(
-            (
-                report
-                for _, report in _iterate_recent(
-                    self._sums.get(domain, {}), now
-                )
-            ),
-            key=lambda report: (-report.balancers, report.vm),
-            default=None,
-        )
+
+def _list_ranked(
+    sums: Mapping[ids.VmId, tuple[float, LoadReport]], now: float
+) -> list[LoadReport]:
+    """Returns the recent sums, those of most balancers first."""
+    return sorted(
+        (report for _, report in _iterate_recent(sums, now)),
+        key=lambda report: (-report.balancers, report.vm),
+    )
 
 
 def _iterate_recent(
--- a/tests/feed/conftest.py
+++ b/tests/feed/conftest.py
@@ -73,22 +73,27 @@
 
 
 def make_address(
-    number: int, bandwidth_mbps: float = 100.0
+    number: int,
+    bandwidth_mbps: float = 100.0,
+    domain: ids.DomainId = DOMAIN,
 ) -> peer_sets.PeerAddress:
     return peer_sets.PeerAddress(
         vm=ids.VmId(f"vm-{number}"),
-        domain=DOMAIN,
+        domain=domain,
         host=f"10.0.0.{number}",
         bandwidth_mbps=bandwidth_mbps,
     )
 
 
 def make_peers(
-    number: int = 0, *, bandwidth_mbps: float = 100.0
+    number: int = 0,
+    *,
+    bandwidth_mbps: float = 100.0,
+    domain: ids.DomainId = DOMAIN,
 ) -> peer_sets.Peers:
     return peer_sets.Peers(
         local=ids.VmId(f"vm-{number}"),
-        domain=DOMAIN,
+        domain=domain,
         host=f"10.0.0.{number}",
         bandwidth_mbps=bandwidth_mbps,
         generator=random.Random(1),
--- a/tests/feed/test_load_exchange.py
+++ b/tests/feed/test_load_exchange.py
@@ -1,7 +1,7 @@
 """Tests of the exchange of load reports, without a network."""
 
 from collections.abc import Callable
-import random
+import itertools
 
 import cbor2
 import pytest
@@ -13,7 +13,6 @@
 from chivedoor.feed import load_reports
 from chivedoor.feed import messages
 from chivedoor.feed import peer_protocol
-from chivedoor.feed import peers as peer_sets
 from chivedoor.steering import demand as demands
 from chivedoor.steering import view as views
 from tests.feed import conftest
@@ -34,18 +33,13 @@
     """
 
     def __init__(self, number: int, domain: ids.DomainId, domains) -> None:
+        self.number = number
         self.vm = ids.VmId(f"vm-{number}")
         self.host = f"10.0.0.{number}"
         self.domain = domain
         self.demand = demands.Demand()
         self.sends_reports = True
-        self.peers = peer_sets.Peers(
-            local=self.vm,
-            domain=domain,
-            host=self.host,
-            bandwidth_mbps=100.0,
-            generator=random.Random(number),
-        )
+        self.peers = conftest.make_peers(number, domain=domain)
         self.reports = load_reports.LoadReports(
             local=self.vm,
             domain=domain,
@@ -66,8 +60,7 @@
 
     def decide_shares(self, now: float):
         # The share identifies the candidate that decided it.
-        share = int(self.host.rpartition(".")[2]) / 100
-        return {conftest.SERVICE: {"b": share}}
+        return {conftest.SERVICE: {"b": self.number / 100}}
 
     def get_share(self, now: float) -> float | None:
         return self.reports.list_shares(conftest.SERVICE, now).get("b")
@@ -94,17 +87,12 @@
             for balancer in [Balancer(number, DOMAINS[number > size], domains)]
         }
         self._send_heartbeats()
-        for host, balancer in self.balancers.items():
-            other = int(host.rpartition(".")[2]) % (2 * size) + 1
-            for number in (other, other % (2 * size) + 1, 1, 2 * size):
-                remote = self.balancers[f"10.0.0.{number}"]
-                address = peer_sets.PeerAddress(
-                    vm=remote.vm,
-                    domain=remote.domain,
-                    host=remote.host,
-                    bandwidth_mbps=100.0,
-                )
-                balancer.peers.record_advertised(address, 0.0)
+        # Each balancer knows one seed of each domain.
+        for balancer, seed in itertools.product(
+            self.balancers.values(), (1, 2 * size)
+        ):
+            address = conftest.make_address(seed, domain=DOMAINS[seed > size])
+            balancer.peers.record_advertised(address, 0.0)
 
     def list_domain(self, domain: str = "a") -> list[Balancer]:
         return [
@@ -135,8 +123,9 @@
 
     def _send_heartbeats(self) -> None:
         for host, balancer in self.balancers.items():
-            number = int(host.rpartition(".")[2])
-            heartbeat = conftest.make_heartbeat(number, domain=balancer.domain)
+            heartbeat = conftest.make_heartbeat(
+                balancer.number, domain=balancer.domain
+            )
             for other in self.list_domain(balancer.domain):
                 if host not in self.dead:
                     other.peers.record_heartbeat(heartbeat, self.now)
@@ -212,12 +201,13 @@
             ]
             if balancer.host in candidates[balancer.domain]:
                 assert len(hosts) - len(remote) == 1 + size - 1
-                assert 0 < len(remote) <= const.REMOTE_REPORT_RECIPIENTS
+                # Known from their reports, whichever balancer got the first.
+                assert {*remote} == candidates[
+                    DOMAINS[balancer.domain == DOMAINS[0]]
+                ]
             else:
-                # Its own report, and up to two forwarded ones.
-                assert not remote
-                assert set(hosts) == candidates[balancer.domain]
-                assert len(hosts) <= 2 * (1 + const.READER_CANDIDATES)
+                assert {*hosts} == candidates[balancer.domain]
+                assert len(hosts) == const.READER_CANDIDATES
 
 
 def test_report_of_another_host_is_accepted_from_the_domain_only() -> None:
@@ -238,11 +228,11 @@
 
 def test_unknown_domains_in_a_report_are_ignored() -> None:
     """Guards against flows for a domain that is not in the settings."""
-    balancer = Fleet().balancers["10.0.0.1"]
-    first = balancer.peers.find_top_ranked(0.0)
-    number = int(first.vm.removeprefix("vm-"))
+    fleet = Fleet()
+    balancer = fleet.balancers["10.0.0.1"]
+    first = fleet.list_candidates()[0]
     report = conftest.make_load_report(
-        number,
+        first.number,
         scope=load_reports.Scope.DOMAIN,
         shares={conftest.SERVICE: {"b": 0.5, "z": 0.5}},
     )
@@ -277,10 +267,7 @@
     fleet = Fleet()
     fleet.run(3)
     first, second = fleet.list_candidates()
-    values = [
-        candidate.decide_shares(0.0)[conftest.SERVICE]["b"]
-        for candidate in (first, second)
-    ]
+    values = [candidate.number / 100 for candidate in (first, second)]
     assert {b.get_share(fleet.now) for b in fleet.list_domain()} == {values[0]}
     fleet.dead = {first.host}
     members = fleet.list_domain()
@@ -317,8 +304,8 @@
     first.sends_reports = False
     fleet.run(3)
     members = [b for b in fleet.list_domain() if b is not first]
-    share = second.decide_shares(0.0)[conftest.SERVICE]["b"]
-    assert {b.get_share(fleet.now) for b in members} == {share}
+    shares = {b.get_share(fleet.now) for b in members}
+    assert shares == {second.number / 100}
     assert second.reports.count_balancers(fleet.now)["a"] == len(members)
 
 
@@ -365,6 +352,10 @@
     assert answer.balancers == DOMAIN_SIZE
     # "vm-99" is the last one in the order of ids.
     assert answer.position == DOMAIN_SIZE
+    exchange = candidate.exchange
+    assert exchange.make_answer(answer.vm, DOMAINS[1], fleet.now) is None
+    later = fleet.now + const.LOAD_REPORT_LIFETIME_S + 0.01
+    assert exchange.make_answer(answer.vm, DOMAINS[0], later) is None
 
 
 def test_balancer_forwards_a_report_unchanged() -> None:
@@ -382,6 +373,8 @@
     protocol.datagram_received(data, ("10.9.9.9", 1))
     assert protocol.malformed == 1
     assert len(transport.sent) == len(candidates)
+    for candidate in fleet.list_candidates():
+        assert not candidate.exchange.record(report, report.host, 0.0)
 
 
 def test_version_before_counts_reports_and_keeps_working(monkeypatch) -> None:
