--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -200,3 +200,12 @@
 # With fewer requests in flight than this share of the limits, other balancers
 # have room, and a flow of the least important route is placed as well.
 SHORTAGE_ROOM_SHARE: Final = 0.75
+
+# Time constant of the demand that balancers report. Reports are sent every
+# 0.5 s, so a change shows in two or three of them.
+DEMAND_DECAY_S: Final = 1.0
+# Age at which the reference of the weights is moved. They reach exp(30), which
+# leaves the precision of the sums untouched.
+DEMAND_REFERENCE_LIFETIME_S: Final = 30.0
+# Lower rates are dropped. A handshake of 0.2 ms every ten seconds is above it.
+DEMAND_MIN_RATE_PER_S: Final = 1e-6
