--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -172,3 +172,47 @@
 # the fixed burst allowance of five flows. The fifth flow covers the time in
 # which balancers of a domain have different member lists.
 WARMUP_HOLDERS: Final = 4
+
+# Spill-over between failure domains (`spillover`, `domain_choice`).
+#
+# Share of the difference to its target, without unit, by which the share of a
+# domain rises in each decision. Reports are two decisions old; larger steps
+# reach the target before the first report that shows their effect.
+SPILLOVER_STEP: Final = 0.25
+# Share of the capacity of a domain, without unit, that other domains leave
+# free. It covers the growth of the domain's own demand until the shares of the
+# others follow, at most 2 s: the age of a report, a decision and its delivery.
+SPILLOVER_RESERVE: Final = 0.1
+# Time, in seconds, for which demand above capacity is taken to last in the
+# expected wait: the age of a report and one interval of decisions. No decision
+# has an effect that is seen earlier.
+SPILLOVER_HORIZON_S: Final = 1.5
+# Time, in seconds, in which a queue is to be cleared by sending flows
+# elsewhere. An integrator that is corrected after 1.5 s does not overshoot if
+# its time constant is at least e times as long, 4.1 s.
+SPILLOVER_DRAIN_S: Final = 5.0
+# A queue is short if its wait is at most this share of the goal, without unit.
+# In-flight counts vary by that much below capacity.
+SPILLOVER_SHORT_WAIT_GOALS: Final = 0.2
+# Rate, in bytes per second, at which the bytes of a flow add to the necessary
+# gain. The slowest links in the known deployments have 10 Mbit/s.
+SPILLOVER_BYTES_PER_S: Final = 1_250_000.0
+# Duration of a handshake, in seconds, with a domain to which no flow was opened
+# recently. Twice the longest one-way delay in the known deployments, 5.4 ms,
+# and some time for the endpoint.
+SPILLOVER_DEFAULT_HANDSHAKE_S: Final = 0.012
+# Share of the additional delay, without unit, that the expected wait must
+# exceed while flows leave already. To start, it must exceed all of it. The
+# share would otherwise alternate with a demand close to the threshold.
+SPILLOVER_STOP_COST_SHARE: Final = 0.5
+# A share that was not decided for this time, in seconds, starts from 0: the
+# reports that carried it have expired everywhere.
+SPILLOVER_STATE_LIFETIME_S: Final = LOAD_REPORT_LIFETIME_S
+# A domain is taken for a user of the spare capacity of the others for this
+# time, in seconds, after its last report. It may be partitioned from this
+# domain only. Partitions in the known deployments end within this time.
+SPILLOVER_DOMAIN_RETENTION_S: Final = 60.0
+# Shares that leave at most this share, without unit, to the local domain come
+# from a domain without a usable endpoint. Reports round each share to a
+# ten-thousandth.
+SPILLOVER_ROUNDING: Final = 0.001
