--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -176,9 +176,14 @@
 # Spill-over between failure domains (`spillover`, `domain_choice`).
 #
 # Share of the difference to its target, without unit, by which the share of a
-# domain rises in each decision. Reports are two decisions old; larger steps
+# domain changes in each decision. Reports are two decisions old; larger steps
 # reach the target before the first report that shows their effect.
 SPILLOVER_STEP: Final = 0.25
+# A share falls to its target at once, without a step, if the target is below
+# this share of it, without unit. Smaller differences are mostly noise: if they
+# were followed downwards at once, a noise of 5% in the reported demand would
+# double the mean queue of the domain.
+SPILLOVER_FALL: Final = 0.5
 # Share of the capacity of a domain, without unit, that other domains leave
 # free. It covers the growth of the domain's own demand until the shares of the
 # others follow, at most 2 s: the age of a report, a decision and its delivery.
@@ -210,7 +215,7 @@
 SPILLOVER_STATE_LIFETIME_S: Final = LOAD_REPORT_LIFETIME_S
 # A domain is taken for a user of the spare capacity of the others for this
 # time, in seconds, after its last report. It may be partitioned from this
-# domain only. Partitions in the known deployments end within this time.
+# domain only. Partitions in the known deployments last 5 s at most.
 SPILLOVER_DOMAIN_RETENTION_S: Final = 60.0
 # Shares that leave at most this share, without unit, to the local domain come
 # from a domain without a usable endpoint. Reports round each share to a
--- a/src/chivedoor/steering/spillover.py
+++ b/src/chivedoor/steering/spillover.py
@@ -111,7 +111,7 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
-class _Situation:
+class _Inputs:
     """Arguments of a decision.
 
     Attributes:
@@ -212,7 +212,7 @@
         to their capacity.
         """
         total_per_s = sum(load.capacity_per_s for load in self.loads.values())
-        homeless_per_s = sum(
+        forwarded_per_s = sum(
             load.demand_per_s
             for load in self.loads.values()
             if load.capacity_per_s <= 0.0
@@ -222,7 +222,7 @@
             return load.demand_per_s
         return (
             load.demand_per_s
-            + homeless_per_s * load.capacity_per_s / total_per_s
+            + forwarded_per_s * load.capacity_per_s / total_per_s
         )
 
 
@@ -252,8 +252,9 @@
         Args:
             service: The service.
             local: Its load in the local domain.
-            remote: Its load in the other domains with a valid report. Domains
-                that are out report no capacity; suspect ones are left out.
+            remote: Its load in the other domains with a valid report. A domain
+                that is out is passed with a capacity of 0, so that its demand
+                counts; a suspect one is left out.
             handshakes_s: Mean duration of handshakes by domain, the local one
                 included, in seconds; absent if not measured.
             service_s: Time that a slot takes for a request, in seconds.
@@ -267,7 +268,7 @@
             that gets flows. The rest stays local.
         """
         self._record_domains(remote, now)
-        situation = _Situation(
+        inputs = _Inputs(
             domain=self._domain,
             loads={**remote, self._domain: local},
             known=frozenset((self._domain, *handshakes_s, *self._reported_at)),
@@ -277,10 +278,10 @@
             bytes_per_flow=bytes_per_flow,
         )
         if local.capacity_per_s <= 0.0:
-            decision = _distribute_all(situation, now)
+            decision = _distribute_all(inputs, now)
         else:
             last_shares = self._get_last_shares(service, now)
-            decision = _distribute_excess(situation, last_shares, now)
+            decision = _distribute_excess(inputs, last_shares, now)
         self._decisions[service] = decision
         return decision.get_shares()
 
@@ -351,9 +352,9 @@
         return last.get_shares()
 
 
-def _distribute_all(situation: _Situation, now: float) -> Decision:
+def _distribute_all(inputs: _Inputs, now: float) -> Decision:
     """Distributes all flows by the capacity of the other domains."""
-    capacities = situation.list_remote_capacities()
+    capacities = inputs.list_remote_capacities()
     total_per_s = sum(capacities.values())
     remote = {
         domain: RemoteDecision(
@@ -362,8 +363,8 @@
             gain_s=None,
         )
         if domain in capacities
-        else _reject(situation, domain)
-        for domain in situation.known - {situation.domain}
+        else _reject(inputs, domain)
+        for domain in inputs.known - {inputs.domain}
     }
     return Decision(
         reason=_summarize(remote),
@@ -375,7 +376,7 @@
 
 
 def _distribute_excess(
-    situation: _Situation,
+    inputs: _Inputs,
     last_shares: Mapping[ids.DomainId, float],
     now: float,
 ) -> Decision:
@@ -384,25 +385,25 @@
     Each domain with a sufficient gain gets flows in proportion to the part of
     its spare capacity that this domain may use.
     """
-    wait_s = situation.compute_wait_s()
-    excess_per_s = situation.compute_excess_per_s(situation.domain)
-    demand_per_s = situation.local.demand_per_s
-    others = situation.known - {situation.domain}
+    wait_s = inputs.compute_wait_s()
+    excess_per_s = inputs.compute_excess_per_s(inputs.domain)
+    demand_per_s = inputs.local.demand_per_s
+    others = inputs.known - {inputs.domain}
     gains_s = {
         domain: wait_s
-        - situation.loads[domain].compute_queue_wait_s(situation.service_s)
-        - situation.compute_cost_s(domain)
+        - inputs.loads[domain].compute_queue_wait_s(inputs.service_s)
+        - inputs.compute_cost_s(domain)
         for domain in others
-        if domain in situation.loads
+        if domain in inputs.loads
     }
-    stay = _find_reason_to_stay(situation, excess_per_s)
+    stay = _find_reason_to_stay(inputs, excess_per_s)
     if stay is not None:
         remote = {
             domain: RemoteDecision(
                 reason=stay, share=0.0, gain_s=gains_s[domain]
             )
             if domain in gains_s
-            else _reject(situation, domain)
+            else _reject(inputs, domain)
             for domain in others
         }
         return Decision(
@@ -413,14 +414,14 @@
             decided_at=now,
         )
     parts_per_s = {
-        domain: situation.compute_part_per_s(domain) for domain in gains_s
+        domain: inputs.compute_part_per_s(domain) for domain in gains_s
     }
     sufficient = {
         domain
         for domain, gain_s in gains_s.items()
         if parts_per_s[domain] > 0.0
         and _is_sufficient(
-            situation, domain, gain_s, leaving=domain in last_shares
+            inputs, domain, gain_s, leaving=domain in last_shares
         )
     }
     usable_per_s = sum(parts_per_s[domain] for domain in sufficient)
@@ -428,10 +429,11 @@
     remote = {}
     for domain in others:
         if domain in sufficient:
-            target = min(1.0, used * parts_per_s[domain] / demand_per_s)
+            limit = min(1.0, parts_per_s[domain] / demand_per_s)
+            share = _step(last_shares.get(domain, 0.0), used * limit)
             remote[domain] = RemoteDecision(
                 reason=Reason.SPILLING,
-                share=_step(last_shares.get(domain, 0.0), target),
+                share=min(share, limit),
                 gain_s=gains_s[domain],
             )
         elif parts_per_s.get(domain):
@@ -441,7 +443,7 @@
                 gain_s=gains_s[domain],
             )
         else:
-            remote[domain] = _reject(situation, domain, gains_s.get(domain))
+            remote[domain] = _reject(inputs, domain, gains_s.get(domain))
     return Decision(
         reason=_summarize(remote),
         wait_s=wait_s,
@@ -451,47 +453,47 @@
     )
 
 
-def _find_reason_to_stay(
-    situation: _Situation, excess_per_s: float
-) -> Reason | None:
+def _find_reason_to_stay(inputs: _Inputs, excess_per_s: float) -> Reason | None:
     """Returns why no flow should leave, None if some should."""
-    if situation.goal_s <= 0.0:
+    if inputs.goal_s <= 0.0:
         return Reason.NO_GOAL
-    if excess_per_s <= 0.0 or situation.local.demand_per_s <= 0.0:
+    if excess_per_s <= 0.0 or inputs.local.demand_per_s <= 0.0:
         return Reason.LOCAL_HAS_CAPACITY
     return None
 
 
 def _is_sufficient(
-    situation: _Situation,
+    inputs: _Inputs,
     domain: ids.DomainId,
     gain_s: float,
     *,
     leaving: bool,
 ) -> bool:
     """Returns whether a flow gains from a domain and is in time there."""
-    cost_s = situation.compute_cost_s(domain)
-    if situation.service_s + cost_s > situation.goal_s:
+    cost_s = inputs.compute_cost_s(domain)
+    if inputs.service_s + cost_s > inputs.goal_s:
         return False
     tolerance = 1.0 - const.SPILLOVER_STOP_COST_SHARE if leaving else 0.0
     return gain_s + tolerance * cost_s > 0.0
 
 
 def _step(share: float, target: float) -> float:
-    """Returns the next share: rises in steps, falls at once."""
-    if target <= share:
+    """Returns the next share: steps to its target, or falls far at once.
+
+    A share that fell at once by every small difference, but rose in steps,
+    would follow the lowest of several noisy reports.
+    """
+    if target < const.SPILLOVER_FALL * share:
         return target
     return share + const.SPILLOVER_STEP * (target - share)
 
 
 def _reject(
-    situation: _Situation, domain: ids.DomainId, gain_s: float | None = None
+    inputs: _Inputs, domain: ids.DomainId, gain_s: float | None = None
 ) -> RemoteDecision:
     """Returns the decision on a domain without a report or spare capacity."""
     reason = (
-        Reason.NO_SPARE_CAPACITY
-        if domain in situation.loads
-        else Reason.NO_REPORT
+        Reason.NO_SPARE_CAPACITY if domain in inputs.loads else Reason.NO_REPORT
     )
     return RemoteDecision(reason=reason, share=0.0, gain_s=gain_s)
 
