steering: distribute flows to domains by the reports, and divide limits by live balancers

Cause: shares of domains and positions of balancers were reported, but nothing used them; balancers of a domain without endpoints took more than their part. Change: steering/distribution.py feeds spill-over and applies its shares; a domain's balancers count their part of the limits only.

--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -135,6 +135,7 @@
             domain=settings.domain,
             list_candidates=self.peers.list_warmup_members,
         )
+        self.steerer.distribution.set_reports(self.load_reports)
         self._peer_protocol = peer_protocol.PeerProtocol(
             peers=self.peers,
             exchange=load_exchange.LoadExchange(
@@ -304,7 +305,7 @@
             self.steerer.warmup_budget.set_members(
                 self.peers.list_warmup_members(now), self._settled_at
             )
-            self.steerer.shortage.set_members(self._find_members())
+            self.steerer.shortage.set_members(self._find_members(now))
             self.steerer.update_delays(now)
             self._report_congestion(now)
             ticks += 1
@@ -312,19 +313,23 @@
                 self.steerer.expire(now)
             self._log.flush()
 
-    def _find_members(self) -> shortage.Members | None:
+    def _find_members(self, now: float) -> shortage.Members | None:
         """Returns the balancers that divide the limits of the endpoints.
 
         In a small domain, reports are recent enough to do without.
         """
-        if not self.peers.is_large_domain():
+        position = self.load_reports.get_position(now)
+        if position is None or not self.peers.is_large_domain():
             return None
-        vms = sorted(
-            [self._settings.vm, *(p.vm for p in self.peers.iterate_domain())]
-        )
+        counts = self.load_reports.count_balancers(now)
+        # Candidates know the numbers of the other domains, the others only
+        # that of their own.
         return shortage.Members(
-            counts=dict.fromkeys(self._settings.domains, len(vms)),
-            position=vms.index(self._settings.vm),
+            counts={
+                domain: counts.get(domain, counts[self._settings.domain])
+                for domain in self._settings.domains
+            },
+            position=position,
         )
 
     def _report_congestion(self, now: float) -> None:
@@ -332,6 +337,7 @@
         congested = self.steerer.placement.is_congested(now)
         if congested and not self._congested and self.peers.is_large_domain():
             self._peer_protocol.send_heartbeats()
+            self._peer_protocol.send_load_reports(now)
         self._congested = congested
 
     async def _async_drain(self) -> None:
--- a/src/chivedoor/edge/metrics.py
+++ b/src/chivedoor/edge/metrics.py
@@ -17,11 +17,15 @@
     CONTACTS = "contacts"
     FLOWS_MOVED = "flows_moved"
     FLOWS_PLACED = "flows_placed"
+    # Split by the failure domain of the endpoint.
+    FLOWS_PLACED_REMOTE = "flows_placed_remote"
     FLOWS_REFUSED = "flows_refused"
+    FLOWS_REFUSED_BY_PRIORITY = "flows_refused_by_priority"
     HANDSHAKES_REPEATED = "handshakes_repeated"
     MALFORMED_PACKETS = "malformed_packets"
     PACKETS_DROPPED = "packets_dropped"
     RESTORATIONS = "restorations"
+    SPILLOVER_CHANGES = "spillover_changes"
     SUSPICIONS = "suspicions"
     UNUSABLE_RECORDS = "unusable_records"
 
--- a/src/chivedoor/edge/observer.py
+++ b/src/chivedoor/edge/observer.py
@@ -6,6 +6,7 @@
 from chivedoor.edge import metrics as metrics_module
 from chivedoor.steering import contacts
 from chivedoor.steering import segment as segments
+from chivedoor.steering import spillover
 
 
 class Observer:
@@ -68,6 +69,29 @@
             log_writer.EventType.ENDPOINT_ANSWERED, endpoint=endpoint_id
         )
 
+    def on_spillover(
+        self, service: ids.ServiceId, decision: spillover.Decision
+    ) -> None:
+        """Logs and counts a change of the flows that leave the domain."""
+        self._metrics.count(
+            metrics_module.Counter.SPILLOVER_CHANGES, decision.reason.value
+        )
+        self._log.write(
+            log_writer.EventType.SPILLOVER_CHANGED,
+            service=service,
+            reason=decision.reason.value,
+            shares={
+                domain: round(share, 3)
+                for domain, share in decision.get_shares().items()
+            },
+            expected_wait_s=_round_seconds(decision.wait_s),
+            expected_gain_s=_round_seconds(decision.gain_s),
+            domains={
+                domain: remote.reason.value
+                for domain, remote in decision.remote.items()
+            },
+        )
+
     def on_tag_changed(
         self,
         flow_id: segments.FlowId,
@@ -82,3 +106,7 @@
             former_endpoint=former,
             endpoint=current,
         )
+
+
+def _round_seconds(duration_s: float | None) -> float | None:
+    return None if duration_s is None else round(duration_s, 3)
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -258,3 +258,9 @@
 # from a domain without a usable endpoint. Reports round each share to a
 # ten-thousandth.
 SPILLOVER_ROUNDING: Final = 0.001
+
+# Share of the slots of a domain that can work without long queues: with two
+# slots and random arrivals, requests wait for 1.8 service times at this load.
+SERVICE_UTILIZATION: Final = 0.8
+# Shares of domains are logged when they change by this much.
+SHARE_LOG_STEP: Final = 0.05
--- /dev/null
+++ b/src/chivedoor/steering/distribution.py
@@ -0,0 +1,278 @@
+"""Distribution of new flows to failure domains, from the reports of all.
+
+The load pattern that this answers is that of `spillover`: one domain is short
+of capacity while others have some to spare. This module collects the inputs of
+the decision on a reader candidate, and applies the shares that the candidate
+reported on each balancer.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import random
+from typing import Protocol
+
+from chivedoor import ids
+from chivedoor.steering import capacity as capacities
+from chivedoor.steering import const
+from chivedoor.steering import demand as demands
+from chivedoor.steering import domain_choice
+from chivedoor.steering import observer as observers
+from chivedoor.steering import placement
+from chivedoor.steering import spillover
+from chivedoor.steering import suspicion
+from chivedoor.steering import view as views
+
+
+class DomainReport(Protocol):
+    """Load of a failure domain, as one of its balancers reported it.
+
+    Attributes:
+        demand: New flows a second by service and priority.
+        capacity: Capacity by service.
+        handshakes: Completed handshakes by domain of the endpoint.
+        transfers: Flows and payload by service.
+    """
+
+    demand: Mapping[ids.ServiceId, Mapping[int, float]]
+    capacity: Mapping[ids.ServiceId, demands.Capacity]
+    handshakes: Mapping[ids.DomainId, demands.Handshakes]
+    transfers: Mapping[ids.ServiceId, demands.Transfer]
+
+
+class DomainReports(Protocol):
+    """Recent reports of the domains."""
+
+    def get_domain(
+        self, domain: ids.DomainId, now: float
+    ) -> DomainReport | None:
+        """Returns the report of a domain, None without a recent one."""
+
+    def list_remote(self, now: float) -> Mapping[ids.DomainId, DomainReport]:
+        """Returns the reports of the other domains."""
+
+    def list_shares(
+        self, service: ids.ServiceId, now: float
+    ) -> Mapping[ids.DomainId, float]:
+        """Returns the shares of new flows that leave the local domain."""
+
+
+class Distribution:
+    """Decides the shares of the domains, and applies them to new flows."""
+
+    def __init__(
+        self,
+        *,
+        domain: ids.DomainId,
+        view: views.View,
+        suspicions: suspicion.Suspicions,
+        capacity: capacities.CapacityTable,
+        placement: placement.Placement,
+        generator: random.Random,
+        observer: observers.Observer,
+    ) -> None:
+        """Creates a distribution without effect before `set_reports`."""
+        self._generator = generator
+        self._domain = domain
+        self._view = view
+        self._suspicions = suspicions
+        self._capacity = capacity
+        self._placement = placement
+        self._observer = observer
+        self._spillover = spillover.Spillover(domain=domain)
+        self._reports: DomainReports | None = None
+
+    def set_reports(self, reports: DomainReports) -> None:
+        """Sets the source of the reports."""
+        self._reports = reports
+
+    def list_capacity(
+        self, now: float
+    ) -> dict[ids.ServiceId, demands.Capacity]:
+        """Returns the capacity of the local domain by service.
+
+        Services of which no request has completed lately are left out, since
+        the service times of their endpoints are not known.
+        """
+        return {
+            service: known
+            for service in self._view.services
+            if (known := self._measure_capacity(service, now)) is not None
+        }
+
+    def decide_shares(
+        self, now: float
+    ) -> dict[ids.ServiceId, dict[ids.DomainId, float]]:
+        """Decides which shares of new flows leave the local domain.
+
+        Called on each heartbeat of a candidate for the reader.
+        """
+        if self._reports is None:
+            return {}
+        local = self._reports.get_domain(self._domain, now)
+        if local is None:
+            return {}
+        remote = self._reports.list_remote(now)
+        shares = {
+            service: decided
+            for service in local.demand
+            if (decided := self._decide_service(service, local, remote, now))
+        }
+        self._spillover.retain(local.demand)
+        return shares
+
+    def choose_domain(
+        self,
+        service: ids.ServiceId,
+        endpoints: Sequence[views.Endpoint],
+        now: float,
+    ) -> Sequence[views.Endpoint]:
+        """Returns the endpoints of the domain that a new flow goes to.
+
+        Args:
+            service: The service of the flow.
+            endpoints: Endpoints that may take it.
+            now: The current time, in seconds.
+
+        Returns:
+            The endpoints of one domain; all of them without a recent decision,
+            or if that domain has none.
+        """
+        if (
+            self._reports is None
+            or self._reports.get_domain(self._domain, now) is None
+        ):
+            return endpoints
+        shares = self._reports.list_shares(service, now)
+        present = {endpoint.domain for endpoint in endpoints}
+        excluded = {
+            domain
+            for domain in (self._domain, *shares)
+            if domain not in present
+            or self._suspicions.is_domain_suspect(domain, now)
+        }
+        if self._domain in excluded and not shares:
+            return endpoints
+        domain = domain_choice.choose_domain(
+            local=self._domain,
+            shares=shares,
+            draw=self._generator.random() if shares else 0.0,
+            excluded=excluded,
+        )
+        return [e for e in endpoints if e.domain == domain] or endpoints
+
+    def explain(self, service: ids.ServiceId) -> spillover.Decision | None:
+        """Returns the last decision of this balancer on a service."""
+        return self._spillover.explain(service)
+
+    def _decide_service(
+        self,
+        service: ids.ServiceId,
+        local: DomainReport,
+        remote: Mapping[ids.DomainId, DomainReport],
+        now: float,
+    ) -> dict[ids.DomainId, float]:
+        usable = self._list_local(service, now)
+        known = local.capacity.get(service)
+        if usable and known is None:
+            return {}
+        service_s = _compute_mean(
+            capacities.estimate_service_times(
+                self._view.get_endpoints(service), self._capacity
+            ).values()
+        )
+        transfer = local.transfers.get(service)
+        former = self._spillover.explain(service)
+        decided = self._spillover.decide(
+            service=service,
+            local=_make_load(local, service, known if usable else None, usable),
+            remote={
+                domain: _make_load(
+                    report,
+                    service,
+                    report.capacity.get(service)
+                    if domain not in self._view.domains_out
+                    else None,
+                    [
+                        e
+                        for e in self._view.get_endpoints(service)
+                        if e.domain == domain
+                    ],
+                )
+                for domain, report in remote.items()
+                if not self._suspicions.is_domain_suspect(domain, now)
+            },
+            handshakes_s={
+                domain: handshakes.duration_s / handshakes.number
+                for domain, handshakes in local.handshakes.items()
+                if handshakes.number > 0.0
+            },
+            service_s=service_s,
+            goal_s=self._view.get_goal_s(service),
+            bytes_per_flow=transfer.payload_bytes / transfer.flows
+            if transfer is not None and transfer.flows > 0.0
+            else 0.0,
+            now=now,
+        )
+        decision = self._spillover.explain(service)
+        if decision is not None and (
+            former is None
+            or decision.reason is not former.reason
+            or _has_moved(decision.get_shares(), former.get_shares())
+        ):
+            self._observer.on_spillover(service, decision)
+        return decided
+
+    def _measure_capacity(
+        self, service: ids.ServiceId, now: float
+    ) -> demands.Capacity | None:
+        usable = self._list_local(service, now)
+        service_s = capacities.estimate_service_times(usable, self._capacity)
+        if not usable or not all(service_s.values()):
+            return None
+        return demands.Capacity(
+            requests_per_s=const.SERVICE_UTILIZATION
+            * sum(e.slots / service_s[e.id] for e in usable),
+            in_flight=float(sum(map(self._placement.count_in_flight, usable))),
+        )
+
+    def _list_local(
+        self, service: ids.ServiceId, now: float
+    ) -> list[views.Endpoint]:
+        return [
+            endpoint
+            for endpoint in self._view.get_endpoints(service)
+            if endpoint.domain == self._domain
+            and endpoint.cold_until <= now
+            and self._placement.is_usable(endpoint)
+        ]
+
+
+def _make_load(
+    report: DomainReport,
+    service: ids.ServiceId,
+    capacity: demands.Capacity | None,
+    endpoints: Iterable[views.Endpoint],
+) -> spillover.DomainLoad:
+    return spillover.DomainLoad(
+        demand_per_s=sum(report.demand.get(service, {}).values()),
+        capacity_per_s=capacity.requests_per_s if capacity else 0.0,
+        in_flight=capacity.in_flight if capacity else 0.0,
+        slots=sum(endpoint.slots for endpoint in endpoints),
+    )
+
+
+def _compute_mean(values: Iterable[float]) -> float:
+    listed = list(values)
+    return sum(listed) / len(listed) if listed else 0.0
+
+
+def _has_moved(
+    current: Mapping[ids.DomainId, float], former: Mapping[ids.DomainId, float]
+) -> bool:
+    """Returns whether shares differ by enough for a log line."""
+    return any(
+        abs(current.get(domain, 0.0) - former.get(domain, 0.0))
+        >= const.SHARE_LOG_STEP
+        for domain in current.keys() | former.keys()
+    )
--- a/src/chivedoor/steering/observer.py
+++ b/src/chivedoor/steering/observer.py
@@ -5,6 +5,7 @@
 from chivedoor import ids
 from chivedoor.steering import contacts
 from chivedoor.steering import segment as segments
+from chivedoor.steering import spillover
 
 
 class Observer(Protocol):
@@ -39,6 +40,11 @@
     ) -> None:
         """Called with the result of a check of a silent endpoint."""
 
+    def on_spillover(
+        self, service: ids.ServiceId, decision: spillover.Decision
+    ) -> None:
+        """Called when the share of flows that leave the domain changes."""
+
     def on_tag_changed(
         self,
         flow_id: segments.FlowId,
@@ -81,6 +87,11 @@
     ) -> None:
         """Does nothing."""
 
+    def on_spillover(
+        self, service: ids.ServiceId, decision: spillover.Decision
+    ) -> None:
+        """Does nothing."""
+
     def on_tag_changed(
         self,
         flow_id: segments.FlowId,
--- a/src/chivedoor/steering/placement.py
+++ b/src/chivedoor/steering/placement.py
@@ -11,6 +11,7 @@
 flow is refused.
 """
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import random
 
@@ -29,6 +30,14 @@
 from chivedoor.steering import warmup
 
 
+def _keep_all(
+    service: ids.ServiceId,
+    endpoints: Sequence[views.Endpoint],
+    now: float,
+) -> Sequence[views.Endpoint]:
+    return endpoints
+
+
 class Placement:
     """Selects endpoints for new flows."""
 
@@ -60,6 +69,12 @@
         self._delay_table = delay_table
         self._generator = generator
         self._congested_at: float | None = None
+        # Selects the endpoints of one domain; set after creation, because the
+        # distribution uses this placement.
+        self.choose_domain: Callable[
+            [ids.ServiceId, Sequence[views.Endpoint], float],
+            Sequence[views.Endpoint],
+        ] = _keep_all
 
     def is_congested(self, now: float) -> bool:
         """Returns whether a flow was placed on a congested service lately."""
@@ -181,6 +196,8 @@
         now: float,
         may_refuse: bool,
     ) -> views.Endpoint | verdicts.Refuse:
+        served_domains = {endpoint.domain for endpoint in endpoints}
+        endpoints = self.choose_domain(service, endpoints, now)
         estimate = delays.DelayEstimate(
             endpoints=endpoints, table=self._delay_table
         )
@@ -194,6 +211,7 @@
                 route=route,
                 service=service,
                 endpoints=self._omit_doubtful(endpoints, now),
+                served_domains=served_domains,
                 congested=estimate.is_congested,
                 may_refuse=may_refuse,
                 now=now,
--- a/src/chivedoor/steering/shortage.py
+++ b/src/chivedoor/steering/shortage.py
@@ -15,6 +15,7 @@
 number in flight has fallen.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -48,6 +49,22 @@
     position: int
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class _Part:
+    """Part of a balancer in the endpoints of a domain.
+
+    Attributes:
+        start: Sum of the weights of the balancers before it, as a share of the
+            sum of all weights.
+        end: The same with its own weight.
+        domain: Share of all balancers of its domain.
+    """
+
+    start: float
+    end: float
+    domain: float
+
+
 def list_own_tokens(
     endpoint_id: ids.EndpointId, *, tokens: int, start: float, end: float
 ) -> tuple[int, ...]:
@@ -142,6 +159,7 @@
         route: views.Route,
         service: ids.ServiceId,
         endpoints: Sequence[views.Endpoint],
+        served_domains: Collection[ids.DomainId],
         congested: bool,
         may_refuse: bool,
         now: float,
@@ -152,14 +170,18 @@
             route: The route of the flow.
             service: The service that was chosen for it.
             endpoints: Warm endpoints that may take it.
+            served_domains: Domains with such endpoints.
             congested: Whether requests of the service wait in queues.
             may_refuse: Whether the flow may be refused.
             now: The current time, in seconds.
 
         Returns:
-            The endpoint, the refusal, or None if the service is not short.
+            The endpoint, the refusal, or None if the service is not short or
+            its endpoints are left to the balancers of other domains.
         """
         local = [e for e in endpoints if e.domain == self._domain]
+        if not local and self._domain in served_domains:
+            return None
         candidates = local or endpoints
         service_s = capacity.estimate_service_times(candidates, self.capacity)
         wait_s = self._get_wait_share(route, service) * route.goal_s
@@ -169,34 +191,32 @@
             )
             for e in candidates
         }
-        shares = self._compute_shares(candidates, limits, has_local=bool(local))
+        parts = self._divide_domains(candidates, served_domains)
+        shares = self._compute_shares(candidates, limits, parts)
         own = {e.id: self._flows.count_in_flight(e.id) for e in candidates}
         exhausted = sum(own.values()) >= sum(shares.values())
-        if not self._update(
-            service,
-            candidates,
-            limits,
-            congested or exhausted and self._waiting,
-            now,
-        ):
+        # The loads of other domains are not known, only their parts.
+        limit = sum(limits[e.id] * parts[e.domain].domain for e in candidates)
+        in_flight = sum(map(self._count_in_flight, candidates))
+        if congested or (exhausted and self._waiting):
+            self._short_until[service] = now + const.SHORTAGE_LIFETIME_S
+        elif not self.is_short(service, now):
             return None
+        elif in_flight >= const.SHORTAGE_END_SHARE * limit:
+            # Limits keep queues short, so that the delays alone would end the
+            # state while the demand is as high as before.
+            self._short_until[service] = now + const.SHORTAGE_LIFETIME_S
         free = [e for e in candidates if own[e.id] < shares[e.id]]
         least_important = self._is_least_important(route, service)
         if free and least_important:
             weights = [shares[e.id] - own[e.id] for e in free]
             return self._generator.choices(free, weights)[0]
-        in_flight = sum(map(self._count_in_flight, candidates))
-        if (
-            free
-            or not may_refuse
-            or in_flight
-            < sum(limits.values())
-            * (const.SHORTAGE_ROOM_SHARE if least_important else 1.0)
-        ):
+        room_share = const.SHORTAGE_ROOM_SHARE if least_important else 1.0
+        if free or not may_refuse or in_flight < room_share * limit:
             return self._choose_soonest(candidates, free, service_s)
         return verdicts.Refuse(
             reason=verdicts.RefusalReason.OVERLOADED,
-            expected_s=in_flight / max(1.0, sum(limits.values())) * wait_s,
+            expected_s=in_flight / max(1.0, limit) * wait_s,
             goal_s=route.goal_s,
         )
 
@@ -236,57 +256,49 @@
             ),
         )
 
-    def _update(
+    def _compute_shares(
         self,
-        service: ids.ServiceId,
         candidates: Iterable[views.Endpoint],
         limits: Mapping[ids.EndpointId, float],
-        congested: bool,
-        now: float,
-    ) -> bool:
-        """Returns whether a service is short.
-
-        Limits keep queues short, so that the delays alone would end the state
-        while the demand is as high as before.
-        """
-        if congested or (
-            self.is_short(service, now)
-            and sum(map(self._count_in_flight, candidates))
-            >= const.SHORTAGE_END_SHARE * sum(limits.values())
-        ):
-            self._short_until[service] = now + const.SHORTAGE_LIFETIME_S
-        return self.is_short(service, now)
+        parts: Mapping[ids.DomainId, "_Part"],
+    ) -> dict[ids.EndpointId, int]:
+        """Returns this balancer's part of each limit, in whole requests."""
+        return {
+            e.id: sum(
+                number + 0.5 < limits[e.id]
+                for number in self._get_tokens(
+                    e, (parts[e.domain].start, parts[e.domain].end)
+                )
+            )
+            for e in candidates
+        }
 
-    def _compute_shares(
+    def _divide_domains(
         self,
-        candidates: Sequence[views.Endpoint],
-        limits: Mapping[ids.EndpointId, float],
-        *,
-        has_local: bool,
-    ) -> dict[ids.EndpointId, int]:
-        """Returns this balancer's part of each limit.
+        candidates: Iterable[views.Endpoint],
+        served_domains: Collection[ids.DomainId],
+    ) -> dict[ids.DomainId, "_Part"]:
+        """Returns the part of this balancer for the endpoints of each domain.
 
-        The endpoints of a domain are divided among its own balancers, and
-        those of domains without endpoints, each of which counts for its part
-        of the remaining domains.
+        The endpoints of a domain are divided among its own balancers and those
+        of domains without endpoints. These are served by all other domains, so
+        that they count for a fraction in each.
         """
         assert self._members is not None
         counts = self._members.counts
-        present = {e.domain for e in candidates}
-        if has_local:
-            bounds = {self._domain: self._divide(self._domain, {})}
-        else:
-            weight = 1.0 / len(present)
-            absent = dict.fromkeys(
-                (d for d in counts if d not in present), weight
-            )
-            bounds = {d: self._divide(d, absent) for d in present}
+        absent = {
+            domain: 1.0 / len(served_domains)
+            for domain in counts
+            if domain not in served_domains
+        }
         return {
-            e.id: sum(
-                number + 0.5 < limits[e.id]
-                for number in self._get_tokens(e, bounds[e.domain])
+            domain: _divide(
+                {domain: 1.0, **absent},
+                counts=counts,
+                local=self._domain,
+                position=self._members.position,
             )
-            for e in candidates
+            for domain in {e.domain for e in candidates}
         }
 
     def _get_tokens(
@@ -304,23 +316,6 @@
         self._tokens[endpoint.id] = bounds, tokens
         return tokens
 
-    def _divide(
-        self, domain: ids.DomainId, absent: Mapping[ids.DomainId, float]
-    ) -> tuple[float, float]:
-        """Returns the bounds of this balancer in the division of a domain."""
-        assert self._members is not None
-        counts = self._members.counts
-        weights = {domain: 1.0, **absent}
-        total = sum(counts.get(d, 0) * weight for d, weight in weights.items())
-        start = 0.0
-        for other in sorted(weights):
-            if other == self._domain:
-                start += self._members.position * weights[other]
-                break
-            start += counts.get(other, 0) * weights[other]
-        total = max(total, start + weights.get(self._domain, 1.0))
-        return start / total, (start + weights[self._domain]) / total
-
     def _count_in_flight(self, endpoint: views.Endpoint) -> int:
         return self._flows.count_in_flight(
             endpoint.id
@@ -337,3 +332,35 @@
         self, route: views.Route, service: ids.ServiceId
     ) -> bool:
         return route.priority >= self._view.get_lowest_priority(service)
+
+
+def _divide(
+    weights: Mapping[ids.DomainId, float],
+    *,
+    counts: Mapping[ids.DomainId, int],
+    local: ids.DomainId,
+    position: int,
+) -> _Part:
+    """Returns the part of a balancer among those of several domains.
+
+    Args:
+        weights: Weight of each balancer by domain.
+        counts: Number of balancers by domain.
+        local: Domain of the balancer.
+        position: Its index in its domain.
+    """
+    weight = weights[local]
+    # A balancer that the others do not know yet comes after them.
+    sizes = {
+        domain: counts.get(domain, 0) * weights[domain] for domain in weights
+    }
+    sizes[local] = max(sizes[local], (position + 1) * weight)
+    total = sum(sizes.values())
+    start = position * weight + sum(
+        size for domain, size in sizes.items() if domain < local
+    )
+    return _Part(
+        start=start / total,
+        end=(start + weight) / total,
+        domain=sizes[local] / total,
+    )
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -13,6 +13,7 @@
 from chivedoor.steering import contacts as contact_module
 from chivedoor.steering import delays
 from chivedoor.steering import demand as demands
+from chivedoor.steering import distribution as distributions
 from chivedoor.steering import flows as flow_tables
 from chivedoor.steering import observer as observers
 from chivedoor.steering import pauses
@@ -60,6 +61,7 @@
         shortage: Limits of services that are short of capacity.
         demand: Rates of new flows, handshakes and payload.
         placement: Selects the endpoints of new flows.
+        distribution: Distributes new flows to the failure domains.
     """
 
     def __init__(
@@ -120,6 +122,16 @@
             shortage=self.shortage,
             generator=generator,
         )
+        self.distribution = distributions.Distribution(
+            domain=domain,
+            view=self.view,
+            suspicions=self.suspicions,
+            capacity=self.shortage.capacity,
+            placement=self.placement,
+            generator=generator,
+            observer=self._observer,
+        )
+        self.placement.choose_domain = self.distribution.choose_domain
         # Flows whose first opening packet was delivered, with the time of that
         # packet; oldest first.
         self._pending_handshakes: collections.deque[
@@ -295,7 +307,7 @@
         self, now: float
     ) -> Mapping[ids.ServiceId, demands.Capacity]:
         """Returns the capacity of the local domain by service."""
-        return {}
+        return self.distribution.list_capacity(now)
 
     def decide_shares(
         self, now: float
@@ -305,7 +317,7 @@
         Called on each heartbeat of a candidate for the reader. The shares are
         listed by service and destination, from 0 to 1.
         """
-        return {}
+        return self.distribution.decide_shares(now)
 
     def expire(self, now: float) -> None:
         """Removes outdated state; called once a second."""
--- a/src/chivedoor/steering/view.py
+++ b/src/chivedoor/steering/view.py
@@ -176,6 +176,7 @@
         self.endpoints: dict[ids.EndpointId, Endpoint] = {}
         self.domains_out: set[ids.DomainId] = set()
         self._lowest_priorities: dict[ids.ServiceId, int] = {}
+        self._goals_s: dict[ids.ServiceId, float] = {}
         # Routes that a configuration dropped, with the time.
         self._dropped_routes: dict[segments.RouteKey, float] = {}
         self._by_service: dict[ids.ServiceId, dict[ids.EndpointId, Endpoint]]
@@ -240,11 +241,16 @@
         self.routes = change.routes
         self.services = change.services
         self._lowest_priorities = _find_lowest_priorities(change.routes)
+        self._goals_s = _find_goals(change.routes)
 
     def get_lowest_priority(self, service: ids.ServiceId) -> int:
         """Returns the priority of the least important route of a service."""
         return self._lowest_priorities.get(service, 0)
 
+    def get_goal_s(self, service: ids.ServiceId) -> float:
+        """Returns the shortest goal of a service's routes; 0 without any."""
+        return self._goals_s.get(service, 0.0)
+
     def expire_removed(self, now: float) -> None:
         """Forgets removed endpoints and routes after their retention time."""
         oldest = now - const.REMOVED_ENDPOINT_RETENTION_S
@@ -370,6 +376,18 @@
     return lowest
 
 
+def _find_goals(
+    routes: Mapping[segments.RouteKey, Route],
+) -> dict[ids.ServiceId, float]:
+    goals_s: dict[ids.ServiceId, float] = {}
+    for route in routes.values():
+        for service, _ in route.weighted_services if route.goal_s else ():
+            goals_s[service] = min(
+                route.goal_s, goals_s.get(service, route.goal_s)
+            )
+    return goals_s
+
+
 @functools.singledispatch
 def _apply(change: object, view: View, now: float) -> bool:
     raise TypeError(type(change).__name__)
