steering: refuse new flows of a service whose endpoints are all full

Change: an endpoint is full if handshakes of several callers stayed unanswered, none sent later was answered, and it then showed that it is alive. If all usable warm endpoints of a service with max_connections are full, first copies of opening packets are refused with reason "full", except for one probe a second and one flow for each closed one. Answered handshakes and silent hosts end the state.

--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -192,3 +192,28 @@
 # Half-lives after which counts are rescaled. Floating-point numbers reach 1,023
 # powers of two.
 CALLER_LANDMARK_HALF_LIVES: Final = 500.0
+
+# Full endpoints.
+#
+# Callers with an unanswered handshake from which on an endpoint may be full.
+# One of them may itself be cut off.
+FULL_MIN_CALLERS: Final = 2
+# Unanswered handshakes that other balancers have to report to count as another
+# caller. A caller tries three balancers, so that it alone can account for two
+# beside the one that this balancer saw.
+FULL_MIN_REPORTED_HANDSHAKES: Final = 3
+# Time within which the handshakes were left unanswered, in seconds. The copies
+# of one handshake arrive within 1.4 s.
+FULL_WINDOW_S: Final = 1.5
+# An endpoint without a new unanswered handshake for this long, in seconds, does
+# not count as full any more. A probe a second shows in time that it still is.
+FULL_LIFETIME_S: Final = 2.0
+# Interval of the flows that a balancer places on full endpoints as probes, in
+# seconds.
+FULL_PROBE_INTERVAL_S: Final = 1.0
+# Time for which a sign of life of a full endpoint holds, in seconds: the
+# interval of checks (2 s), the check itself (0.4 s), and the tick.
+FULL_ALIVE_LIFETIME_S: Final = 3.0
+# Closed flows remembered for each endpoint, which bounds the memory. Each lets
+# one new flow through.
+FULL_MAX_CLOSED: Final = 16
--- a/src/chivedoor/steering/placement.py
+++ b/src/chivedoor/steering/placement.py
@@ -18,6 +18,7 @@
 from chivedoor.steering import const
 from chivedoor.steering import delays
 from chivedoor.steering import flows as flow_tables
+from chivedoor.steering import full_endpoints as full_endpoint_module
 from chivedoor.steering import overload
 from chivedoor.steering import reachability as reachability_module
 from chivedoor.steering import reports
@@ -39,6 +40,7 @@
         flows: flow_tables.FlowTable,
         suspicions: suspicion.Suspicions,
         reachability: reachability_module.Reachability,
+        full_endpoints: full_endpoint_module.FullEndpoints,
         restarts: restart_module.Restarts,
         warmup_budget: warmup.WarmupBudget,
         peer_loads: reports.PeerCounts,
@@ -51,6 +53,7 @@
         self._flows = flows
         self._suspicions = suspicions
         self._reachability = reachability
+        self._full_endpoints = full_endpoints
         self._restarts = restarts
         self._warmup_budget = warmup_budget
         self._peer_loads = peer_loads
@@ -86,7 +89,7 @@
                 store outage and return after it, and services must stay
                 available in the meantime.
             may_refuse: Whether the flow may be refused because the service is
-                congested.
+                congested or full.
 
         Returns:
             The endpoint, or the refusal if no endpoint may take the flow.
@@ -105,6 +108,10 @@
         others = [
             endpoint for endpoint in warm if endpoint.id != avoided
         ] or warm
+        if others and may_refuse and self._has_flow_limit(service):
+            others = self._full_endpoints.select(others, now)
+            if not others:
+                return verdicts.Refuse(reason=verdicts.RefusalReason.FULL)
         if others:
             probe = None if avoided else self._choose_probe(others, now)
             return probe or self._choose_warm(route, others, now, may_refuse)
@@ -151,6 +158,11 @@
             and self._restarts.may_have_restarted(endpoint)
         )
 
+    def _has_flow_limit(self, service: ids.ServiceId) -> bool:
+        """Returns whether the endpoints of a service hold limited flows."""
+        limits = self._view.services.get(service)
+        return limits is not None and limits.max_flows > 0
+
     def _choose_service(self, route: views.Route) -> ids.ServiceId:
         if len(route.weighted_services) == 1:
             return route.weighted_services[0][0]
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -13,6 +13,7 @@
 from chivedoor.steering import contacts as contact_module
 from chivedoor.steering import delays
 from chivedoor.steering import flows as flow_tables
+from chivedoor.steering import full_endpoints as full_endpoint_module
 from chivedoor.steering import observer as observers
 from chivedoor.steering import pauses
 from chivedoor.steering import placement
@@ -48,6 +49,7 @@
         suspicions: Endpoints that left handshakes unanswered.
         reachability: Endpoints that are unreachable.
         contacts: Checks of endpoints that seem unreachable.
+        full_endpoints: Endpoints that hold as many flows as they can.
         restarts: Endpoints that have probably restarted.
         pauses: Pauses of this process.
         absences: Flows whose endpoint is missing from the view.
@@ -85,6 +87,9 @@
         self.suspicions = suspicion.Suspicions()
         self.reachability = reachability.Reachability()
         self.contacts = contact_module.Contacts()
+        self.full_endpoints = full_endpoint_module.FullEndpoints(
+            reachability=self.reachability, contacts=self.contacts
+        )
         self.restarts = restarts.Restarts()
         self.pauses = pauses.Pauses()
         self.absences = absences.Absences()
@@ -103,6 +108,7 @@
             flows=self.flows,
             suspicions=self.suspicions,
             reachability=self.reachability,
+            full_endpoints=self.full_endpoints,
             restarts=self.restarts,
             warmup_budget=self.warmup_budget,
             peer_loads=self.peer_loads,
@@ -232,6 +238,7 @@
         known = self.view.find_known(endpoint.id)
         if known is None or known.address != endpoint.address:
             return
+        self.full_endpoints.record_contact(endpoint.id, result, now)
         if result is not contact_module.Contact.SILENT:
             return
         if self.reachability.detect_unreachable(endpoint.id, now):
@@ -275,6 +282,7 @@
         self.suspicions.expire(now)
         self.reachability.expire(now)
         self.contacts.expire(now)
+        self.full_endpoints.expire(now)
         self.absences.expire(now)
         self.restarts.expire(now, view_complete=self.is_view_complete(now))
         self.warmup_budget.expire(now)
@@ -389,6 +397,9 @@
                     segment.flow,
                     now,
                 )
+                self.full_endpoints.record_unanswered(
+                    endpoint.id, segment.flow, flow.opened_at, now
+                )
                 self._check_reachability(endpoint.id, now)
         return flow.endpoint_id
 
@@ -484,6 +495,7 @@
         endpoint: views.Endpoint,
         now: float,
     ) -> flow_tables.SegmentEffect:
+        self._record_place(segment, endpoint, now)
         if segment.kind is not segments.SegmentKind.ESTABLISHED:
             self.flows.finish_flow(segment, now)
             return flow_tables.SegmentEffect.NONE
@@ -491,6 +503,7 @@
         if effect in _PROGRESS_EFFECTS:
             self.reachability.record_progress(endpoint.id, now)
         if effect is flow_tables.SegmentEffect.PROGRESSED:
+            self.full_endpoints.record_progress(endpoint.id, now)
             flow = self.flows.get(segment.flow)
             if flow is not None:
                 self.restarts.record_progress(endpoint.id, flow.opened_at)
@@ -501,6 +514,26 @@
             self._observer.on_cleared(endpoint.id)
         return effect
 
+    def _record_place(
+        self,
+        segment: segments.Segment,
+        endpoint: views.Endpoint,
+        now: float,
+    ) -> None:
+        """Records that an endpoint had a place for a flow, or has one again.
+
+        The endpoint of the first packet may answer after a copy has been sent
+        to another one.
+        """
+        flow = self.flows.get(segment.flow)
+        if flow is None:
+            return
+        if flow.state is flow_tables.FlowState.OPENING:
+            if segment.kind is not segments.SegmentKind.ABORT:
+                self.full_endpoints.record_answered(endpoint.id, now)
+        elif segment.kind is not segments.SegmentKind.ESTABLISHED:
+            self.full_endpoints.record_closed(endpoint.id, now)
+
     def _should_abandon(
         self,
         effect: flow_tables.SegmentEffect,
--- a/src/chivedoor/steering/verdicts.py
+++ b/src/chivedoor/steering/verdicts.py
@@ -25,6 +25,8 @@
     NO_ROUTE = "no-route"
     NO_ENDPOINT = "no-endpoint"
     OVERLOADED = "overloaded"
+    # All endpoints of the service hold as many flows as they can.
+    FULL = "full"
     ENDPOINT_REMOVED = "endpoint-removed"
     ENDPOINT_UNREACHABLE = "endpoint-unreachable"
     ROUTE_REMOVED = "route-removed"
--- a/tests/steering/conftest.py
+++ b/tests/steering/conftest.py
@@ -86,6 +86,7 @@
     warmup_per_s: float = 8.0,
     routes: bool = True,
     idempotent: bool = False,
+    max_flows: int = 0,
 ) -> views.Configuration:
     """Returns a configuration with one service and one route to it."""
     route = views.Route(
@@ -94,7 +95,11 @@
     return views.Configuration(
         version=ids.Version(version),
         routes={ROUTE: route} if routes else {},
-        services={SERVICE: views.ServiceLimits(warmup_per_s=warmup_per_s)},
+        services={
+            SERVICE: views.ServiceLimits(
+                warmup_per_s=warmup_per_s, max_flows=max_flows
+            )
+        },
     )
 
 
