steering: keep full endpoints full after an expected answer

Cause: each answered handshake ended the state of a full endpoint, also that of the flow which was let through for a closed one. Until copies showed again that the endpoint was full, callers were left waiting.

Change: an answer on a place that this balancer knew to be free leaves the state as it is. An answer on any other place ends it at once.

--- a/src/chivedoor/steering/full_endpoints.py
+++ b/src/chivedoor/steering/full_endpoints.py
@@ -10,7 +10,9 @@
 handshakes of several callers stayed unanswered, none that was sent later was
 answered, and the endpoint then showed that it is alive: one of its open flows
 made progress, or its host answered a connection attempt (`contacts`). A slow
-endpoint answers handshakes at once and is never full.
+endpoint answers handshakes at once and is never full. An answered handshake
+shows that an endpoint is not full, unless it took the place of a flow that was
+closed through this balancer.
 """
 
 import collections
@@ -36,9 +38,18 @@
         full: Whether the endpoint was found to be full.
         closed: Times at which a flow of the endpoint was closed and its place
             was not taken again, as far as this balancer knows.
+        granted: Times at which a new flow was let through for such a place
+            whose handshake is not answered yet.
     """
 
-    __slots__ = ("alive_at", "closed", "full", "unanswered", "unanswered_at")
+    __slots__ = (
+        "alive_at",
+        "closed",
+        "full",
+        "granted",
+        "unanswered",
+        "unanswered_at",
+    )
 
     def __init__(self) -> None:
         self.unanswered: dict[segments.FlowId, float] = {}
@@ -48,6 +59,9 @@
         self.closed: collections.deque[float] = collections.deque(
             maxlen=const.FULL_MAX_CLOSED
         )
+        self.granted: collections.deque[float] = collections.deque(
+            maxlen=const.FULL_MAX_CLOSED
+        )
 
 
 class FullEndpoints:
@@ -96,11 +110,22 @@
         record.unanswered.pop(flow, None)
         record.unanswered[flow] = now
         record.unanswered_at = now
-        while record.closed and record.closed[0] <= opened_at:
-            record.closed.popleft()
+        for places in (record.closed, record.granted):
+            while places and places[0] <= opened_at:
+                places.popleft()
 
     def record_answered(self, endpoint_id: ids.EndpointId, now: float) -> None:
-        """Records that an endpoint answered a handshake: it is not full."""
+        """Records that an endpoint answered a handshake.
+
+        It is not full, unless the flow took a place that is known to have
+        become free.
+        """
+        record = self._records.get(endpoint_id)
+        if record is not None and record.full:
+            places = record.granted or record.closed
+            if places:
+                places.popleft()
+                return
         self._answered_at[endpoint_id] = now
         self._records.pop(endpoint_id, None)
 
@@ -172,6 +197,7 @@
         for endpoint in endpoints:
             if self._records[endpoint.id].closed:
                 self._records[endpoint.id].closed.popleft()
+                self._records[endpoint.id].granted.append(now)
                 return [endpoint]
         service = endpoints[0].service
         probed_at = self._probed_at.get(service, -math.inf)
