steering: overflow to domains with spare capacity until the shares have followed

Cause: with shares alone, a domain that becomes short sends its first flows away after 1 s and reaches its share after 3 s. Change: domains with reported spare capacity stay candidates, as all domains were before, and take flows that the local limits leave over.

--- a/src/chivedoor/steering/distribution.py
+++ b/src/chivedoor/steering/distribution.py
@@ -105,7 +105,8 @@
     ) -> dict[ids.ServiceId, dict[ids.DomainId, float]]:
         """Decides which shares of new flows leave the local domain.
 
-        Called on each heartbeat of a candidate for the reader.
+        Called on each heartbeat of a candidate for the reader. Domains with
+        spare capacity are listed even if their share is 0.
         """
         if self._reports is None:
             return {}
@@ -114,20 +115,24 @@
             return {}
         remote = self._reports.list_remote(now)
         shares = {
-            service: decided
+            service: dict.fromkeys(self._list_spare(service, remote, now), 0.0)
+            | self._decide_service(service, local, remote, now)
             for service in local.demand
-            if (decided := self._decide_service(service, local, remote, now))
         }
         self._spillover.retain(local.demand)
         return shares
 
-    def choose_domain(
+    def select_endpoints(
         self,
         service: ids.ServiceId,
         endpoints: Sequence[views.Endpoint],
         now: float,
-    ) -> Sequence[views.Endpoint]:
-        """Returns the endpoints of the domain that a new flow goes to.
+    ) -> tuple[Sequence[views.Endpoint], Sequence[views.Endpoint]]:
+        """Returns the endpoints of the domains that a new flow may go to.
+
+        A flow that is not sent to another domain by its share may still go to
+        one that has spare capacity, if the endpoints of the local domain are
+        loaded more. That covers the time until the shares have followed.
 
         Args:
             service: The service of the flow.
@@ -135,14 +140,15 @@
             now: The current time, in seconds.
 
         Returns:
-            The endpoints of one domain; all of them without a recent decision,
-            or if that domain has none.
+            The endpoints, all of them without a recent decision or if the
+            domains have none; and those of other domains among them that have
+            reported spare capacity.
         """
         if (
             self._reports is None
             or self._reports.get_domain(self._domain, now) is None
         ):
-            return endpoints
+            return endpoints, ()
         shares = self._reports.list_shares(service, now)
         present = {endpoint.domain for endpoint in endpoints}
         excluded = {
@@ -151,15 +157,22 @@
             if domain not in present
             or self._suspicions.is_domain_suspect(domain, now)
         }
-        if self._domain in excluded and not shares:
-            return endpoints
-        domain = domain_choice.choose_domain(
+        allowed = {self._domain, *shares} - excluded
+        chosen = domain_choice.choose_domain(
             local=self._domain,
             shares=shares,
-            draw=self._generator.random() if shares else 0.0,
+            draw=self._generator.random() if any(shares.values()) else 0.0,
             excluded=excluded,
         )
-        return [e for e in endpoints if e.domain == domain] or endpoints
+        if chosen != self._domain:
+            allowed = {chosen}
+        selected = [e for e in endpoints if e.domain in allowed]
+        if not selected:
+            return endpoints, ()
+        if self._domain in excluded:
+            # The whole demand of the local domain counts in the others.
+            return selected, ()
+        return selected, [e for e in selected if e.domain != self._domain]
 
     def explain(self, service: ids.ServiceId) -> spillover.Decision | None:
         """Returns the last decision of this balancer on a service."""
@@ -223,6 +236,24 @@
             self._observer.on_spillover(service, decision)
         return decided
 
+    def _list_spare(
+        self,
+        service: ids.ServiceId,
+        remote: Mapping[ids.DomainId, DomainReport],
+        now: float,
+    ) -> list[ids.DomainId]:
+        """Returns the other domains that have spare capacity.
+
+        A domain that reports no capacity has not served the service lately.
+        """
+        return [
+            domain
+            for domain, report in remote.items()
+            if domain not in self._view.domains_out
+            and not self._suspicions.is_domain_suspect(domain, now)
+            and _has_spare_capacity(report, service)
+        ]
+
     def _measure_capacity(
         self, service: ids.ServiceId, now: float
     ) -> demands.Capacity | None:
@@ -262,6 +293,14 @@
     )
 
 
+def _has_spare_capacity(report: DomainReport, service: ids.ServiceId) -> bool:
+    capacity = report.capacity.get(service)
+    demand_per_s = sum(report.demand.get(service, {}).values())
+    return capacity is None or demand_per_s < capacity.requests_per_s * (
+        1.0 - const.SPILLOVER_RESERVE
+    )
+
+
 def _compute_mean(values: Iterable[float]) -> float:
     listed = list(values)
     return sum(listed) / len(listed) if listed else 0.0
--- a/src/chivedoor/steering/placement.py
+++ b/src/chivedoor/steering/placement.py
@@ -35,8 +35,8 @@
     service: ids.ServiceId,
     endpoints: Sequence[views.Endpoint],
     now: float,
-) -> Sequence[views.Endpoint]:
-    return endpoints
+) -> tuple[Sequence[views.Endpoint], Sequence[views.Endpoint]]:
+    return endpoints, ()
 
 
 class Placement:
@@ -72,11 +72,11 @@
         self._delay_table = delay_table
         self._generator = generator
         self._congested_at: float | None = None
-        # Selects the endpoints of one domain; set after creation, because the
+        # Limits the domains of a flow; set after creation, because the
         # distribution uses this placement.
-        self.choose_domain: Callable[
+        self.select_endpoints: Callable[
             [ids.ServiceId, Sequence[views.Endpoint], float],
-            Sequence[views.Endpoint],
+            tuple[Sequence[views.Endpoint], Sequence[views.Endpoint]],
         ] = _keep_all
 
     def is_congested(self, now: float) -> bool:
@@ -212,7 +212,7 @@
         above_share: bool,
     ) -> views.Endpoint | verdicts.Refuse:
         served_domains = {endpoint.domain for endpoint in endpoints}
-        endpoints = self.choose_domain(service, endpoints, now)
+        endpoints, spare = self.select_endpoints(service, endpoints, now)
         estimate = delays.DelayEstimate(
             endpoints=endpoints, table=self._delay_table
         )
@@ -234,6 +234,8 @@
             )
             if decision is not None:
                 self._congested_at = now
+                if isinstance(decision, verdicts.Refuse) and spare:
+                    return self._choose_best(spare, estimate, now)
                 return decision
         if not estimate.is_congested:
             return self._choose_best(endpoints, estimate, now)
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -140,7 +140,7 @@
             generator=generator,
             observer=self._observer,
         )
-        self.placement.choose_domain = self.distribution.choose_domain
+        self.placement.select_endpoints = self.distribution.select_endpoints
         # Flows whose first opening packet was delivered, with the time of that
         # packet; oldest first.
         self._pending_handshakes: collections.deque[
