steering: estimate capacity only where limits are divided

Cause: each tick updated the estimates also in small domains, where nothing reads them. Change: only with members; tokens of removed endpoints are dropped.

--- a/src/chivedoor/steering/shortage.py
+++ b/src/chivedoor/steering/shortage.py
@@ -28,6 +28,7 @@
 from chivedoor import ids
 from chivedoor.steering import capacity
 from chivedoor.steering import const
+from chivedoor.steering import delays
 from chivedoor.steering import flows as flow_tables
 from chivedoor.steering import reports
 from chivedoor.steering import verdicts
@@ -90,7 +91,11 @@
 
 
 class Shortage:
-    """Decides on new flows of services that are short of capacity."""
+    """Decides on new flows of services that are short of capacity.
+
+    Attributes:
+        capacity: Service times of the endpoints.
+    """
 
     def __init__(
         self,
@@ -108,6 +113,7 @@
         self._flows = flows
         self._peer_loads = peer_loads
         self._generator = generator
+        # Without members, no decision is made and no capacity is estimated.
         self._members: Members | None = None
         self._waiting = False
         # Own tokens by endpoint, with the bounds that they were computed for.
@@ -123,6 +129,11 @@
             self._tokens.clear()
         self._members = members
 
+    def update_capacity(self, table: delays.DelayTable) -> None:
+        """Updates the capacity estimates; called once per tick."""
+        if self._members is not None:
+            self.capacity.update(table, self._view.endpoints)
+
     def set_waiting(self, waiting: bool) -> None:
         """Sets whether a request of this balancer takes long already."""
         self._waiting = waiting
@@ -240,6 +251,11 @@
             for service, until in self._short_until.items()
             if until > now
         }
+        self._tokens = {
+            endpoint_id: tokens
+            for endpoint_id, tokens in self._tokens.items()
+            if endpoint_id in self._view.endpoints
+        }
 
     def _choose_soonest(
         self,
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -311,7 +311,7 @@
                 for flow_id, flow in self.flows.iterate_working()
             )
         )
-        self.shortage.capacity.update(self.delay_table, self.view.endpoints)
+        self.shortage.update_capacity(self.delay_table)
 
     def list_capacity(
         self, now: float
