steering: no shortage while another domain has spare capacity; count load only for reports

Change: the shared limits apply only without reported spare capacity; nothing is counted unless load reports are sent.

--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -136,17 +136,18 @@
             list_candidates=self.peers.list_warmup_members,
         )
         self.steerer.distribution.set_reports(self.load_reports)
+        self._exchange = load_exchange.LoadExchange(
+            local=settings.vm,
+            domain=settings.domain,
+            domains=settings.domains,
+            host=settings.peer_host,
+            peers=self.peers,
+            reports=self.load_reports,
+            source=self.steerer,
+        )
         self._peer_protocol = peer_protocol.PeerProtocol(
             peers=self.peers,
-            exchange=load_exchange.LoadExchange(
-                local=settings.vm,
-                domain=settings.domain,
-                domains=settings.domains,
-                host=settings.peer_host,
-                peers=self.peers,
-                reports=self.load_reports,
-                source=self.steerer,
-            ),
+            exchange=self._exchange,
             port=settings.peer_port,
             make_heartbeat=self._make_heartbeat,
             on_heartbeat=self._apply_heartbeat,
@@ -305,6 +306,7 @@
             self.steerer.warmup_budget.set_members(
                 self.peers.list_warmup_members(now), self._settled_at
             )
+            self.steerer.counts_load = self._exchange.is_active()
             self.steerer.shortage.set_members(self._find_members(now))
             self.steerer.update_delays(now)
             self._report_congestion(now)
--- a/src/chivedoor/steering/full_endpoints.py
+++ b/src/chivedoor/steering/full_endpoints.py
@@ -168,6 +168,11 @@
             record.full and now - record.alive_at < const.FULL_ALIVE_LIFETIME_S
         )
 
+    @property
+    def has_records(self) -> bool:
+        """Whether an endpoint left a handshake unanswered lately."""
+        return bool(self._records)
+
     def select(
         self, endpoints: Sequence[views.Endpoint], now: float
     ) -> Sequence[views.Endpoint]:
--- a/src/chivedoor/steering/placement.py
+++ b/src/chivedoor/steering/placement.py
@@ -216,7 +216,8 @@
         estimate = delays.DelayEstimate(
             endpoints=endpoints, table=self._delay_table
         )
-        if self._shortage.may_apply(
+        # While another domain has spare capacity, the service is not short.
+        if not spare and self._shortage.may_apply(
             route=route,
             service=service,
             congested=estimate.is_congested,
@@ -234,8 +235,6 @@
             )
             if decision is not None:
                 self._congested_at = now
-                if isinstance(decision, verdicts.Refuse) and spare:
-                    return self._choose_best(spare, estimate, now)
                 return decision
         if not estimate.is_congested:
             return self._choose_best(endpoints, estimate, now)
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -62,6 +62,8 @@
         peer_loads: Requests in flight through other balancers.
         delay_table: Recent delays of requests by endpoint.
         shortage: Limits of services that are short of capacity.
+        counts_load: Whether demand and callers are counted; only load reports
+            and decisions based on them need that.
         demand: Rates of new flows, handshakes and payload.
         callers: Recent new flows by caller address.
         placement: Selects the endpoints of new flows.
@@ -115,6 +117,7 @@
             peer_loads=self.peer_loads,
             generator=generator,
         )
+        self.counts_load = True
         self.demand = demands.Demand()
         self.callers = callers.CallerTable(max_callers=const.MAX_CALLERS)
         self.placement = placement.Placement(
@@ -355,7 +358,7 @@
             return _DROPS[verdicts.DropReason.PAUSED]
         if self._is_copy_of_open_flow(segment, now):
             return _DROPS[verdicts.DropReason.REPEATED_OPENING]
-        if not segment.retransmissions:
+        if self.counts_load and not segment.retransmissions:
             self.demand.record_opening(route, now)
             self.callers.record(segment.flow[segments.CALLER_ADDRESS], now)
         unanswered = self._find_unanswered(segment, now)
@@ -384,7 +387,8 @@
         self.flows.open_flow(segment.flow, endpoint.id, now)
         if not segment.retransmissions:
             self._pending_handshakes.append((now, segment.flow))
-            self.demand.record_admitted(endpoint.service, now)
+            if self.counts_load:
+                self.demand.record_admitted(endpoint.service, now)
         return _deliver_opening(segment, endpoint)
 
     def _decide_unrouted_opening(
@@ -563,7 +567,10 @@
         endpoint: views.Endpoint,
         now: float,
     ) -> flow_tables.SegmentEffect:
-        self.demand.record_payload(endpoint.service, segment.payload_bytes, now)
+        if self.counts_load:
+            self.demand.record_payload(
+                endpoint.service, segment.payload_bytes, now
+            )
         self._record_place(segment, endpoint, now)
         if segment.kind is not segments.SegmentKind.ESTABLISHED:
             self.flows.finish_flow(segment, now)
@@ -577,7 +584,11 @@
             if flow is not None:
                 self.restarts.record_progress(endpoint.id, flow.opened_at)
         opened = effect is flow_tables.SegmentEffect.OPENED
-        if opened and (flow := self.flows.get(segment.flow)) is not None:
+        if (
+            opened
+            and self.counts_load
+            and (flow := self.flows.get(segment.flow)) is not None
+        ):
             self.demand.record_handshake(
                 endpoint.domain, now - flow.opened_at, now
             )
@@ -598,6 +609,8 @@
         The endpoint of the first packet may answer after a copy has been sent
         to another one.
         """
+        if not self.full_endpoints.has_records:
+            return
         flow = self.flows.get(segment.flow)
         if flow is None:
             return
