--- a/src/chivedoor/steering/flows.py
+++ b/src/chivedoor/steering/flows.py
@@ -125,9 +125,9 @@
             if count
         }
 
-    def count_active(self) -> int:
-        """Returns the number of flows with a request or handshake in flight."""
-        return len(self._active)
+    def iterate_active(self) -> Iterator[tuple[segments.FlowId, Flow]]:
+        """Returns the flows with a request or a handshake in flight."""
+        return iter(self._active.items())
 
     def iterate_working(self) -> Iterator[tuple[segments.FlowId, Flow]]:
         """Returns the flows with a request in flight."""
