--- /dev/null
+++ b/tests/steering/test_distribution.py
@@ -0,0 +1,323 @@
+"""Tests of the distribution of new flows to failure domains."""
+
+import collections
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import random
+
+import pytest
+
+from chivedoor import ids
+from chivedoor.steering import demand as demands
+from chivedoor.steering import observer as observers
+from chivedoor.steering import spillover
+from chivedoor.steering import steerer as steerers
+from chivedoor.steering import view as views
+from tests.steering import conftest
+
+A, B, C = DOMAINS = [ids.DomainId(name) for name in "abc"]
+SERVICE = conftest.SERVICE
+GOAL_S = 0.5
+SERVICE_S = 0.1
+ENDPOINTS = [
+    conftest.make_endpoint(number, domain=DOMAINS[number % 3], slots=5)
+    for number in range(6)
+]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Report:
+    """Report of a domain."""
+
+    demand: Mapping[ids.ServiceId, Mapping[int, float]]
+    capacity: Mapping[ids.ServiceId, demands.Capacity]
+    handshakes: Mapping[ids.DomainId, demands.Handshakes] = dataclasses.field(
+        default_factory=lambda: {
+            A: demands.Handshakes(number=10.0, duration_s=0.004),
+            B: demands.Handshakes(number=10.0, duration_s=0.03),
+        }
+    )
+    transfers: Mapping[ids.ServiceId, demands.Transfer] = dataclasses.field(
+        default_factory=lambda: {
+            SERVICE: demands.Transfer(flows=10.0, payload_bytes=5_000.0)
+        }
+    )
+
+
+def make_report(
+    demand_per_s: float, capacity_per_s: float = 100.0, in_flight: float = 5.0
+) -> Report:
+    """Returns a report with two priorities and one service."""
+    return Report(
+        demand={SERVICE: {1: demand_per_s / 2, 2: demand_per_s / 2}},
+        capacity={
+            SERVICE: demands.Capacity(
+                requests_per_s=capacity_per_s, in_flight=in_flight
+            )
+        }
+        if capacity_per_s
+        else {},
+    )
+
+
+SHORT = make_report(200.0, in_flight=40.0)
+FREE = make_report(20.0)
+
+
+class Reports:
+    """Table of reports that do not expire."""
+
+    def __init__(self) -> None:
+        self.domains: dict[ids.DomainId, Report] = {A: SHORT, B: FREE, C: FREE}
+        self.shares: dict[ids.DomainId, float] = {}
+
+    def get_domain(self, domain: ids.DomainId, now: float) -> Report | None:
+        """Returns the report of a domain."""
+        return self.domains.get(domain)
+
+    def list_remote(self, now: float) -> dict[ids.DomainId, Report]:
+        """Returns the reports of the other domains."""
+        return {d: r for d, r in self.domains.items() if d != A}
+
+    def list_shares(
+        self, service: ids.ServiceId, now: float
+    ) -> dict[ids.DomainId, float]:
+        """Returns the shares of new flows that leave."""
+        return self.shares
+
+
+class Observer(observers.NullObserver):
+    """Keeps the decisions that are logged."""
+
+    def __init__(self) -> None:
+        self.decisions: list[spillover.Decision] = []
+
+    def on_spillover(
+        self, service: ids.ServiceId, decision: spillover.Decision
+    ) -> None:
+        """Keeps a decision."""
+        self.decisions.append(decision)
+
+
+class Balancer:
+    """A reader candidate of domain a."""
+
+    def __init__(self, endpoints: Sequence[views.Endpoint] = ENDPOINTS) -> None:
+        self.observer = Observer()
+        self.reports = Reports()
+        self.now = 0.0
+        self.steerer = steerers.Steerer(
+            local=ids.VmId("vm-1"),
+            domain=A,
+            domains=DOMAINS,
+            generator=random.Random(1),
+            observer=self.observer,
+        )
+        route = views.Route(
+            name="r",
+            weighted_services=((SERVICE, 1.0),),
+            idempotent=True,
+            goal_s=GOAL_S,
+        )
+        configuration = views.Configuration(
+            version=ids.Version(1),
+            routes={conftest.ROUTE: route},
+            services={SERVICE: views.ServiceLimits(warmup_per_s=8.0)},
+        )
+        self.steerer.view.apply(configuration, 0.0)
+        for endpoint in endpoints:
+            self.steerer.view.apply(
+                views.ListedEndpoint(endpoint=endpoint), 0.0
+            )
+        self.distribution = self.steerer.distribution
+        self.distribution.set_reports(self.reports)
+
+    def complete_requests(self) -> None:
+        """Lets each endpoint complete ten requests."""
+        for endpoint in self.steerer.view.endpoints.values():
+            for _ in range(10):
+                self.steerer.delay_table.record(
+                    endpoint.id, delay_s=SERVICE_S, goal_s=GOAL_S, load=0.5
+                )
+        self.steerer.update_delays(self.now)
+
+    def decide(self, count: int = 1) -> dict[ids.DomainId, float]:
+        """Returns the shares after a number of decisions."""
+        for _ in range(count):
+            self.now += 0.5
+            shares = self.distribution.decide_shares(self.now)
+        return shares.get(SERVICE, {})
+
+    def take_out(self, domain: ids.DomainId) -> None:
+        """Takes a domain out of service."""
+        self.steerer.view.apply(
+            views.DomainState(domain=domain, out=True), self.now
+        )
+
+    def suspect(self, domain: ids.DomainId) -> None:
+        """Makes a domain suspect."""
+        for endpoint in self.steerer.view.endpoints.values():
+            if endpoint.domain == domain:
+                self.steerer.suspicions.record_unanswered(
+                    endpoint.id, domain, self.now
+                )
+
+    def choose_domains(self) -> set[ids.DomainId]:
+        """Returns the domains whose endpoints a new flow may go to."""
+        chosen = self.distribution.choose_domain(
+            SERVICE, self.steerer.view.get_endpoints(SERVICE), self.now
+        )
+        return {endpoint.domain for endpoint in chosen}
+
+    def count_domains(self, flows: int = 1_000) -> dict[ids.DomainId, int]:
+        """Returns how many new flows each domain gets."""
+        return collections.Counter(
+            domain for _ in range(flows) for domain in self.choose_domains()
+        )
+
+
+@pytest.fixture
+def balancer() -> Balancer:
+    """Candidate of a domain that is short while two others are not."""
+    balancer = Balancer()
+    balancer.complete_requests()
+    return balancer
+
+
+def test_shares_are_applied_in_proportion(balancer: Balancer) -> None:
+    """Guards against more flows than the receiving domain can take."""
+    balancer.reports.shares = {B: 0.3, C: 0.1}
+    counts = balancer.count_domains(10_000)
+    assert counts[A] == pytest.approx(6_000, abs=200)
+    assert counts[B] == pytest.approx(3_000, abs=200)
+    assert counts[C] == pytest.approx(1_000, abs=120)
+
+
+def test_flows_stay_local_without_shares(balancer: Balancer) -> None:
+    """Guards against traffic on links that cost money."""
+    assert balancer.count_domains().keys() == {A}
+
+
+def test_flows_leave_a_domain_without_endpoints(balancer: Balancer) -> None:
+    """Guards against refusals while other domains have endpoints."""
+    balancer.reports.shares = {B: 0.75, C: 0.25}
+    for endpoint in ENDPOINTS[::3]:
+        balancer.steerer.view.apply(
+            views.RemovedEndpoint(endpoint_id=endpoint.id), 0.0
+        )
+    counts = balancer.count_domains()
+    assert counts.keys() == {B, C}
+    assert counts[B] == pytest.approx(750, abs=60)
+
+
+def test_all_endpoints_are_compared_without_a_report(
+    balancer: Balancer,
+) -> None:
+    """Guards against a changed placement when reports stop."""
+    del balancer.reports.domains[A]
+    balancer.reports.shares = {B: 0.5}
+    assert balancer.choose_domains() == {A, B, C}
+    assert not balancer.decide()
+
+
+def test_all_endpoints_are_compared_before_the_first_report() -> None:
+    """Guards against a changed placement where no reports are sent."""
+    distribution = steerers.Steerer(
+        local=ids.VmId("vm-1"), domain=A, generator=random.Random(1)
+    ).distribution
+    assert distribution.choose_domain(SERVICE, ENDPOINTS, 0.0) is ENDPOINTS
+    assert not distribution.decide_shares(0.0)
+
+
+def test_share_of_a_domain_that_lost_its_endpoints_stays_local(
+    balancer: Balancer,
+) -> None:
+    """Guards against failures when the view changes after the decision."""
+    balancer.reports.shares = {B: 0.9, ids.DomainId("unknown"): 0.1}
+    for endpoint in ENDPOINTS[1::3]:
+        balancer.steerer.view.apply(
+            views.RemovedEndpoint(endpoint_id=endpoint.id), 0.0
+        )
+    assert balancer.count_domains().keys() == {A}
+
+
+def test_suspect_domain_gets_no_flows(balancer: Balancer) -> None:
+    """Guards against flows into a partition until the next decision."""
+    balancer.reports.shares = {B: 0.9}
+    balancer.suspect(B)
+    assert balancer.count_domains().keys() == {A}
+
+
+def test_excess_leaves_for_the_other_domains(balancer: Balancer) -> None:
+    """Guards against queues in one domain while others have capacity."""
+    shares = balancer.decide(20)
+    assert shares[B] == pytest.approx(shares[C], rel=0.1)
+    assert 0.2 < sum(shares.values()) <= 0.5
+
+
+def test_domain_taken_out_gets_no_share(balancer: Balancer) -> None:
+    """Guards against flows to a domain that an operator took out."""
+    assert B in balancer.decide(20)
+    balancer.take_out(B)
+    assert balancer.decide().keys() == {C}
+
+
+def test_suspect_domain_gets_no_share(balancer: Balancer) -> None:
+    """Guards against a share for a domain that is not reached."""
+    assert B in balancer.decide(20)
+    balancer.suspect(B)
+    assert balancer.decide().keys() == {C}
+
+
+def test_silent_domain_gets_no_share(balancer: Balancer) -> None:
+    """Guards against a share for a domain whose reports stop."""
+    assert B in balancer.decide(20)
+    del balancer.reports.domains[B]
+    assert balancer.decide().keys() == {C}
+
+
+def test_all_flows_leave_when_the_local_domain_is_out(
+    balancer: Balancer,
+) -> None:
+    """Guards against refusals of the callers of a domain that is out."""
+    balancer.take_out(A)
+    assert sum(balancer.decide().values()) == pytest.approx(1.0)
+
+
+def test_nothing_leaves_while_the_local_capacity_is_unknown() -> None:
+    """Guards against flows that leave an idle domain for lack of a report."""
+    balancer = Balancer()
+    balancer.reports.domains[A] = make_report(200.0, capacity_per_s=0.0)
+    assert not balancer.distribution.list_capacity(0.0)
+    assert not balancer.decide()
+
+
+def test_capacity_covers_warm_and_usable_endpoints() -> None:
+    """Guards against a reported capacity that takes no flow."""
+    cold = conftest.make_endpoint(9, cold_until=5.0)
+    draining = conftest.make_endpoint(12, draining=True)
+    balancer = Balancer([*ENDPOINTS, cold, draining])
+    balancer.complete_requests()
+    capacity = balancer.distribution.list_capacity(0.0)[SERVICE]
+    assert capacity.requests_per_s == pytest.approx(0.8 * 10 / SERVICE_S)
+    assert capacity.in_flight == 0.0
+
+
+def test_steady_decisions_are_logged_once(balancer: Balancer) -> None:
+    """Guards against log lines with each heartbeat."""
+    balancer.decide(40)
+    logged = len(balancer.observer.decisions)
+    balancer.decide(20)
+    assert 0 < logged < 10
+    assert len(balancer.observer.decisions) == logged
+
+
+def test_end_of_a_shortage_is_logged(balancer: Balancer) -> None:
+    """Guards against a log that shows flows leaving after they stopped."""
+    balancer.decide(5)
+    balancer.reports.domains[A] = FREE
+    balancer.decide()
+    last = balancer.observer.decisions[-1]
+    assert last.reason is spillover.Reason.LOCAL_HAS_CAPACITY
+    assert not last.get_shares()
