steering: drop the tokens of ended endpoints

Cause: tokens were kept for each endpoint id ever divided, and those of an endpoint that restarted under its id with other slots were not recomputed. Change: Shortage.expire drops endpoints that are not listed; slots are part of the key.

--- a/src/chivedoor/steering/shortage.py
+++ b/src/chivedoor/steering/shortage.py
@@ -110,9 +110,10 @@
         self._generator = generator
         self._members: Members | None = None
         self._waiting = False
-        # Own tokens by endpoint, with the bounds that they were computed for.
+        # Own tokens by endpoint, with the slots and bounds that they were
+        # computed for.
         self._tokens: dict[
-            ids.EndpointId, tuple[tuple[float, float], tuple[int, ...]]
+            ids.EndpointId, tuple[tuple[int, float, float], tuple[int, ...]]
         ] = {}
         # Time until which a service counts as short.
         self._short_until: dict[ids.ServiceId, float] = {}
@@ -234,12 +235,21 @@
         )
 
     def expire(self, now: float) -> None:
-        """Removes services that are no longer short."""
+        """Removes services that are not short and endpoints that ended."""
         self._short_until = {
             service: until
             for service, until in self._short_until.items()
             if until > now
         }
+        self._tokens = {
+            endpoint_id: tokens
+            for endpoint_id, tokens in self._tokens.items()
+            if endpoint_id in self._view.endpoints
+        }
+
+    def count_divided(self) -> int:
+        """Returns the number of endpoints whose limits are kept divided."""
+        return len(self._tokens)
 
     def _choose_soonest(
         self,
@@ -279,9 +289,7 @@
         return {
             e.id: sum(
                 number + 0.5 < limits[e.id]
-                for number in self._get_tokens(
-                    e, (parts[e.domain].start, parts[e.domain].end)
-                )
+                for number in self._get_tokens(e, parts[e.domain])
             )
             for e in candidates
         }
@@ -315,18 +323,20 @@
         }
 
     def _get_tokens(
-        self, endpoint: views.Endpoint, bounds: tuple[float, float]
+        self, endpoint: views.Endpoint, part: "_Part"
     ) -> tuple[int, ...]:
+        # An endpoint may restart under its id with other slots.
+        basis = (endpoint.slots, part.start, part.end)
         known = self._tokens.get(endpoint.id)
-        if known is not None and known[0] == bounds:
+        if known is not None and known[0] == basis:
             return known[1]
         tokens = list_own_tokens(
             endpoint.id,
             tokens=round(endpoint.slots * const.MAX_REQUESTS_PER_SLOT),
-            start=bounds[0],
-            end=bounds[1],
+            start=part.start,
+            end=part.end,
         )
-        self._tokens[endpoint.id] = bounds, tokens
+        self._tokens[endpoint.id] = basis, tokens
         return tokens
 
     def _count_in_flight(self, endpoint: views.Endpoint) -> int:
--- a/tests/steering/test_shortage.py
+++ b/tests/steering/test_shortage.py
@@ -374,3 +374,32 @@
     open_flows(balancer, 1)
     assert balancer.shortage.has_short_service(0.0)
     assert not balancer.shortage.has_short_service(const.SHORTAGE_LIFETIME_S)
+
+
+def test_tokens_of_ended_endpoints_are_dropped() -> None:
+    """Guards against state that grows with each endpoint that ends."""
+    endpoints = [conftest.make_endpoint(n, slots=2) for n in range(1, 21)]
+    balancer = make_balancer(A, 0, {A: 9}, endpoints)
+    report_full(balancer, endpoints)
+    open_flows(balancer, 1)
+    assert balancer.shortage.count_divided() == 20
+    for endpoint in endpoints[1:]:
+        balancer.view.apply(views.RemovedEndpoint(endpoint_id=endpoint.id), 0.0)
+    balancer.expire(1.0)
+    assert balancer.shortage.count_divided() == 1
+
+
+def test_restart_with_more_slots_has_more_tokens() -> None:
+    """Guards against a limit of the former process of an endpoint."""
+    admitted = []
+    for before in (2, 8):
+        balancer = make_balancer(
+            A, 0, {A: 1}, [conftest.make_endpoint(1, slots=before)]
+        )
+        report_full(balancer, [conftest.make_endpoint(1, slots=before)])
+        open_flows(balancer, 1)
+        restarted = conftest.make_endpoint(1, slots=8, incarnation=2)
+        balancer.view.apply(views.ListedEndpoint(endpoint=restarted), 0.0)
+        report_full(balancer, [restarted])
+        admitted.append(open_flows(balancer, 40))
+    assert admitted[0] == admitted[1]
