steering: use other domains if no local endpoint can be relied on

Cause: a domain whose only endpoint was suspect, or that was suspect together with all domains with a share, got all of its flows. A service without a goal, for which no share is decided, never left its domain. Shares that changed in steps below SHARE_LOG_STEP were not logged. Slots of draining and cold endpoints made the queue of another domain look shorter. Change: choose_domain returns all endpoints in these cases; decisions are compared with the last one that was logged; slots are those of the endpoints that the reported capacity covers.

--- a/src/chivedoor/steering/distribution.py
+++ b/src/chivedoor/steering/distribution.py
@@ -81,6 +81,8 @@
         self._observer = observer
         self._spillover = spillover.Spillover(domain=domain)
         self._reports: DomainReports | None = None
+        # Decisions by service that the observer received last.
+        self._logged: dict[ids.ServiceId, spillover.Decision] = {}
 
     def set_reports(self, reports: DomainReports) -> None:
         """Sets the source of the reports."""
@@ -119,6 +121,11 @@
             if (decided := self._decide_service(service, local, remote, now))
         }
         self._spillover.retain(local.demand)
+        self._logged = {
+            service: decision
+            for service, decision in self._logged.items()
+            if service in local.demand
+        }
         return shares
 
     def choose_domain(
@@ -135,31 +142,30 @@
             now: The current time, in seconds.
 
         Returns:
-            The endpoints of one domain; all of them without a recent decision,
-            or if that domain has none.
+            The endpoints of one domain; all of them without a recent decision
+            or a goal, or if no endpoint of that domain can be relied on.
         """
         if (
             self._reports is None
+            or not self._view.get_goal_s(service)
             or self._reports.get_domain(self._domain, now) is None
         ):
             return endpoints
         shares = self._reports.list_shares(service, now)
-        present = {endpoint.domain for endpoint in endpoints}
         excluded = {
             domain
             for domain in (self._domain, *shares)
-            if domain not in present
-            or self._suspicions.is_domain_suspect(domain, now)
+            if not self._has_reliable_endpoint(domain, endpoints, now)
         }
-        if self._domain in excluded and not shares:
-            return endpoints
         domain = domain_choice.choose_domain(
             local=self._domain,
             shares=shares,
             draw=self._generator.random() if shares else 0.0,
             excluded=excluded,
         )
-        return [e for e in endpoints if e.domain == domain] or endpoints
+        if domain in excluded:
+            return endpoints
+        return [e for e in endpoints if e.domain == domain]
 
     def explain(self, service: ids.ServiceId) -> spillover.Decision | None:
         """Returns the last decision of this balancer on a service."""
@@ -172,7 +178,7 @@
         remote: Mapping[ids.DomainId, DomainReport],
         now: float,
     ) -> dict[ids.DomainId, float]:
-        usable = self._list_local(service, now)
+        usable = self._list_usable(service, self._domain, now)
         known = local.capacity.get(service)
         if usable and known is None:
             return {}
@@ -182,7 +188,6 @@
             ).values()
         )
         transfer = local.transfers.get(service)
-        former = self._spillover.explain(service)
         decided = self._spillover.decide(
             service=service,
             local=_make_load(local, service, known if usable else None, usable),
@@ -193,11 +198,7 @@
                     report.capacity.get(service)
                     if domain not in self._view.domains_out
                     else None,
-                    [
-                        e
-                        for e in self._view.get_endpoints(service)
-                        if e.domain == domain
-                    ],
+                    self._list_usable(service, domain, now),
                 )
                 for domain, report in remote.items()
                 if not self._suspicions.is_domain_suspect(domain, now)
@@ -214,19 +215,46 @@
             else 0.0,
             now=now,
         )
+        self._report_change(service)
+        return decided
+
+    def _report_change(self, service: ids.ServiceId) -> None:
+        """Passes the last decision to the observer if it differs by enough.
+
+        It is compared with the last one that was passed, since shares change in
+        steps that are too small each.
+        """
         decision = self._spillover.explain(service)
+        former = self._logged.get(service)
         if decision is not None and (
             former is None
             or decision.reason is not former.reason
             or _has_moved(decision.get_shares(), former.get_shares())
         ):
+            self._logged[service] = decision
             self._observer.on_spillover(service, decision)
-        return decided
+
+    def _has_reliable_endpoint(
+        self,
+        domain: ids.DomainId,
+        endpoints: Iterable[views.Endpoint],
+        now: float,
+    ) -> bool:
+        """Returns whether a domain has an endpoint that is not suspected.
+
+        A domain becomes suspect with two suspected endpoints only, so that one
+        with a single endpoint never does.
+        """
+        return not self._suspicions.is_domain_suspect(domain, now) and any(
+            endpoint.domain == domain
+            and not self._suspicions.get_penalty(endpoint.id, domain, now)
+            for endpoint in endpoints
+        )
 
     def _measure_capacity(
         self, service: ids.ServiceId, now: float
     ) -> demands.Capacity | None:
-        usable = self._list_local(service, now)
+        usable = self._list_usable(service, self._domain, now)
         service_s = capacities.estimate_service_times(usable, self._capacity)
         if not usable or not all(service_s.values()):
             return None
@@ -236,13 +264,14 @@
             in_flight=float(sum(map(self._placement.count_in_flight, usable))),
         )
 
-    def _list_local(
-        self, service: ids.ServiceId, now: float
+    def _list_usable(
+        self, service: ids.ServiceId, domain: ids.DomainId, now: float
     ) -> list[views.Endpoint]:
+        """Returns the warm endpoints of a domain that take new flows."""
         return [
             endpoint
             for endpoint in self._view.get_endpoints(service)
-            if endpoint.domain == self._domain
+            if endpoint.domain == domain
             and endpoint.cold_until <= now
             and self._placement.is_usable(endpoint)
         ]
--- a/tests/steering/test_distribution.py
+++ b/tests/steering/test_distribution.py
@@ -9,6 +9,7 @@
 import pytest
 
 from chivedoor import ids
+from chivedoor.steering import const
 from chivedoor.steering import demand as demands
 from chivedoor.steering import observer as observers
 from chivedoor.steering import spillover
@@ -103,7 +104,12 @@
 class Balancer:
     """A reader candidate of domain a."""
 
-    def __init__(self, endpoints: Sequence[views.Endpoint] = ENDPOINTS) -> None:
+    def __init__(
+        self,
+        endpoints: Sequence[views.Endpoint] = ENDPOINTS,
+        *,
+        goal_s: float = GOAL_S,
+    ) -> None:
         self.observer = Observer()
         self.reports = Reports()
         self.now = 0.0
@@ -118,7 +124,7 @@
             name="r",
             weighted_services=((SERVICE, 1.0),),
             idempotent=True,
-            goal_s=GOAL_S,
+            goal_s=goal_s,
         )
         configuration = views.Configuration(
             version=ids.Version(1),
@@ -321,3 +327,71 @@
     last = balancer.observer.decisions[-1]
     assert last.reason is spillover.Reason.LOCAL_HAS_CAPACITY
     assert not last.get_shares()
+
+
+def test_suspect_local_domain_leaves_all_others(balancer: Balancer) -> None:
+    """Guards against flows to a dead domain because of its last shares.
+
+    The share names domain b only, which is suspect as well. Domain c works.
+    """
+    balancer.reports.shares = {B: 0.1}
+    balancer.suspect(A)
+    balancer.suspect(B)
+    assert C in balancer.choose_domains()
+
+
+def test_only_local_endpoint_that_is_suspect_is_left() -> None:
+    """Guards against a domain that sends all flows to one dead endpoint.
+
+    A domain with one endpoint never becomes suspect.
+    """
+    balancer = Balancer(ENDPOINTS[:3])
+    assert balancer.choose_domains() == {A}
+    balancer.suspect(A)
+    assert balancer.choose_domains() == {A, B, C}
+
+
+def test_service_without_goal_is_placed_as_before() -> None:
+    """Guards against an overloaded domain from which no flow may leave.
+
+    Without a goal, no share is decided.
+    """
+    balancer = Balancer(goal_s=0.0)
+    assert not balancer.decide()
+    assert balancer.choose_domains() == {A, B, C}
+
+
+def test_slow_change_of_a_share_is_logged(balancer: Balancer) -> None:
+    """Guards against a log that shows the first step of a share only.
+
+    A share of a fifth is reached in steps of less than `SHARE_LOG_STEP`.
+    """
+    balancer.reports.domains = {
+        A: make_report(125.0, in_flight=5.0),
+        B: make_report(10.0),
+    }
+    shares = balancer.decide(30)
+    assert shares[B] > 3 * const.SHARE_LOG_STEP
+    logged = balancer.observer.decisions[-1].get_shares()
+    assert logged[B] == pytest.approx(shares[B], abs=const.SHARE_LOG_STEP)
+
+
+def test_queue_in_another_domain_is_that_of_its_usable_endpoints(
+    balancer: Balancer,
+) -> None:
+    """Guards against a queue that seems shorter by endpoints that drain.
+
+    The reported capacity and requests in flight do not include them.
+    """
+    balancer.reports.domains = {A: SHORT, B: make_report(20.0, in_flight=40.0)}
+    before = balancer.decide(20)[B]
+    for number in (100, 103, 106, 109):
+        balancer.steerer.view.apply(
+            views.ListedEndpoint(
+                endpoint=conftest.make_endpoint(
+                    number, domain=B, slots=5, draining=True
+                )
+            ),
+            0.0,
+        )
+    assert balancer.decide(20)[B] == pytest.approx(before, abs=0.01)
