edge: log and count the cause of refusals, shortages and load reports

A refusal line named neither the route nor its priority, so an operator could not tell whether a service was short or one caller asked for too much. Shares that leave the domain and messages with load reports were not visible at all, and a sum that does not fit into a datagram was lost silently.

Refusals of new flows now carry route, service, priority, the state of the service and whether the caller is above its share. New: the lines shortage-begun and shortage-ended, counters of refusals by reason and priority, of flows placed in other domains and of load reports, and gauges of the shares. /state shows the last report of each domain, the shares and the short services.

--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import dataclasses
 import http
 import importlib
 import json
@@ -93,6 +94,7 @@
         self.forwarder = forwarders.Forwarder(
             address=settings.packets.host,
             port=settings.packets.port,
+            domain=settings.domain,
             steerer=self.steerer,
             log=log,
             metrics=self.metrics,
@@ -152,6 +154,9 @@
             on_heartbeat=self._apply_heartbeat,
             get_seeds=lambda: [seed.host for seed in self._settings.seeds],
             is_congested=lambda: self.steerer.placement.is_congested(clock()),
+            count_report=lambda transmission: self.metrics.count(
+                metrics_module.Counter.LOAD_REPORTS, transmission.value
+            ),
             clock=clock,
         )
         self._relay = relay.Relay(
@@ -256,6 +261,7 @@
 
     def dump_state(self) -> dict[str, object]:
         """Returns the state for the state page, as JSON-compatible values."""
+        now = self._clock()
         return {
             "vm": self._settings.vm,
             "domain": self._settings.domain,
@@ -269,7 +275,38 @@
             "log": self._log.dump_state(),
             "source_calls": self._store.calls,
             "reading": self._coordinator.mode.value,
-            "peers": [peer.vm for peer in self.peers.list_live(self._clock())],
+            "peers": [peer.vm for peer in self.peers.list_live(now)],
+            "load_reports": {
+                domain: dataclasses.asdict(report)
+                for domain, report in self.load_reports.list_domains(
+                    now
+                ).items()
+            },
+            "shares": self._dump_shares(now),
+            "short_services": self.steerer.shortage.list_short(now),
+        }
+
+    def _dump_shares(self, now: float) -> dict[ids.ServiceId, object]:
+        """Returns the shares that leave the domain.
+
+        Only candidates for the reader know the reasons.
+        """
+        shares = self.load_reports.list_all_shares(now)
+        oldest = now - steering_const.LOAD_REPORT_LIFETIME_S
+        decisions = {
+            service: decision
+            for service in self.steerer.view.services
+            if (decision := self.steerer.distribution.explain(service))
+            and decision.decided_at >= oldest
+        }
+        return {
+            service: {
+                "shares": dict(shares.get(service, {})),
+                "reason": decisions[service].reason.value
+                if service in decisions
+                else None,
+            }
+            for service in sorted(shares.keys() | decisions.keys())
         }
 
     async def _async_open_internal_servers(self) -> None:
@@ -592,7 +629,11 @@
         return web.Response(
             status=http.HTTPStatus.OK,
             content_type=web.ContentType.METRICS,
-            body=exposition.format_metrics(self.metrics, gauges),
+            body=exposition.format_metrics(
+                self.metrics,
+                gauges,
+                self.load_reports.list_all_shares(self._clock()),
+            ),
         )
 
 
--- a/src/chivedoor/edge/exposition.py
+++ b/src/chivedoor/edge/exposition.py
@@ -12,6 +12,7 @@
 from prometheus_client import core
 from prometheus_client import registry
 
+from chivedoor import ids
 from chivedoor.edge import metrics as metrics_module
 
 _PREFIX = "chivedoor_"
@@ -23,9 +24,11 @@
         *,
         metrics: metrics_module.Metrics,
         gauges: Mapping[metrics_module.Gauge, float],
+        shares: Mapping[ids.ServiceId, Mapping[ids.DomainId, float]],
     ) -> None:
         self._metrics = metrics
         self._gauges = gauges
+        self._shares = shares
 
     def collect(self) -> Iterator[core.Metric]:
         counters = sorted(
@@ -45,6 +48,16 @@
                 gauge.value.replace("_", " "),
                 value=value,
             )
+        name = metrics_module.Gauge.SHARE_LEAVING_DOMAIN.value
+        family = core.GaugeMetricFamily(
+            _PREFIX + name,
+            name.replace("_", " "),
+            labels=["service", "destination"],
+        )
+        for service, shares in self._shares.items():
+            for destination, share in shares.items():
+                family.add_metric([service, destination], share)
+        yield family
         for timing, histogram in self._metrics.histograms.items():
             family = core.HistogramMetricFamily(
                 f"{_PREFIX}{timing.value}_seconds",
@@ -59,8 +72,18 @@
 def format_metrics(
     metrics: metrics_module.Metrics,
     gauges: Mapping[metrics_module.Gauge, float],
+    shares: Mapping[ids.ServiceId, Mapping[ids.DomainId, float]],
 ) -> bytes:
-    """Returns all metrics in the Prometheus text format."""
+    """Returns all metrics in the Prometheus text format.
+
+    Args:
+        metrics: Counters and histograms.
+        gauges: Values without labels.
+        shares: Shares of new flows that leave the domain, from 0 to 1, by
+            service and destination.
+    """
     collected = prometheus_client.CollectorRegistry()
-    collected.register(_Collector(metrics=metrics, gauges=gauges))
+    collected.register(
+        _Collector(metrics=metrics, gauges=gauges, shares=shares)
+    )
     return prometheus_client.generate_latest(collected)
--- a/src/chivedoor/edge/forwarder.py
+++ b/src/chivedoor/edge/forwarder.py
@@ -1,6 +1,7 @@
 """Forwards packets as the steerer decides."""
 
 from collections.abc import Callable
+import dataclasses
 import socket
 
 from chivedoor import ids
@@ -32,6 +33,7 @@
         *,
         address: str,
         port: int,
+        domain: ids.DomainId,
         steerer: steerers.Steerer,
         log: log_writer.LogWriter,
         metrics: metrics_module.Metrics,
@@ -44,6 +46,7 @@
         Args:
             address: The local address that packets are sent to.
             port: The port of the packets, also at the callers.
+            domain: The failure domain of this balancer.
             steerer: Decides what is done with each packet.
             log: Writes a line for each decision.
             metrics: Counts packets and decisions.
@@ -55,6 +58,7 @@
         self.last_packet_at: float | None = None
         self.view_updater: view_updater_module.ViewUpdater | None = None
         self._caller_port = port
+        self._domain = domain
         self._steerer = steerer
         self._log = log
         self._metrics = metrics
@@ -195,6 +199,10 @@
     ) -> None:
         endpoint = verdict.endpoint
         self._metrics.count(metrics_module.Counter.FLOWS_PLACED)
+        if endpoint.domain != self._domain:
+            self._metrics.count(
+                metrics_module.Counter.FLOWS_PLACED_REMOTE, endpoint.domain
+            )
         if segment.retransmissions:
             self._metrics.count(metrics_module.Counter.HANDSHAKES_REPEATED)
         self._log.write(
@@ -214,7 +222,13 @@
         self, segment: segments.Segment, verdict: verdicts.Refuse
     ) -> None:
         reason = verdict.reason.value
+        context = verdict.context
         self._metrics.count(metrics_module.Counter.FLOWS_REFUSED, reason)
+        if context is not None:
+            self._metrics.count(
+                metrics_module.Counter.FLOWS_REFUSED_BY_PRIORITY,
+                f"{reason}/{context.priority}",
+            )
         self._log.write(
             log_writer.EventType.FLOW_REFUSED,
             flow=flow_names.format_flow(segment.flow),
@@ -223,6 +237,8 @@
             tag=segment.tag,
             expected_s=_round_seconds(verdict.expected_s),
             goal_s=verdict.goal_s,
+            service=verdict.service,
+            **({} if context is None else dataclasses.asdict(context)),
             version=self._steerer.view.version,
             view_age_s=self._get_view_age_s(),
         )
--- a/src/chivedoor/edge/metrics.py
+++ b/src/chivedoor/edge/metrics.py
@@ -20,8 +20,10 @@
     # Split by the failure domain of the endpoint.
     FLOWS_PLACED_REMOTE = "flows_placed_remote"
     FLOWS_REFUSED = "flows_refused"
+    # New flows to a known route, as in `overloaded/2`.
     FLOWS_REFUSED_BY_PRIORITY = "flows_refused_by_priority"
     HANDSHAKES_REPEATED = "handshakes_repeated"
+    LOAD_REPORTS = "load_reports"
     MALFORMED_PACKETS = "malformed_packets"
     PACKETS_DROPPED = "packets_dropped"
     RESTORATIONS = "restorations"
@@ -44,6 +46,8 @@
     PACKETS_SENT = "packets_sent"
     PEERS = "peers"
     READY = "ready"
+    # Labelled by service and destination.
+    SHARE_LEAVING_DOMAIN = "share_leaving_domain"
     SOURCE_CALLS = "source_calls"
     SUBSCRIBERS = "subscribers"
     VIEW_AGE_SECONDS = "view_age_seconds"
--- a/src/chivedoor/edge/observer.py
+++ b/src/chivedoor/edge/observer.py
@@ -5,6 +5,7 @@
 from chivedoor.edge import log_writer
 from chivedoor.edge import metrics as metrics_module
 from chivedoor.steering import contacts
+from chivedoor.steering import observer as observers
 from chivedoor.steering import segment as segments
 from chivedoor.steering import spillover
 
@@ -92,6 +93,18 @@
             },
         )
 
+    def on_shortage_begun(
+        self, service: ids.ServiceId, load: observers.ServiceLoad
+    ) -> None:
+        """Logs a service that becomes short of capacity."""
+        self._write_shortage(log_writer.EventType.SHORTAGE_BEGUN, service, load)
+
+    def on_shortage_ended(
+        self, service: ids.ServiceId, load: observers.ServiceLoad
+    ) -> None:
+        """Logs a service that is no longer short of capacity."""
+        self._write_shortage(log_writer.EventType.SHORTAGE_ENDED, service, load)
+
     def on_tag_changed(
         self,
         flow_id: segments.FlowId,
@@ -107,6 +120,20 @@
             endpoint=current,
         )
 
+    def _write_shortage(
+        self,
+        event_type: log_writer.EventType,
+        service: ids.ServiceId,
+        load: observers.ServiceLoad,
+    ) -> None:
+        self._log.write(
+            event_type,
+            service=service,
+            in_flight=load.in_flight,
+            limit=round(load.limit, 1),
+            share=load.share,
+        )
+
 
 def _round_seconds(duration_s: float | None) -> float | None:
     return None if duration_s is None else round(duration_s, 3)
--- a/src/chivedoor/feed/load_reports.py
+++ b/src/chivedoor/feed/load_reports.py
@@ -25,6 +25,18 @@
     DOMAIN = 1
 
 
+class Transmission(enum.Enum):
+    """What happened to a message with a load report."""
+
+    SENT = "sent"
+    RECEIVED = "received"
+    FORWARDED = "forwarded"
+    # Received from a balancer that may not send it.
+    REJECTED = "rejected"
+    # Not sent, because it does not fit into a datagram.
+    TOO_LARGE = "too-large"
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class LoadReport:
     """Load that a balancer, or all balancers of a domain, observed.
@@ -231,6 +243,16 @@
         report = self.get_domain(self._domain, now)
         return {} if report is None else report.shares.get(service, {})
 
+    def list_all_shares(
+        self, now: float
+    ) -> Mapping[ids.ServiceId, Mapping[ids.DomainId, float]]:
+        """Returns the shares of new flows that leave the local domain.
+
+        They are listed by service and destination; empty without a report.
+        """
+        report = self.get_domain(self._domain, now)
+        return {} if report is None else report.shares
+
     def expire(self, now: float) -> None:
         """Removes reports that are older than `LOAD_REPORT_LIFETIME_S`."""
         for reports in (self._balancers, *self._sums.values()):
--- a/src/chivedoor/feed/peer_protocol.py
+++ b/src/chivedoor/feed/peer_protocol.py
@@ -32,6 +32,7 @@
         on_heartbeat: Callable[[peer_sets.Heartbeat], None],
         get_seeds: Callable[[], Sequence[str]],
         is_congested: Callable[[], bool],
+        count_report: Callable[[load_reports.Transmission], None],
         clock: Callable[[], float],
     ) -> None:
         """Creates a protocol with a closed port.
@@ -44,6 +45,7 @@
             on_heartbeat: Called with each received heartbeat.
             get_seeds: Returns the addresses of the seeds.
             is_congested: Returns whether load reports are needed more often.
+            count_report: Called for each message with a load report.
             clock: Returns the current time in seconds.
         """
         self.malformed = 0
@@ -54,6 +56,7 @@
         self._on_heartbeat = on_heartbeat
         self._get_seeds = get_seeds
         self._is_congested = is_congested
+        self._count_report = count_report
         self._clock = clock
         self._transport: asyncio.DatagramTransport | None = None
         self._next_request_at = 0.0
@@ -103,7 +106,7 @@
     def send_load_reports(self, now: float) -> None:
         """Sends the load reports that follow a heartbeat."""
         for data, host in self._exchange.list_messages(now):
-            self._send(data, host)
+            self._send_report(data, host, load_reports.Transmission.SENT)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -149,7 +152,9 @@
                 heartbeat.vm, heartbeat.domain, self._clock()
             )
             if answer is not None:
-                self._send(answer, heartbeat.host)
+                self._send_report(
+                    answer, heartbeat.host, load_reports.Transmission.SENT
+                )
 
     def _handle_load_report(
         self, report: load_reports.LoadReport, data: bytes, sender: str
@@ -158,9 +163,11 @@
             hosts = self._exchange.record(report, sender, self._clock())
         except exceptions.MalformedAnswerError:
             self.malformed += 1
+            self._count_report(load_reports.Transmission.REJECTED)
             return
+        self._count_report(load_reports.Transmission.RECEIVED)
         for host in hosts:
-            self._send(data, host)
+            self._send_report(data, host, load_reports.Transmission.FORWARDED)
 
     def _handle_request(
         self, request: messages.DiscoveryRequest, host: str
@@ -202,6 +209,18 @@
             bandwidth_mbps=own.bandwidth_mbps,
         )
 
+    def _send_report(
+        self, data: bytes, host: str, transmission: load_reports.Transmission
+    ) -> None:
+        """Sends a load report and counts it."""
+        if self._transport is None:
+            return
+        fits = len(data) <= const.MAX_MESSAGE_BYTES
+        self._count_report(
+            transmission if fits else load_reports.Transmission.TOO_LARGE
+        )
+        self._send(data, host)
+
     def _send(self, data: bytes, host: str) -> None:
         if self._transport is None or len(data) > const.MAX_MESSAGE_BYTES:
             return
--- a/src/chivedoor/steering/observer.py
+++ b/src/chivedoor/steering/observer.py
@@ -1,5 +1,6 @@
 """Interface through which steering reports events for logs and metrics."""
 
+import dataclasses
 from typing import Protocol
 
 from chivedoor import ids
@@ -8,6 +9,24 @@
 from chivedoor.steering import spillover
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class ServiceLoad:
+    """Load of a service that is short of capacity.
+
+    Attributes:
+        in_flight: Requests in flight at the endpoints that this balancer may
+            use, as far as it knows.
+        limit: Requests that these endpoints may hold for the balancers of this
+            domain.
+        share: Part of the limit that this balancer may use without asking how
+            many requests are in flight.
+    """
+
+    in_flight: int
+    limit: float
+    share: int
+
+
 class Observer(Protocol):
     """Receives durations and changes of endpoint state; must not block."""
 
@@ -45,6 +64,21 @@
     ) -> None:
         """Called when the share of flows that leave the domain changes."""
 
+    def on_shortage_begun(
+        self, service: ids.ServiceId, load: ServiceLoad
+    ) -> None:
+        """Called when a service becomes short of capacity."""
+
+    def on_shortage_ended(
+        self, service: ids.ServiceId, load: ServiceLoad
+    ) -> None:
+        """Called up to 1 s after a service is no longer short of capacity.
+
+        Args:
+            service: The service.
+            load: The load when it was last short.
+        """
+
     def on_tag_changed(
         self,
         flow_id: segments.FlowId,
@@ -92,6 +126,16 @@
     ) -> None:
         """Does nothing."""
 
+    def on_shortage_begun(
+        self, service: ids.ServiceId, load: ServiceLoad
+    ) -> None:
+        """Does nothing."""
+
+    def on_shortage_ended(
+        self, service: ids.ServiceId, load: ServiceLoad
+    ) -> None:
+        """Does nothing."""
+
     def on_tag_changed(
         self,
         flow_id: segments.FlowId,
--- a/src/chivedoor/steering/placement.py
+++ b/src/chivedoor/steering/placement.py
@@ -131,14 +131,16 @@
         if others and may_refuse and self._has_flow_limit(service):
             others = self._full_endpoints.select(others, now)
             if not others:
-                return verdicts.Refuse(reason=verdicts.RefusalReason.FULL)
+                return verdicts.Refuse(
+                    reason=verdicts.RefusalReason.FULL, service=service
+                )
         if others:
             probe = None if avoided else self._choose_probe(others, now)
             return probe or self._choose_warm(
                 route, service, others, now, may_refuse, above_share
             )
         return self._choose_cold(service, usable, now) or verdicts.Refuse(
-            reason=verdicts.RefusalReason.NO_ENDPOINT
+            reason=verdicts.RefusalReason.NO_ENDPOINT, service=service
         )
 
     def is_usable(self, endpoint: views.Endpoint) -> bool:
@@ -281,6 +283,7 @@
             return self._generator.choice(faster)
         return verdicts.Refuse(
             reason=verdicts.RefusalReason.OVERLOADED,
+            service=chosen.service,
             expected_s=predicted_s[chosen.id],
             goal_s=route.goal_s,
         )
--- a/src/chivedoor/steering/shortage.py
+++ b/src/chivedoor/steering/shortage.py
@@ -29,6 +29,7 @@
 from chivedoor.steering import capacity
 from chivedoor.steering import const
 from chivedoor.steering import flows as flow_tables
+from chivedoor.steering import observer as observers
 from chivedoor.steering import reports
 from chivedoor.steering import verdicts
 from chivedoor.steering import view as views
@@ -100,6 +101,7 @@
         flows: flow_tables.FlowTable,
         peer_loads: reports.PeerCounts,
         generator: random.Random,
+        observer: observers.Observer,
     ) -> None:
         """Creates a control that has no effect before `set_members`."""
         self.capacity = capacity.CapacityTable()
@@ -108,6 +110,7 @@
         self._flows = flows
         self._peer_loads = peer_loads
         self._generator = generator
+        self._observer = observer
         self._members: Members | None = None
         self._waiting = False
         # Own tokens by endpoint, with the bounds that they were computed for.
@@ -116,6 +119,8 @@
         ] = {}
         # Time until which a service counts as short.
         self._short_until: dict[ids.ServiceId, float] = {}
+        # Last measured loads of the services whose shortage was reported.
+        self._reported: dict[ids.ServiceId, observers.ServiceLoad] = {}
 
     def set_members(self, members: Members | None) -> None:
         """Sets the balancers that divide the limits; None if not known."""
@@ -157,6 +162,14 @@
         """Returns whether a service was short of capacity lately."""
         return self._short_until.get(service, now) > now
 
+    def list_short(self, now: float) -> list[ids.ServiceId]:
+        """Returns the services that were short of capacity lately."""
+        return [
+            service
+            for service, until in self._short_until.items()
+            if until > now
+        ]
+
     def decide(
         self,
         *,
@@ -212,6 +225,12 @@
             # Limits keep queues short, so that the delays alone would end the
             # state while the demand is as high as before.
             self._short_until[service] = now + const.SHORTAGE_LIFETIME_S
+        self._report(
+            service,
+            observers.ServiceLoad(
+                in_flight=in_flight, limit=limit, share=sum(shares.values())
+            ),
+        )
         least_important = self._is_least_important(route, service)
         lowers_room = least_important or above_share
         room_share = const.SHORTAGE_ROOM_SHARE if lowers_room else 1.0
@@ -229,17 +248,33 @@
             return self._choose_soonest(candidates, free, service_s)
         return verdicts.Refuse(
             reason=verdicts.RefusalReason.OVERLOADED,
+            service=service,
             expected_s=in_flight / max(1.0, limit) * wait_s,
             goal_s=route.goal_s,
         )
 
     def expire(self, now: float) -> None:
-        """Removes services that are no longer short."""
+        """Removes services that are no longer short, and reports their end.
+
+        Called once a second, which bounds the reports of each service.
+        """
         self._short_until = {
             service: until
             for service, until in self._short_until.items()
             if until > now
         }
+        for service in self._reported.keys() - self._short_until.keys():
+            self._observer.on_shortage_ended(
+                service, self._reported.pop(service)
+            )
+
+    def _report(
+        self, service: ids.ServiceId, load: observers.ServiceLoad
+    ) -> None:
+        """Reports the beginning of a shortage, unless its end is due."""
+        if service not in self._reported:
+            self._observer.on_shortage_begun(service, load)
+        self._reported[service] = load
 
     def _choose_soonest(
         self,
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -114,6 +114,7 @@
             flows=self.flows,
             peer_loads=self.peer_loads,
             generator=generator,
+            observer=self._observer,
         )
         self.demand = demands.Demand()
         self.callers = callers.CallerTable(max_callers=const.MAX_CALLERS)
@@ -364,6 +365,11 @@
             if self.is_view_complete(now)
             else now - const.LAPSED_ENTRY_RETURN_S
         )
+        above_share = self.shortage.has_short_service(
+            now
+        ) and self.callers.is_above_share(
+            segment.flow[segments.CALLER_ADDRESS], now
+        )
         endpoint = self.placement.choose_endpoint(
             route,
             now,
@@ -372,14 +378,18 @@
             # A caller that has already waited, as when all balancers were
             # down, gets a late answer rather than none.
             may_refuse=not segment.retransmissions,
-            above_share=self.shortage.has_short_service(now)
-            and self.callers.is_above_share(
-                segment.flow[segments.CALLER_ADDRESS], now
-            ),
+            above_share=above_share,
         )
         if isinstance(endpoint, verdicts.Refuse):
             if segment.retransmissions:
                 return self._repeat_delivery(segment, now)
+            endpoint.context = verdicts.RefusalContext(
+                route=route.name,
+                priority=route.priority,
+                short=endpoint.service is not None
+                and self.shortage.is_short(endpoint.service, now),
+                above_share=above_share,
+            )
             return endpoint
         self.flows.open_flow(segment.flow, endpoint.id, now)
         if not segment.retransmissions:
--- a/src/chivedoor/steering/verdicts.py
+++ b/src/chivedoor/steering/verdicts.py
@@ -1,5 +1,6 @@
 """Possible decisions on a packet."""
 
+import dataclasses
 import enum
 
 from chivedoor import ids
@@ -33,6 +34,24 @@
     UNKNOWN_ENDPOINT = "unknown-endpoint"
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class RefusalContext:
+    """State at the time of a refusal of a new flow.
+
+    Attributes:
+        route: Name of the route.
+        priority: Priority of the route; 0 is the most important.
+        short: Whether the service is short of capacity at this balancer.
+        above_share: Whether the caller asks for more than the others. Only
+            evaluated while a service is short.
+    """
+
+    route: str
+    priority: int
+    short: bool
+    above_share: bool
+
+
 class Deliver:
     """Forward the packet to an endpoint.
 
@@ -56,24 +75,29 @@
 
     Attributes:
         reason: Why the flow is refused.
+        service: Service that was chosen for a new flow; None if none was.
         expected_s: Expected delay of the request if that is the reason, in
             seconds.
         goal_s: Time within which it was to be answered, in seconds.
+        context: What else is known of a new flow; None for an open one.
     """
 
-    __slots__ = ("expected_s", "goal_s", "reason")
+    __slots__ = ("context", "expected_s", "goal_s", "reason", "service")
 
     def __init__(
         self,
         *,
         reason: RefusalReason,
+        service: ids.ServiceId | None = None,
         expected_s: float | None = None,
         goal_s: float | None = None,
     ) -> None:
         """Creates a verdict."""
         self.reason = reason
+        self.service = service
         self.expected_s = expected_s
         self.goal_s = goal_s
+        self.context: RefusalContext | None = None
 
 
 class Drop:
--- a/tests/edge/test_process.py
+++ b/tests/edge/test_process.py
@@ -9,6 +9,7 @@
 import pytest
 
 from standins import store as store_stand_in
+from standins.echo import entries
 from standins.echo import packets
 from tests.edge import conftest
 
@@ -476,3 +477,47 @@
     assert await edge.child.wait() == 2
     text = (edge.folder / "edge.log").read_text()
     assert "packets.address: missing" in text
+
+
+async def test_placement_and_refusal_name_domain_and_priority(edge) -> None:
+    """Guards against lines and counters without the cause of a refusal."""
+    edge.publish_configuration()
+    entry = edge.make_entry()
+    entry["zone"] = "b"
+    edge.store.put(entries.make_endpoint_key(conftest.ENDPOINT_ID), entry)
+    await edge.async_start()
+    await edge.async_wait_ready()
+    await async_open_flow(edge)
+    edge.publish_endpoint("draining")
+    async with asyncio.timeout(conftest.RECEIVE_TIMEOUT_S):
+        while not any(
+            line["message_type"] == "flow-refused" for line in edge.read_lines()
+        ):
+            edge.send(conftest.make_packet(40002, flags=conftest.SYN))
+            await asyncio.sleep(0.1)
+    refusal = next(
+        line
+        for line in edge.read_lines()
+        if line["message_type"] == "flow-refused"
+    )
+    assert refusal["reason"] == "no-endpoint"
+    assert {
+        name: refusal[name]
+        for name in ("route", "service", "priority", "short", "above_share")
+    } == {
+        "route": "r",
+        "service": "s",
+        "priority": 0,
+        "short": False,
+        "above_share": False,
+    }
+    _, text = await edge.async_get(edge.metrics_port, "/metrics")
+    assert 'chivedoor_flows_placed_remote_total{kind="b"}' in text
+    assert (
+        'chivedoor_flows_refused_by_priority_total{kind="no-endpoint/0"}'
+        in text
+    )
+    _, state = await edge.async_get(edge.metrics_port, "/state")
+    dumped = json.loads(state)
+    assert dumped["load_reports"] == dumped["shares"] == {}
+    assert dumped["short_services"] == []
--- a/tests/feed/test_load_exchange.py
+++ b/tests/feed/test_load_exchange.py
@@ -1,5 +1,6 @@
 """Tests of the exchange of load reports, without a network."""
 
+import collections
 from collections.abc import Callable
 import itertools
 
@@ -320,7 +321,11 @@
 
 
 def make_protocol(
-    balancer: Balancer, clock: Callable[[], float]
+    balancer: Balancer,
+    clock: Callable[[], float],
+    count_report: Callable[
+        [load_reports.Transmission], None
+    ] = lambda transmission: None,
 ) -> tuple[peer_protocol.PeerProtocol, Transport]:
     protocol = peer_protocol.PeerProtocol(
         peers=balancer.peers,
@@ -330,6 +335,7 @@
         on_heartbeat=lambda heartbeat: None,
         get_seeds=list,
         is_congested=lambda: False,
+        count_report=count_report,
         clock=clock,
     )
     transport = Transport()
@@ -400,3 +406,45 @@
         "vm-2"
     ]
     assert [host for _, host in transport.sent] == ["10.0.0.2"]
+
+
+def test_each_kind_of_transmission_is_counted() -> None:
+    """Guards against reports that are lost without a trace in the metrics."""
+    fleet = Fleet()
+    fleet.run(3)
+    counted: collections.Counter[str] = collections.Counter()
+    candidate = fleet.list_candidates()[0]
+    member = next(
+        b for b in fleet.list_domain() if b not in fleet.list_candidates()
+    )
+    remote = fleet.list_candidates("b")[0]
+    protocol, transport = make_protocol(
+        member,
+        lambda: fleet.now,
+        lambda transmission: counted.update([transmission.value]),
+    )
+    protocol.send_load_reports(fleet.now)
+    assert counted == {"sent": len(transport.sent)}
+    own_sum = remote.reports.get_own_sum(fleet.now)
+    data = messages.encode_message(own_sum)
+    protocol.datagram_received(data, (remote.host, 1))
+    protocol.datagram_received(data, ("10.9.9.9", 1))
+    forwarded = len(fleet.list_candidates())
+    assert counted["received"] == counted["rejected"] == 1
+    assert counted["forwarded"] == forwarded
+    # A sum with more services than a datagram holds.
+    candidate.demand = demands.Demand()
+    for number in range(5_000):
+        route = views.Route(
+            name="r",
+            weighted_services=((ids.ServiceId(f"service-{number}"), 1.0),),
+            idempotent=False,
+        )
+        candidate.demand.record_opening(route, fleet.now)
+    protocol, transport = make_protocol(
+        candidate,
+        lambda: fleet.now,
+        lambda transmission: counted.update([transmission.value]),
+    )
+    protocol.send_load_reports(fleet.now)
+    assert counted["too-large"] and not transport.sent
