--- a/tests/edge/test_declarations.py
+++ b/tests/edge/test_declarations.py
@@ -8,6 +8,7 @@
 from chivedoor import edge
 from chivedoor.edge import log_writer
 from chivedoor.edge import metrics
+from standins import processes
 
 
 @pytest.mark.parametrize(
@@ -30,3 +31,24 @@
         if f"{declared.__name__}.{member.name}" not in source
     ]
     assert not unused
+
+
+@pytest.mark.parametrize(
+    ("declared", "pattern"),
+    [
+        (log_writer.EventType, "`{}`"),
+        (metrics.Counter, "`chivedoor_{}_total`"),
+        (metrics.Gauge, "`chivedoor_{}`"),
+        (metrics.Timing, "`chivedoor_{}_seconds`"),
+    ],
+)
+def test_each_name_is_documented(
+    declared: type[enum.Enum], pattern: str
+) -> None:
+    """Guards against lines and metrics that operators cannot look up."""
+    page = (processes.ROOT / "docs" / "OPERATIONS.md").read_text()
+    assert not [
+        member.value
+        for member in declared
+        if pattern.format(member.value) not in page
+    ]
