--- a/tests/edge/conftest.py
+++ b/tests/edge/conftest.py
@@ -36,11 +36,12 @@
     acknowledged: int = 0,
     payload: bytes = b"",
     caller: str = CALLER,
+    route: tuple[str, int] = ROUTE_ADDRESS,
 ) -> bytes:
     """Returns an encoded packet from a port of a caller."""
     return packets.Packet(
         source=(caller, port),
-        destination=ROUTE_ADDRESS,
+        destination=route,
         flags=packets.Flags(flags),
         tag=tag,
         sequence=sequence,
@@ -67,13 +68,17 @@
         await self.store.async_open()
         self.write_settings()
 
-    def write_settings(self, seeds: str = "") -> None:
+    def write_settings(
+        self, seeds: str = "", *, domains: str = "", peer_port: int = 0
+    ) -> None:
         host = "127.0.0.11"
         self.settings_path.write_text(
             f"[vm]\nid = vm-1\ndomain = a\nregion = r\naddress = {host}\n"
+            f"domains = {domains}\n"
             f"[packets]\naddress = {host}:{self.packet_port}\n"
             f"[readiness]\naddress = {host}:{self.readiness_port}\n"
-            f"[peers]\nport = {find_free_port()}\nseeds = {seeds}\n"
+            f"[peers]\nport = {peer_port or find_free_port()}\n"
+            f"seeds = {seeds}\n"
             f"[source]\naddress = 127.0.0.1:{self.store.port}\n"
             "[limits]\ndescriptors = 1535\nbandwidth_mbps = 350\n"
             "[stop]\ngrace_s = 6\n"
