steering: continue the shares of a failed candidate; service time from the capacity

Cause: a new candidate started its shares from 0; the mean service time of endpoints overstates the wait when a few fast ones complete most requests (found in review). Change: take_over is called with the reported shares; the service time follows from slots and capacity. Measured: the test of the shares fails without the call.

--- a/src/chivedoor/steering/distribution.py
+++ b/src/chivedoor/steering/distribution.py
@@ -195,15 +195,19 @@
         known = local.capacity.get(service)
         if usable and known is None:
             return {}
-        service_s = _compute_mean(
-            capacities.estimate_service_times(
-                self._view.get_endpoints(service), self._capacity
-            ).values()
+        load = _make_load(local, service, known if usable else None, usable)
+        # Fast endpoints complete most requests, so that the mean time of a
+        # slot follows from the capacity and not from the mean of endpoints.
+        service_s = (
+            const.SERVICE_UTILIZATION * load.slots / load.capacity_per_s
+            if load.capacity_per_s
+            else 0.0
         )
         transfer = local.transfers.get(service)
+        self._continue_shares(service, now)
         decided = self._spillover.decide(
             service=service,
-            local=_make_load(local, service, known if usable else None, usable),
+            local=load,
             remote={
                 domain: _make_load(
                     report,
@@ -231,6 +235,17 @@
         self._report_change(service)
         return decided
 
+    def _continue_shares(self, service: ids.ServiceId, now: float) -> None:
+        """Starts from the shares of the candidate that decided before."""
+        assert self._reports is not None
+        reported = {
+            domain: share
+            for domain, share in self._reports.list_shares(service, now).items()
+            if share > 0.0
+        }
+        if reported:
+            self._spillover.take_over(service, reported, now)
+
     def _report_change(self, service: ids.ServiceId) -> None:
         """Passes the last decision to the observer if it differs by enough.
 
@@ -330,11 +345,6 @@
     )
 
 
-def _compute_mean(values: Iterable[float]) -> float:
-    listed = list(values)
-    return sum(listed) / len(listed) if listed else 0.0
-
-
 def _has_moved(
     current: Mapping[ids.DomainId, float], former: Mapping[ids.DomainId, float]
 ) -> bool:
--- a/tests/steering/test_distribution.py
+++ b/tests/steering/test_distribution.py
@@ -425,3 +425,17 @@
             0.0,
         )
     assert balancer.decide(20)[B] == pytest.approx(before, abs=0.01)
+
+
+def test_new_candidate_continues_the_reported_shares(
+    balancer: Balancer,
+) -> None:
+    """Guards against shares that start from 0 when a candidate fails."""
+    started = balancer.decide()
+    other = Balancer()
+    other.complete_requests()
+    other.reports.shares = {B: 0.2, C: 0.2}
+    assert all(
+        share > started.get(domain, 0.0)
+        for domain, share in other.decide().items()
+    )
