--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -345,7 +345,6 @@
             )
             self.steerer.counts_load = self._exchange.is_active()
             self.steerer.shortage.set_members(self._find_members(now))
-            self.steerer.shortage.set_demand(self.load_reports.list_demand(now))
             self.steerer.update_delays(now)
             self._report_congestion(now)
             ticks += 1
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -195,16 +195,11 @@
 # the capacity in a few fast endpoints, one of them is among four with a
 # probability of 15 in 16.
 SHORTAGE_CHOICES: Final = 4
-# Means that are weighted by the delay exceed plain ones by the squared
-# variation of service times, a quarter if these vary by half of their mean.
-DELAY_WEIGHT_BIAS: Final = 1.25
-# Share of the capacity above which the demand of a route counts as large.
-SHORTAGE_LARGE_SHARE: Final = 0.3
 # Smaller service times count as this one in weights.
 MIN_SERVICE_S: Final = 0.001
 # With fewer requests in flight than this share of the limits, other balancers
 # have room, and a flow of the least important route is placed as well.
-SHORTAGE_ROOM_SHARE: Final = 0.7
+SHORTAGE_ROOM_SHARE: Final = 0.75
 
 # Time constant of the demand that balancers report. Reports are sent every
 # 0.5 s, so a change shows in two or three of them.
--- a/src/chivedoor/steering/flows.py
+++ b/src/chivedoor/steering/flows.py
@@ -125,10 +125,6 @@
             if count
         }
 
-    def iterate_active(self) -> Iterator[tuple[segments.FlowId, Flow]]:
-        """Returns the flows with a request or a handshake in flight."""
-        return iter(self._active.items())
-
     def iterate_working(self) -> Iterator[tuple[segments.FlowId, Flow]]:
         """Returns the flows with a request in flight."""
         return (
--- a/src/chivedoor/steering/shortage.py
+++ b/src/chivedoor/steering/shortage.py
@@ -15,7 +15,6 @@
 number in flight has fallen.
 """
 
-import collections
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -33,7 +32,6 @@
 from chivedoor.steering import flows as flow_tables
 from chivedoor.steering import observer as observers
 from chivedoor.steering import reports
-from chivedoor.steering import segment as segments
 from chivedoor.steering import verdicts
 from chivedoor.steering import view as views
 
@@ -120,7 +118,6 @@
         self._observer = observer
         # Without members, no decision is made and no capacity is estimated.
         self._members: Members | None = None
-        self._demand: Mapping[ids.ServiceId, Mapping[int, float]] = {}
         self._waiting = False
         # Own tokens by endpoint, with the slots and bounds that they were
         # computed for.
@@ -138,16 +135,6 @@
             self._tokens.clear()
         self._members = members
 
-    def set_demand(
-        self, demand: Mapping[ids.ServiceId, Mapping[int, float]]
-    ) -> None:
-        """Sets the new flows a second of the domain.
-
-        Args:
-            demand: The rates by service and priority; empty if not known.
-        """
-        self._demand = demand
-
     def update_capacity(self, table: delays.DelayTable) -> None:
         """Updates the capacity estimates; called once per tick."""
         if self._members is not None:
@@ -229,36 +216,16 @@
         candidates = local or endpoints
         service_s = capacity.estimate_service_times(candidates, self.capacity)
         wait_s = self._get_wait_share(route, service) * route.goal_s
-        parts = self._divide_domains(candidates, served_domains)
-        capacity_per_s = const.DELAY_WEIGHT_BIAS * sum(
-            e.slots
-            / max(service_s[e.id], const.MIN_SERVICE_S)
-            * parts[e.domain].domain
-            for e in candidates
-        )
-        demand = self._demand.get(service, {})
-        more_important_per_s = sum(
-            rate
-            for priority, rate in demand.items()
-            if priority < route.priority
-        )
-        left_share = max(0.0, 1.0 - more_important_per_s / capacity_per_s)
         limits = {
             e.id: capacity.compute_limit(
                 endpoint=e, service_s=service_s[e.id], wait_s=wait_s
             )
             for e in candidates
         }
-        shares = self._compute_shares(
-            candidates,
-            {
-                endpoint_id: left_share * limit
-                for endpoint_id, limit in limits.items()
-            },
-            parts,
-        )
-        own = self._count_own(route.priority)
-        exhausted = sum(own[e.id] for e in candidates) >= sum(shares.values())
+        parts = self._divide_domains(candidates, served_domains)
+        shares = self._compute_shares(candidates, limits, parts)
+        own = {e.id: self._flows.count_in_flight(e.id) for e in candidates}
+        exhausted = sum(own.values()) >= sum(shares.values())
         # The loads of other domains are not known, only their parts.
         limit = sum(limits[e.id] * parts[e.domain].domain for e in candidates)
         in_flight = sum(map(self._count_in_flight, candidates))
@@ -286,13 +253,7 @@
             if has_room or not above_share
             else []
         )
-        # A route that takes much of the capacity would fill the fast endpoints
-        # by old reports if each flow went to the one that looks best.
-        is_large = (
-            demand.get(route.priority, 0.0)
-            > const.SHORTAGE_LARGE_SHARE * capacity_per_s
-        )
-        if free and (least_important or is_large):
+        if free and least_important:
             weights = [shares[e.id] - own[e.id] for e in free]
             return self._generator.choices(free, weights)[0]
         if free or has_room:
@@ -332,19 +293,6 @@
             self._observer.on_shortage_begun(service, load)
         self._reported[service] = load
 
-    def _count_own(self, priority: int) -> collections.Counter[ids.EndpointId]:
-        """Returns own requests in flight of no higher importance by endpoint.
-
-        Those of more important routes are already left out of the limits.
-        """
-        routes = self._view.routes
-        return collections.Counter(
-            flow.endpoint_id
-            for flow_id, flow in self._flows.iterate_active()
-            if (route := routes.get(segments.get_route(flow_id))) is not None
-            and route.priority >= priority
-        )
-
     def count_divided(self) -> int:
         """Returns the number of endpoints whose limits are kept divided."""
         return len(self._tokens)
--- a/standins/overload.py
+++ b/standins/overload.py
@@ -517,12 +517,6 @@
         if sender is first:
             in_flight.update(first.peer_loads.list_counts())
             receivers = others
-            demand = collections.Counter()
-            for balancer in self._balancers[domain]:
-                rates = balancer.demand.list_demand(self.now)
-                demand.update(rates.get(_SERVICE, {}))
-            for balancer in self._balancers[domain]:
-                balancer.shortage.set_demand({_SERVICE: dict(demand)})
         reported = sender.delay_table.list_report(
             summed=sender is first,
             short=sender.placement.is_congested(self.now),
