steering: explain where a new flow would go

Cause: an operator could only see placements after the fact, in log lines; why other endpoints were left out was not recorded anywhere. The page /explain of an edge balancer and chivedoorctl explain show it.

--- a/src/chivedoor/cli/const.py
+++ b/src/chivedoor/cli/const.py
@@ -19,6 +19,10 @@
 
 # A balancer that takes longer to reply counts as unreachable.
 COMMAND_TIMEOUT_S: Final = 5.0
+# An edge balancer explains placements on its metrics port, which
+# docs/OPERATIONS.md gives.
+EXPLANATION_ADDRESS: Final = "127.0.0.1:9464"
+EXPLANATION_PATH: Final = "/explain"
 # Limits open connections, since 830 balancers at once would need 830 file
 # descriptors.
 MAX_CONCURRENT_COMMANDS: Final = 64
--- a/src/chivedoor/cli/control.py
+++ b/src/chivedoor/cli/control.py
@@ -6,6 +6,7 @@
 import functools
 import ipaddress
 import itertools
+import json
 import os
 import pathlib
 import socket
@@ -20,6 +21,7 @@
 
 from chivedoor.cli import const
 from chivedoor.cli import exceptions
+from chivedoor.cli import explanations
 from chivedoor.cli import fleet
 from chivedoor.cli import flows
 from chivedoor.cli import reports
@@ -185,6 +187,47 @@
     action: cappa.Subcommands[Out | In]
 
 
+@cappa.command(
+    help="Explain where an edge balancer would place a new flow.",
+    description="""Prints the targets that a new flow of CALLER to ROUTE may go
+to now, with the probability of each, and what rules the others out. Nothing is
+sent to a target, and no state of the balancer changes.
+
+```
+chivedoorctl explain 100.64.0.4 orders
+chivedoorctl explain 100.64.0.4:1056 198.18.0.63:443 --json
+```
+
+Exit codes: 0 explained, 1 the balancer cannot be reached, 2 unknown route or
+malformed caller.""",
+)
+@dataclasses.dataclass
+class Explain:
+    """Arguments of `explain`."""
+
+    caller: Annotated[
+        str,
+        cappa.Arg(
+            value_name="CALLER", help="Caller, as ADDRESS or ADDRESS:PORT."
+        ),
+    ]
+    route: Annotated[
+        str,
+        cappa.Arg(value_name="ROUTE", help="Name of the route, or HOST:PORT."),
+    ]
+    address: Annotated[
+        str,
+        cappa.Arg(
+            long="--address",
+            value_name="HOST:PORT",
+            help="Address and metrics port of the edge balancer.",
+        ),
+    ] = const.EXPLANATION_ADDRESS
+    json: Annotated[
+        bool, cappa.Arg(long="--json", help="Print JSON instead of text.")
+    ] = False
+
+
 FileArgument = Annotated[
     pathlib.Path,
     cappa.Arg(value_name="FILE", help="Document in JSON; - is standard input."),
@@ -312,7 +355,7 @@
     """Arguments of `chivedoorctl`."""
 
     command: cappa.Subcommands[
-        Status | Dump | Domain | Flow | Validate | Diff | Completion
+        Status | Dump | Domain | Flow | Explain | Validate | Diff | Completion
     ]
 
 
@@ -396,6 +439,20 @@
     return ExitCode.OK
 
 
+@run_command.register
+def _(command: Explain) -> const.ExitCode:
+    explanation = asyncio.run(
+        explanations.async_fetch(
+            parse_address(command.address), command.caller, command.route
+        )
+    )
+    if command.json:
+        print(json.dumps(explanation, indent=2))
+    else:
+        print(explanations.format_explanation(explanation))
+    return ExitCode.OK
+
+
 @run_command.register
 def _(command: Validate) -> const.ExitCode:
     document = _read_document(command.file)
--- a/src/chivedoor/cli/exceptions.py
+++ b/src/chivedoor/cli/exceptions.py
@@ -24,6 +24,10 @@
     """A balancer rejected the command."""
 
 
+class NoExplanationError(CliError):
+    """An edge balancer cannot be reached or explains no placements."""
+
+
 class DocumentFaultsError(CliError):
     """A document has faults; the message lists one per line."""
 
--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
+import dataclasses
 import http
 import importlib
 import json
@@ -33,6 +35,7 @@
 from chivedoor.platform import store
 from chivedoor.steering import const as steering_const
 from chivedoor.steering import contacts
+from chivedoor.steering import exceptions as steering_errors
 from chivedoor.steering import reachability
 from chivedoor.steering import shortage
 from chivedoor.steering import steerer as steerers
@@ -180,6 +183,7 @@
             host=settings.address,
             port=settings.metrics_port,
             handle=self._handle_metrics_request,
+            query_handlers={const.EXPLANATION_PATH: self._explain},
         )
         self._stopping = asyncio.Event()
         self._created_at = clock()
@@ -560,6 +564,38 @@
             )
         return None
 
+    def _explain(self, parameters: Mapping[str, str]) -> web.Response:
+        """Returns the page that explains where a new flow would go.
+
+        Errors are JSON objects with the key `error`.
+        """
+        explanation = importlib.import_module("chivedoor.steering.explanation")
+        explainer = explanation.Explainer(
+            steerer=self.steerer, domain=self._settings.domain
+        )
+        status = http.HTTPStatus.OK
+        body: dict[str, object]
+        try:
+            body = dataclasses.asdict(
+                explainer.explain(
+                    parameters.get("caller", ""),
+                    parameters.get("route", ""),
+                    self._clock(),
+                )
+            )
+        except steering_errors.MalformedCallerError as error:
+            status = http.HTTPStatus.BAD_REQUEST
+            body = {"error": str(error)}
+        except steering_errors.UnknownRouteError as error:
+            status = http.HTTPStatus.NOT_FOUND
+            body = {"error": str(error)}
+        return web.Response(
+            status=status,
+            content_type=web.ContentType.JSON,
+            # The states are enumerations, which are given by their values.
+            body=json.dumps(body, default=lambda state: state.value).encode(),
+        )
+
     def _format_metrics(self) -> web.Response:
         exposition = importlib.import_module("chivedoor.edge.exposition")
         counters = self.forwarder.counters
--- a/src/chivedoor/edge/const.py
+++ b/src/chivedoor/edge/const.py
@@ -50,6 +50,7 @@
 READINESS_PATH: Final = "/v1/readiness"
 METRICS_PATH: Final = "/metrics"
 STATE_PATH: Final = "/state"
+EXPLANATION_PATH: Final = "/explain"
 
 # Packets queued for longer than this before the first view are dropped:
 # callers give up a handshake after 1.4 s.
--- a/src/chivedoor/edge/web.py
+++ b/src/chivedoor/edge/web.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import enum
 import http
 from typing import cast
+import urllib.parse
 
 import httptools
 
@@ -46,12 +48,31 @@
 # Returns the response for a path, or None if the path does not exist.
 Handler = Callable[[str], Response | None]
 
+# Returns the response for the parameters of a query; of a repeated parameter,
+# the first value counts.
+QueryHandler = Callable[[Mapping[str, str]], Response]
+
 
 class WebServer:
     """Serves GET requests over persistent connections."""
 
-    def __init__(self, *, host: str, port: int, handle: Handler) -> None:
-        """Creates a server; `async_open` starts it."""
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        handle: Handler,
+        query_handlers: Mapping[str, QueryHandler] | None = None,
+    ) -> None:
+        """Creates a server; `async_open` starts it.
+
+        Args:
+            host: The address to listen on.
+            port: The port to listen on.
+            handle: Returns the responses of pages without parameters.
+            query_handlers: Handlers of pages with parameters, by path.
+        """
+        self._query_handlers = query_handlers or {}
         self._host = host
         self._port = port
         self._handle = handle
@@ -74,7 +95,9 @@
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: _Connection(
-                handle=self._handle, connections=self._connections
+                handle=self._handle,
+                query_handlers=self._query_handlers,
+                connections=self._connections,
             ),
             self._host,
             self._port,
@@ -91,8 +114,13 @@
 
 class _Connection(asyncio.Protocol):
     def __init__(
-        self, *, handle: Handler, connections: set["_Connection"]
+        self,
+        *,
+        handle: Handler,
+        query_handlers: Mapping[str, QueryHandler],
+        connections: set["_Connection"],
     ) -> None:
+        self._query_handlers = query_handlers
         self._handle = handle
         self._connections = connections
         self._transport: asyncio.Transport | None = None
@@ -129,11 +157,9 @@
             self.close()
 
     def on_message_complete(self) -> None:
-        path = self._request_target.partition(b"?")[0].decode("latin-1")
-        response = self._handle(path) or Response(
-            status=http.HTTPStatus.NOT_FOUND
-        )
-        if self._parser.get_method() != b"GET":
+        if self._parser.get_method() == b"GET":
+            response = self._make_response()
+        else:
             response = Response(status=http.HTTPStatus.METHOD_NOT_ALLOWED)
         self._send(response)
         if self._parser.should_keep_alive():
@@ -145,6 +171,16 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _make_response(self) -> Response:
+        path, _, query = self._request_target.decode("latin-1").partition("?")
+        handle_query = self._query_handlers.get(path)
+        if handle_query is not None:
+            parameters = urllib.parse.parse_qs(query)
+            return handle_query(
+                {name: values[0] for name, values in parameters.items()}
+            )
+        return self._handle(path) or Response(status=http.HTTPStatus.NOT_FOUND)
+
     def _send(self, response: Response) -> None:
         if self._transport is None:
             return
--- a/src/chivedoor/feed/load_reports.py
+++ b/src/chivedoor/feed/load_reports.py
@@ -161,8 +161,7 @@
         if domain != self._domain:
             sums = _list_ranked(self._sums.get(domain, {}), now)
             return sums[0] if sums else None
-        oldest = now - const.LOAD_REPORT_LIFETIME_S
-        if self._chosen is None or self._chosen[0] < oldest:
+        if not self._is_chosen_recent(now):
             self._chosen = self._choose_local(now)
         return self._chosen and self._chosen[1]
 
@@ -231,6 +230,18 @@
         report = self.get_domain(self._domain, now)
         return {} if report is None else report.shares.get(service, {})
 
+    def peek_shares(
+        self, service: ids.ServiceId, now: float
+    ) -> Mapping[ids.DomainId, float] | None:
+        """Returns what `list_shares` returns; None without a report.
+
+        The choice of the report is not kept.
+        """
+        chosen = self._chosen
+        if not self._is_chosen_recent(now):
+            chosen = self._choose_local(now)
+        return chosen and chosen[1].shares.get(service, {})
+
     def expire(self, now: float) -> None:
         """Removes reports that are older than `LOAD_REPORT_LIFETIME_S`."""
         for reports in (self._balancers, *self._sums.values()):
@@ -238,6 +249,10 @@
             for vm in reports.keys() - recent:
                 del reports[vm]
 
+    def _is_chosen_recent(self, now: float) -> bool:
+        oldest = now - const.LOAD_REPORT_LIFETIME_S
+        return self._chosen is not None and self._chosen[0] >= oldest
+
     def _choose_local(self, now: float) -> tuple[float, LoadReport] | None:
         sums = self._sums.get(self._domain)
         recent = dict(_iterate_recent(sums, now)) if sums else {}
--- a/src/chivedoor/steering/callers.py
+++ b/src/chivedoor/steering/callers.py
@@ -12,6 +12,7 @@
 and top-k elements in data streams", 2005).
 """
 
+import copy
 import heapq
 import math
 
@@ -75,6 +76,16 @@
             variance
         )
 
+    def would_be_above_share(self, caller: bytes, now: float) -> bool:
+        """Returns whether a caller would be above its share with a new flow.
+
+        Nothing is recorded. The table is copied, so this is not for the path
+        of packets.
+        """
+        copied = copy.deepcopy(self)
+        copied.record(caller, now)
+        return copied.is_above_share(caller, now)
+
     def _advance(self, now: float) -> float:
         """Removes outdated callers; returns the weight of a flow at `now`."""
         self._newest_at = max(self._newest_at, now)
--- a/src/chivedoor/steering/distribution.py
+++ b/src/chivedoor/steering/distribution.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 import random
 from typing import Protocol
 
@@ -56,6 +57,26 @@
     ) -> Mapping[ids.DomainId, float]:
         """Returns the shares of new flows that leave the local domain."""
 
+    def peek_shares(
+        self, service: ids.ServiceId, now: float
+    ) -> Mapping[ids.DomainId, float] | None:
+        """Returns these shares without any effect; None without a report."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class DomainOption:
+    """A domain that a new flow may go to.
+
+    Attributes:
+        domain: The domain; None if the choice is left to the scores.
+        probability: Probability of this option, 0 to 1.
+        endpoints: The endpoints among which the flow is then placed.
+    """
+
+    domain: ids.DomainId | None
+    probability: float
+    endpoints: Sequence[views.Endpoint]
+
 
 class Distribution:
     """Decides the shares of the domains, and applies them to new flows."""
@@ -144,13 +165,7 @@
         ):
             return endpoints
         shares = self._reports.list_shares(service, now)
-        present = {endpoint.domain for endpoint in endpoints}
-        excluded = {
-            domain
-            for domain in (self._domain, *shares)
-            if domain not in present
-            or self._suspicions.is_domain_suspect(domain, now)
-        }
+        excluded = self._find_excluded(shares, endpoints, now)
         if self._domain in excluded and not shares:
             return endpoints
         domain = domain_choice.choose_domain(
@@ -159,7 +174,57 @@
             draw=self._generator.random() if shares else 0.0,
             excluded=excluded,
         )
-        return [e for e in endpoints if e.domain == domain] or endpoints
+        return _keep_domain(endpoints, domain)
+
+    def find_choices(
+        self,
+        service: ids.ServiceId,
+        endpoints: Sequence[views.Endpoint],
+        now: float,
+    ) -> list[DomainOption]:
+        """Returns what `choose_domain` may return, without any effect.
+
+        Args:
+            service: As for `choose_domain`.
+            endpoints: As for `choose_domain`.
+            now: The current time, in seconds.
+        """
+        shares = (
+            self._reports.peek_shares(service, now) if self._reports else None
+        )
+        everything = DomainOption(
+            domain=None, probability=1.0, endpoints=endpoints
+        )
+        if shares is None:
+            return [everything]
+        excluded = self._find_excluded(shares, endpoints, now)
+        if self._domain in excluded and not shares:
+            return [everything]
+        return [
+            DomainOption(
+                domain=domain,
+                probability=probability,
+                endpoints=_keep_domain(endpoints, domain),
+            )
+            for domain, probability in domain_choice.compute_probabilities(
+                local=self._domain, shares=shares, excluded=excluded
+            ).items()
+        ]
+
+    def _find_excluded(
+        self,
+        shares: Mapping[ids.DomainId, float],
+        endpoints: Sequence[views.Endpoint],
+        now: float,
+    ) -> set[ids.DomainId]:
+        """Returns the domains without an endpoint and those suspected."""
+        present = {endpoint.domain for endpoint in endpoints}
+        return {
+            domain
+            for domain in (self._domain, *shares)
+            if domain not in present
+            or self._suspicions.is_domain_suspect(domain, now)
+        }
 
     def explain(self, service: ids.ServiceId) -> spillover.Decision | None:
         """Returns the last decision of this balancer on a service."""
@@ -248,6 +313,13 @@
         ]
 
 
+def _keep_domain(
+    endpoints: Sequence[views.Endpoint], domain: ids.DomainId
+) -> Sequence[views.Endpoint]:
+    """Returns the endpoints of a domain, or all if it has none."""
+    return [e for e in endpoints if e.domain == domain] or endpoints
+
+
 def _make_load(
     report: DomainReport,
     service: ids.ServiceId,
--- a/src/chivedoor/steering/domain_choice.py
+++ b/src/chivedoor/steering/domain_choice.py
@@ -35,17 +35,9 @@
     Returns:
         The domain; the local one if no other domain can be used.
     """
-    remote = {
-        domain: share
-        for domain, share in shares.items()
-        if share > 0.0 and domain != local and domain not in excluded
-    }
+    remote, is_local_used = _find_used_shares(local, shares, excluded)
     if not remote:
         return local
-    total = sum(share for domain, share in shares.items() if domain != local)
-    is_local_used = (
-        local not in excluded and total < 1.0 - const.SPILLOVER_ROUNDING
-    )
     if not is_local_used:
         draw *= sum(remote.values())
     limits = itertools.accumulate(remote.values())
@@ -57,3 +49,43 @@
         ),
         local if is_local_used else next(reversed(remote)),
     )
+
+
+def compute_probabilities(
+    *,
+    local: ids.DomainId,
+    shares: Mapping[ids.DomainId, float],
+    excluded: Collection[ids.DomainId] = (),
+) -> dict[ids.DomainId, float]:
+    """Returns the probability with which `choose_domain` returns each domain.
+
+    Args:
+        local: As for `choose_domain`.
+        shares: As for `choose_domain`.
+        excluded: As for `choose_domain`.
+    """
+    remote, is_local_used = _find_used_shares(local, shares, excluded)
+    if not remote:
+        return {local: 1.0}
+    total = sum(remote.values())
+    if is_local_used:
+        return {local: 1.0 - total, **remote}
+    return {domain: share / total for domain, share in remote.items()}
+
+
+def _find_used_shares(
+    local: ids.DomainId,
+    shares: Mapping[ids.DomainId, float],
+    excluded: Collection[ids.DomainId],
+) -> tuple[dict[ids.DomainId, float], bool]:
+    """Returns the shares of usable other domains, and whether the local is."""
+    remote = {
+        domain: share
+        for domain, share in shares.items()
+        if share > 0.0 and domain != local and domain not in excluded
+    }
+    total = sum(share for domain, share in shares.items() if domain != local)
+    is_local_used = (
+        local not in excluded and total < 1.0 - const.SPILLOVER_ROUNDING
+    )
+    return remote, is_local_used
--- a/src/chivedoor/steering/exceptions.py
+++ b/src/chivedoor/steering/exceptions.py
@@ -17,3 +17,11 @@
     def __init__(self, reason: str) -> None:
         super().__init__(reason)
         self.reason = reason
+
+
+class UnknownRouteError(SteeringError):
+    """The view has no route of a name or address."""
+
+
+class MalformedCallerError(SteeringError):
+    """A text is not the address of a caller."""
--- a/src/chivedoor/steering/full_endpoints.py
+++ b/src/chivedoor/steering/full_endpoints.py
@@ -17,6 +17,7 @@
 
 import collections
 from collections.abc import Sequence
+import enum
 import math
 
 from chivedoor import ids
@@ -64,6 +65,17 @@
         )
 
 
+class Admission(enum.Enum):
+    """How a new flow is admitted to the endpoints of a service."""
+
+    # At least one of them is not known to be full.
+    NOT_FULL = "not-full"
+    # A flow of an endpoint was closed, so that it has a place.
+    FREED_PLACE = "freed-place"
+    PROBE = "probe"
+    REFUSED = "refused"
+
+
 class FullEndpoints:
     """Finds full endpoints and limits the new flows to them."""
 
@@ -192,19 +204,36 @@
             alive_at = self._records[endpoint.id].alive_at
             if now - alive_at >= const.NO_PROGRESS_S:
                 self._contacts.request(endpoint.id, now)
+        admission, selected = self.find_admission(endpoints, now)
+        if admission is Admission.FREED_PLACE:
+            record = self._records[selected[0].id]
+            record.closed.popleft()
+            record.granted.append(now)
+        elif admission is Admission.PROBE:
+            self._probed_at[endpoints[0].service] = now
+        return selected
+
+    def find_admission(
+        self, endpoints: Sequence[views.Endpoint], now: float
+    ) -> tuple[Admission, Sequence[views.Endpoint]]:
+        """Returns what `select` decides, without any effect.
+
+        Args:
+            endpoints: As for `select`.
+            now: The current time, in seconds.
+
+        Returns:
+            How a new flow is admitted, and the endpoints that may take it.
+        """
         if not all(self.is_full(endpoint.id, now) for endpoint in endpoints):
-            return endpoints
+            return Admission.NOT_FULL, endpoints
         for endpoint in endpoints:
             if self._records[endpoint.id].closed:
-                self._records[endpoint.id].closed.popleft()
-                self._records[endpoint.id].granted.append(now)
-                return [endpoint]
-        service = endpoints[0].service
-        probed_at = self._probed_at.get(service, -math.inf)
+                return Admission.FREED_PLACE, [endpoint]
+        probed_at = self._probed_at.get(endpoints[0].service, -math.inf)
         if now - probed_at < const.FULL_PROBE_INTERVAL_S:
-            return ()
-        self._probed_at[service] = now
-        return endpoints
+            return Admission.REFUSED, ()
+        return Admission.PROBE, endpoints
 
     def expire(self, now: float) -> None:
         """Removes outdated records."""
--- a/src/chivedoor/steering/placement.py
+++ b/src/chivedoor/steering/placement.py
@@ -117,18 +117,18 @@
         service = self._choose_service(route)
         usable = [
             endpoint
-            for endpoint in self._list_endpoints(service, lapsed_since)
+            for endpoint in self.list_endpoints(service, lapsed_since)
             if self.is_usable(endpoint)
         ]
         warm = [
             endpoint
             for endpoint in usable
-            if not self._is_cold(endpoint, service, now)
+            if not self.is_cold(endpoint, service, now)
         ]
         others = [
             endpoint for endpoint in warm if endpoint.id != avoided
         ] or warm
-        if others and may_refuse and self._has_flow_limit(service):
+        if others and may_refuse and self.has_flow_limit(service):
             others = self._full_endpoints.select(others, now)
             if not others:
                 return verdicts.Refuse(reason=verdicts.RefusalReason.FULL)
@@ -148,9 +148,15 @@
             and endpoint.domain not in self._view.domains_out
         )
 
-    def _list_endpoints(
+    def list_endpoints(
         self, service: ids.ServiceId, lapsed_since: float | None
     ) -> list[views.Endpoint]:
+        """Returns the endpoints of a service, usable or not.
+
+        Args:
+            service: The service.
+            lapsed_since: As for `choose_endpoint`.
+        """
         listed = self._view.get_endpoints(service)
         if lapsed_since is None:
             return listed
@@ -163,7 +169,7 @@
         )
         return [*listed, *lapsed]
 
-    def _is_cold(
+    def is_cold(
         self, endpoint: views.Endpoint, service: ids.ServiceId, now: float
     ) -> bool:
         """Returns whether an endpoint takes flows at the warm-up rate only.
@@ -180,7 +186,7 @@
             and self._restarts.may_have_restarted(endpoint)
         )
 
-    def _has_flow_limit(self, service: ids.ServiceId) -> bool:
+    def has_flow_limit(self, service: ids.ServiceId) -> bool:
         """Returns whether the endpoints of a service hold limited flows."""
         limits = self._view.services.get(service)
         return limits is not None and limits.max_flows > 0
@@ -195,12 +201,10 @@
         self, endpoints: Sequence[views.Endpoint], now: float
     ) -> views.Endpoint | None:
         """Returns an endpoint that needs a handshake as a probe."""
-        candidates = self._reachability.find_probe_candidates(now)
-        for endpoint in endpoints if candidates else ():
-            if endpoint.id in candidates:
-                self._reachability.record_probe(endpoint.id, now)
-                return endpoint
-        return None
+        probe = self.find_probe(endpoints, now)
+        if probe is not None:
+            self._reachability.record_probe(probe.id, now)
+        return probe
 
     def _choose_warm(
         self,
@@ -225,7 +229,7 @@
             decision = self._shortage.decide(
                 route=route,
                 service=service,
-                endpoints=self._omit_doubtful(endpoints, now),
+                endpoints=self.omit_doubtful(endpoints, now),
                 served_domains=served_domains,
                 congested=estimate.is_congested,
                 may_refuse=may_refuse,
@@ -295,7 +299,7 @@
         return min(
             self._limit_compared(endpoints, now),
             key=lambda endpoint: (
-                self._compute_score(endpoint, estimate, now),
+                self.compute_score(endpoint, estimate, now),
                 draw(),
             ),
         )
@@ -312,16 +316,12 @@
         2000). Endpoints of other domains are always included, since all
         endpoints of the local domain may be unreachable.
         """
-        if len(endpoints) <= const.MAX_COMPARED_ENDPOINTS:
-            return endpoints
-        groups = (
-            [e for e in endpoints if e.domain == self._domain],
-            [e for e in endpoints if e.domain != self._domain],
-        )
         return [
             endpoint
-            for group in groups
-            for endpoint in self._sample(group, const.RANDOM_CHOICES, now)
+            for group, count in self.group_compared(endpoints)
+            for endpoint in (
+                group if count is None else self._sample(group, count, now)
+            )
         ]
 
     def _sample(
@@ -329,28 +329,28 @@
     ) -> list[views.Endpoint]:
         """Returns random endpoints, without suspected ones if possible."""
         sampled = self._generator.sample(endpoints, min(count, len(endpoints)))
-        if not any(self._is_doubtful(endpoint, now) for endpoint in sampled):
+        if not any(self.is_doubtful(endpoint, now) for endpoint in sampled):
             return sampled
         healthy = [
             endpoint
             for endpoint in endpoints
-            if not self._is_doubtful(endpoint, now)
+            if not self.is_doubtful(endpoint, now)
         ]
         if not healthy:
             return sampled
         return self._generator.sample(healthy, min(count, len(healthy)))
 
-    def _omit_doubtful(
+    def omit_doubtful(
         self, endpoints: Sequence[views.Endpoint], now: float
     ) -> Sequence[views.Endpoint]:
         """Returns the endpoints that are not doubtful, or all if all are."""
         return [
             endpoint
             for endpoint in endpoints
-            if not self._is_doubtful(endpoint, now)
+            if not self.is_doubtful(endpoint, now)
         ] or endpoints
 
-    def _is_doubtful(self, endpoint: views.Endpoint, now: float) -> bool:
+    def is_doubtful(self, endpoint: views.Endpoint, now: float) -> bool:
         """Returns whether an endpoint is suspected or its entry has lapsed."""
         return endpoint.removed_at is not None or bool(
             self._suspicions.get_penalty(endpoint.id, endpoint.domain, now)
@@ -362,12 +362,17 @@
             endpoint.id
         ) + self._peer_loads.get_count(endpoint.id)
 
-    def _compute_score(
+    def compute_score(
         self,
         endpoint: views.Endpoint,
         estimate: delays.DelayEstimate,
         now: float,
     ) -> float:
+        """Returns the score of an endpoint; the lowest one is chosen.
+
+        It is the load per slot, in requests weighted by service time, with the
+        penalties for other domains, lapsed entries and suspicions.
+        """
         load = (self.count_in_flight(endpoint) + 1) / endpoint.slots
         score = load * estimate.compute_slowness(endpoint)
         if endpoint.domain != self._domain:
@@ -378,26 +383,68 @@
             endpoint.id, endpoint.domain, now
         )
 
-    def _choose_cold(
+    def find_probe(
+        self, endpoints: Sequence[views.Endpoint], now: float
+    ) -> views.Endpoint | None:
+        """Returns the endpoint that the next flow probes, if there is one."""
+        candidates = self._reachability.find_probe_candidates(now)
+        for endpoint in endpoints if candidates else ():
+            if endpoint.id in candidates:
+                return endpoint
+        return None
+
+    def list_openable(
         self,
         service: ids.ServiceId,
         endpoints: Sequence[views.Endpoint],
         now: float,
-    ) -> views.Endpoint | None:
+    ) -> list[views.Endpoint]:
+        """Returns the cold endpoints to which a flow may be opened now."""
         limits = self._view.services.get(service)
         if limits is None:
-            return None
-        rate_per_s = limits.warmup_per_s
-        allowed = [
+            return []
+        return [
             endpoint
             for endpoint in endpoints
-            if self._warmup_budget.may_open(endpoint.id, rate_per_s, now)
+            if self._warmup_budget.may_open(
+                endpoint.id, limits.warmup_per_s, now
+            )
         ]
+
+    def group_compared(
+        self, endpoints: Sequence[views.Endpoint]
+    ) -> list[tuple[Sequence[views.Endpoint], int | None]]:
+        """Returns the endpoints to compare by score, with random choices.
+
+        Each group comes with the number of its endpoints that are drawn at
+        random, None if all are compared.
+        """
+        if len(endpoints) <= const.MAX_COMPARED_ENDPOINTS:
+            return [(endpoints, None)]
+        return [
+            (
+                [e for e in endpoints if e.domain == self._domain],
+                const.RANDOM_CHOICES,
+            ),
+            (
+                [e for e in endpoints if e.domain != self._domain],
+                const.RANDOM_CHOICES,
+            ),
+        ]
+
+    def _choose_cold(
+        self,
+        service: ids.ServiceId,
+        endpoints: Sequence[views.Endpoint],
+        now: float,
+    ) -> views.Endpoint | None:
+        allowed = self.list_openable(service, endpoints, now)
         if not allowed:
             return None
         estimate = delays.DelayEstimate(
             endpoints=allowed, table=self._delay_table
         )
         chosen = self._choose_best(allowed, estimate, now)
+        rate_per_s = self._view.services[service].warmup_per_s
         self._warmup_budget.record_open(chosen.id, rate_per_s, now)
         return chosen
--- a/src/chivedoor/steering/shortage.py
+++ b/src/chivedoor/steering/shortage.py
@@ -65,6 +65,73 @@
     domain: float
 
 
+# Own tokens by endpoint, with the bounds that they were computed for.
+TokenCache = dict[ids.EndpointId, tuple[tuple[float, float], tuple[int, ...]]]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Assessment:
+    """Inputs of the decision on a new flow of a service.
+
+    Attributes:
+        candidates: Endpoints that the flow may go to.
+        service_s: Service times by endpoint, in seconds; 0 if not known.
+        shares: Own tokens by endpoint: requests in flight that this balancer
+            may have there.
+        own: Own requests in flight by endpoint.
+        in_flight: Known requests in flight at the candidates.
+        limit: Part of the domain in the limits of the candidates.
+        wait_s: Longest delay that the limits allow, in seconds.
+        is_short: Whether the service is short of capacity.
+        is_renewed: Whether the state lasts longer from now on.
+        least_important: Whether no route of the service is less important.
+        has_room: Whether the flow may exceed the own tokens.
+        free: Candidates with own tokens left that the flow may use.
+    """
+
+    candidates: Sequence[views.Endpoint]
+    service_s: Mapping[ids.EndpointId, float]
+    shares: Mapping[ids.EndpointId, int]
+    own: Mapping[ids.EndpointId, int]
+    in_flight: int
+    limit: float
+    wait_s: float
+    is_short: bool
+    is_renewed: bool
+    least_important: bool
+    has_room: bool
+    free: Sequence[views.Endpoint]
+
+    @property
+    def is_weighted(self) -> bool:
+        """Whether the flow goes to one of `free`, by the tokens left."""
+        return bool(self.free) and self.least_important
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the flow is refused if the service is short."""
+        return not self.free and not self.has_room
+
+    def get_tokens_left(self) -> list[int]:
+        """Returns the own tokens left at each endpoint of `free`."""
+        return [self.shares[e.id] - self.own[e.id] for e in self.free]
+
+    def compute_speeds(self) -> list[float]:
+        """Returns the requests a second that each candidate completes."""
+        return [
+            e.slots / max(self.service_s[e.id], const.MIN_SERVICE_S)
+            for e in self.candidates
+        ]
+
+    def make_refusal(self, goal_s: float) -> verdicts.Refuse:
+        """Returns the refusal of a flow with a goal, in seconds."""
+        return verdicts.Refuse(
+            reason=verdicts.RefusalReason.OVERLOADED,
+            expected_s=self.in_flight / max(1.0, self.limit) * self.wait_s,
+            goal_s=goal_s,
+        )
+
+
 def list_own_tokens(
     endpoint_id: ids.EndpointId, *, tokens: int, start: float, end: float
 ) -> tuple[int, ...]:
@@ -110,10 +177,7 @@
         self._generator = generator
         self._members: Members | None = None
         self._waiting = False
-        # Own tokens by endpoint, with the bounds that they were computed for.
-        self._tokens: dict[
-            ids.EndpointId, tuple[tuple[float, float], tuple[int, ...]]
-        ] = {}
+        self._tokens: TokenCache = {}
         # Time until which a service counts as short.
         self._short_until: dict[ids.ServiceId, float] = {}
 
@@ -185,6 +249,85 @@
             The endpoint, the refusal, or None if the service is not short or
             its endpoints are left to the balancers of other domains.
         """
+        assessment = self._assess(
+            route=route,
+            service=service,
+            endpoints=endpoints,
+            served_domains=served_domains,
+            congested=congested,
+            may_refuse=may_refuse,
+            above_share=above_share,
+            now=now,
+            tokens=self._tokens,
+        )
+        if assessment is None or not assessment.is_short:
+            return None
+        if assessment.is_renewed:
+            self._short_until[service] = now + const.SHORTAGE_LIFETIME_S
+        if assessment.is_weighted:
+            return self._generator.choices(
+                assessment.free, assessment.get_tokens_left()
+            )[0]
+        if assessment.is_refused:
+            return assessment.make_refusal(route.goal_s)
+        return self._choose_soonest(assessment)
+
+    def assess(
+        self,
+        *,
+        route: views.Route,
+        service: ids.ServiceId,
+        endpoints: Sequence[views.Endpoint],
+        served_domains: Collection[ids.DomainId],
+        congested: bool,
+        may_refuse: bool,
+        above_share: bool,
+        now: float,
+    ) -> Assessment | None:
+        """Returns what `decide` is based on, without any effect.
+
+        The arguments are those of `decide`. The result is None if the endpoints
+        are left to the balancers of other domains.
+        """
+        return self._assess(
+            route=route,
+            service=service,
+            endpoints=endpoints,
+            served_domains=served_domains,
+            congested=congested,
+            may_refuse=may_refuse,
+            above_share=above_share,
+            now=now,
+            tokens=dict(self._tokens),
+        )
+
+    def compute_expected_s(
+        self, endpoint: views.Endpoint, service_s: float
+    ) -> float:
+        """Returns the expected delay at an endpoint in a shortage, in seconds.
+
+        Args:
+            endpoint: The endpoint.
+            service_s: Its service time, in seconds.
+        """
+        return service_s * max(
+            1.0, (self._count_in_flight(endpoint) + 1) / endpoint.slots
+        )
+
+    def _assess(
+        self,
+        *,
+        route: views.Route,
+        service: ids.ServiceId,
+        endpoints: Sequence[views.Endpoint],
+        served_domains: Collection[ids.DomainId],
+        congested: bool,
+        may_refuse: bool,
+        above_share: bool,
+        now: float,
+        tokens: TokenCache,
+    ) -> Assessment | None:
+        """Returns the assessment; tokens that are missing are added."""
         local = [e for e in endpoints if e.domain == self._domain]
         if not local and self._domain in served_domains:
             return None
@@ -198,20 +341,19 @@
             for e in candidates
         }
         parts = self._divide_domains(candidates, served_domains)
-        shares = self._compute_shares(candidates, limits, parts)
+        shares = _compute_shares(candidates, limits, parts, tokens)
         own = {e.id: self._flows.count_in_flight(e.id) for e in candidates}
         exhausted = sum(own.values()) >= sum(shares.values())
         # The loads of other domains are not known, only their parts.
         limit = sum(limits[e.id] * parts[e.domain].domain for e in candidates)
         in_flight = sum(map(self._count_in_flight, candidates))
-        if congested or (exhausted and self._waiting):
-            self._short_until[service] = now + const.SHORTAGE_LIFETIME_S
-        elif not self.is_short(service, now):
-            return None
-        elif in_flight >= const.SHORTAGE_END_SHARE * limit:
-            # Limits keep queues short, so that the delays alone would end the
-            # state while the demand is as high as before.
-            self._short_until[service] = now + const.SHORTAGE_LIFETIME_S
+        is_detected = congested or (exhausted and self._waiting)
+        is_short = is_detected or self.is_short(service, now)
+        # Limits keep queues short, so that the delays alone would end the state
+        # while the demand is as high as before.
+        is_renewed = is_detected or (
+            is_short and in_flight >= const.SHORTAGE_END_SHARE * limit
+        )
         least_important = self._is_least_important(route, service)
         lowers_room = least_important or above_share
         room_share = const.SHORTAGE_ROOM_SHARE if lowers_room else 1.0
@@ -222,15 +364,19 @@
             if has_room or not above_share
             else []
         )
-        if free and least_important:
-            weights = [shares[e.id] - own[e.id] for e in free]
-            return self._generator.choices(free, weights)[0]
-        if free or has_room:
-            return self._choose_soonest(candidates, free, service_s)
-        return verdicts.Refuse(
-            reason=verdicts.RefusalReason.OVERLOADED,
-            expected_s=in_flight / max(1.0, limit) * wait_s,
-            goal_s=route.goal_s,
+        return Assessment(
+            candidates=candidates,
+            service_s=service_s,
+            shares=shares,
+            own=own,
+            in_flight=in_flight,
+            limit=limit,
+            wait_s=wait_s,
+            is_short=is_short,
+            is_renewed=is_renewed,
+            least_important=least_important,
+            has_room=has_room,
+            free=free,
         )
 
     def expire(self, now: float) -> None:
@@ -241,51 +387,26 @@
             if until > now
         }
 
-    def _choose_soonest(
-        self,
-        candidates: Sequence[views.Endpoint],
-        free: Sequence[views.Endpoint],
-        service_s: Mapping[ids.EndpointId, float],
-    ) -> views.Endpoint:
+    def _choose_soonest(self, assessment: Assessment) -> views.Endpoint:
         """Returns the endpoint with the smallest expected delay of a few.
 
         The few are random, so that balancers do not choose the same one by the
         same reports, and fast endpoints are likely to be among them.
         """
-        weights = [
-            e.slots / max(service_s[e.id], const.MIN_SERVICE_S)
-            for e in candidates
-        ]
         compared = self._generator.choices(
-            candidates, weights, k=const.SHORTAGE_CHOICES
+            assessment.candidates,
+            assessment.compute_speeds(),
+            k=const.SHORTAGE_CHOICES,
         )
-        if free:
-            compared.append(self._generator.choice(free))
+        if assessment.free:
+            compared.append(self._generator.choice(assessment.free))
         return min(
             compared,
-            key=lambda e: (
-                service_s[e.id]
-                * max(1.0, (self._count_in_flight(e) + 1) / e.slots)
+            key=lambda e: self.compute_expected_s(
+                e, assessment.service_s[e.id]
             ),
         )
 
-    def _compute_shares(
-        self,
-        candidates: Iterable[views.Endpoint],
-        limits: Mapping[ids.EndpointId, float],
-        parts: Mapping[ids.DomainId, "_Part"],
-    ) -> dict[ids.EndpointId, int]:
-        """Returns this balancer's part of each limit, in whole requests."""
-        return {
-            e.id: sum(
-                number + 0.5 < limits[e.id]
-                for number in self._get_tokens(
-                    e, (parts[e.domain].start, parts[e.domain].end)
-                )
-            )
-            for e in candidates
-        }
-
     def _divide_domains(
         self,
         candidates: Iterable[views.Endpoint],
@@ -314,21 +435,6 @@
             for domain in {e.domain for e in candidates}
         }
 
-    def _get_tokens(
-        self, endpoint: views.Endpoint, bounds: tuple[float, float]
-    ) -> tuple[int, ...]:
-        known = self._tokens.get(endpoint.id)
-        if known is not None and known[0] == bounds:
-            return known[1]
-        tokens = list_own_tokens(
-            endpoint.id,
-            tokens=round(endpoint.slots * const.MAX_REQUESTS_PER_SLOT),
-            start=bounds[0],
-            end=bounds[1],
-        )
-        self._tokens[endpoint.id] = bounds, tokens
-        return tokens
-
     def _count_in_flight(self, endpoint: views.Endpoint) -> int:
         return self._flows.count_in_flight(
             endpoint.id
@@ -347,6 +453,40 @@
         return route.priority >= self._view.get_lowest_priority(service)
 
 
+def _compute_shares(
+    candidates: Iterable[views.Endpoint],
+    limits: Mapping[ids.EndpointId, float],
+    parts: Mapping[ids.DomainId, _Part],
+    tokens: TokenCache,
+) -> dict[ids.EndpointId, int]:
+    """Returns a balancer's part of each limit, in whole requests."""
+    return {
+        e.id: sum(
+            number + 0.5 < limits[e.id]
+            for number in _get_tokens(
+                e, (parts[e.domain].start, parts[e.domain].end), tokens
+            )
+        )
+        for e in candidates
+    }
+
+
+def _get_tokens(
+    endpoint: views.Endpoint, bounds: tuple[float, float], cache: TokenCache
+) -> tuple[int, ...]:
+    known = cache.get(endpoint.id)
+    if known is not None and known[0] == bounds:
+        return known[1]
+    tokens = list_own_tokens(
+        endpoint.id,
+        tokens=round(endpoint.slots * const.MAX_REQUESTS_PER_SLOT),
+        start=bounds[0],
+        end=bounds[1],
+    )
+    cache[endpoint.id] = bounds, tokens
+    return tokens
+
+
 def _divide(
     weights: Mapping[ids.DomainId, float],
     *,
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -180,6 +180,15 @@
             self._view_complete_at is not None and now >= self._view_complete_at
         )
 
+    def get_lapsed_since(self, now: float) -> float | None:
+        """Returns since when removed endpoints still get new flows.
+
+        The time is in seconds; None if removed endpoints get none.
+        """
+        if self.is_view_complete(now):
+            return None
+        return now - const.LAPSED_ENTRY_RETURN_S
+
     def has_ended(self, endpoint: views.Endpoint, now: float) -> bool:
         """Returns whether an endpoint has ended, as far as its entry tells.
 
@@ -359,16 +368,11 @@
             self.demand.record_opening(route, now)
             self.callers.record(segment.flow[segments.CALLER_ADDRESS], now)
         unanswered = self._find_unanswered(segment, now)
-        lapsed_since = (
-            None
-            if self.is_view_complete(now)
-            else now - const.LAPSED_ENTRY_RETURN_S
-        )
         endpoint = self.placement.choose_endpoint(
             route,
             now,
             unanswered,
-            lapsed_since,
+            self.get_lapsed_since(now),
             # A caller that has already waited, as when all balancers were
             # down, gets a late answer rather than none.
             may_refuse=not segment.retransmissions,
