--- a/src/chivedoor/cli/exceptions.py
+++ b/src/chivedoor/cli/exceptions.py
@@ -25,7 +25,7 @@
 
 
 class NoExplanationError(CliError):
-    """An edge balancer cannot be reached or explains no placements."""
+    """An edge balancer cannot be reached or has no page of explanations."""
 
 
 class DocumentFaultsError(CliError):
--- a/tests/cli/test_control.py
+++ b/tests/cli/test_control.py
@@ -457,6 +457,7 @@
         ["domain"],
         ["domain", "out"],
         ["domain", "in"],
+        ["explain"],
         ["validate"],
         ["diff"],
         ["completion"],
--- a/tests/edge/test_process.py
+++ b/tests/edge/test_process.py
@@ -476,3 +476,37 @@
     assert await edge.child.wait() == 2
     text = (edge.folder / "edge.log").read_text()
     assert "packets.address: missing" in text
+
+
+async def test_page_explains_a_placement(edge) -> None:
+    """Guards against a page that fails or takes a place for a flow."""
+    await async_start_ready(edge)
+    path = f"/explain?caller={conftest.CALLER}:4000&route="
+    for route in ("r", "198.18.0.1:443"):
+        status, body = await edge.async_get(edge.metrics_port, path + route)
+        explanation = json.loads(body)
+        assert status == 200
+        assert explanation["caller"] == conftest.CALLER
+        (service,) = explanation["services"]
+        (endpoint,) = service["endpoints"]
+        assert endpoint["id"] == conftest.ENDPOINT_ID
+        assert endpoint["probability"] == 1.0
+    state = json.loads((await edge.async_get(edge.metrics_port, "/state"))[1])
+    assert state["flows"] == 0
+
+
+@pytest.mark.parametrize(
+    ("query", "status"),
+    [
+        ("?caller=100.64.0.4&route=none", 404),
+        ("?caller=100.64.0.4:x&route=r", 400),
+        ("", 400),
+    ],
+)
+async def test_page_rejects_unusable_arguments(edge, query, status) -> None:
+    """Guards against errors without a reason, or that end the process."""
+    await async_start_ready(edge)
+    found, body = await edge.async_get(edge.metrics_port, "/explain" + query)
+    assert found == status
+    assert json.loads(body).keys() == {"error"}
+    assert (await edge.async_get(edge.metrics_port, "/state"))[0] == 200
--- a/tests/feed/test_load_reports.py
+++ b/tests/feed/test_load_reports.py
@@ -61,6 +61,18 @@
     assert table.get_position(1.0 + EXPIRED_S) is None
 
 
+def test_shares_are_looked_at_without_a_choice() -> None:
+    """Guards against an explanation that selects the report to be used."""
+    shares = {conftest.SERVICE: {"b": 0.5}}
+    table = make_table(2, 1)
+    assert table.peek_shares(conftest.SERVICE, 0.0) is None
+    table.record(make_total(1, position=4, shares=shares), 0.0)
+    assert table.peek_shares(conftest.SERVICE, 0.1) == {"b": 0.5}
+    table.record(make_total(2, position=5, shares={}), 0.2)
+    assert table.get_position(0.3) == 5
+    assert table.peek_shares(conftest.SERVICE, 0.3) == {}
+
+
 def test_most_complete_report_of_another_domain_counts() -> None:
     """Guards against a domain that seems idle while a candidate starts."""
     table = make_table()
