steering, cli: say so when a balancer has no configuration yet

Cause: during a start, every route was called unknown; chances below 0.05% were printed as 0.0%, as for endpoints that are excluded. Change: the error names the missing configuration, small chances are <0.1%.

--- a/src/chivedoor/cli/explanations.py
+++ b/src/chivedoor/cli/explanations.py
@@ -165,7 +165,8 @@
 
 
 def _format_share(share: float) -> str:
-    return f"{100 * share:.1f}%"
+    # A possible choice must not look like an excluded one.
+    return "<0.1%" if 0.0 < share < 0.0005 else f"{100 * share:.1f}%"
 
 
 def _format_duration(duration_s: float | None) -> str:
--- a/src/chivedoor/steering/explanation.py
+++ b/src/chivedoor/steering/explanation.py
@@ -300,7 +300,8 @@
         key = segments.RouteKey(port.to_bytes(2, "big") + address)
         if key in view.routes:
             return key
-    raise exceptions.UnknownRouteError(f"unknown route {text!r}")
+    hint = "" if view.version else ": the balancer has no configuration yet"
+    raise exceptions.UnknownRouteError(f"unknown route {text!r}{hint}")
 
 
 class Explainer:
--- a/tests/steering/test_explanation.py
+++ b/tests/steering/test_explanation.py
@@ -344,6 +344,15 @@
     ]
 
 
+def test_missing_configuration_is_named() -> None:
+    """Guards against operators who look for a mistake in the route's name."""
+    steerer = steerers.Steerer(
+        local=ids.VmId("vm-1"), domain=A, generator=random.Random(1)
+    )
+    with pytest.raises(exceptions.UnknownRouteError, match="no configuration"):
+        explain(steerer)
+
+
 @pytest.mark.parametrize("route", ["r0", "198.18.0.1:443"])
 def test_route_is_found_by_name_and_address(route: str) -> None:
     """Guards against a route that can be given in one way only."""
