--- a/src/chivedoor/cli/explanations.py
+++ b/src/chivedoor/cli/explanations.py
@@ -107,12 +107,17 @@
 
 def _format_choice(choice: dict[str, Any]) -> str:
     where = f"domain {choice['domain']}" if choice["domain"] else "all domains"
+    if choice["spare"]:
+        where += f" or, with spare capacity, {', '.join(choice['spare'])}"
     line = (
         f"  {_format_share(choice['probability'])} to {where}: "
         f"{choice['method']}"
     )
     if choice["limit"] is not None:
         line += f", {choice['in_flight']} in flight of {choice['limit']:.1f}"
+    if choice["left_share"] is not None and choice["left_share"] < 1.0:
+        left = _format_share(choice["left_share"])
+        line += f", more important routes leave {left}"
     if choice["refusal"]:
         line += (
             f", refused {_format_share(choice['refusal_probability'])}: "
--- a/src/chivedoor/steering/callers.py
+++ b/src/chivedoor/steering/callers.py
@@ -76,14 +76,22 @@
             variance
         )
 
-    def would_be_above_share(self, caller: bytes, now: float) -> bool:
+    def would_be_above_share(
+        self, caller: bytes, now: float, *, records: bool
+    ) -> bool:
         """Returns whether a caller would be above its share with a new flow.
 
         Nothing is recorded. The table is copied, so this is not for the path
         of packets.
+
+        Args:
+            caller: The caller.
+            now: The current time, in seconds.
+            records: Whether the new flow would be recorded.
         """
         copied = copy.deepcopy(self)
-        copied.record(caller, now)
+        if records:
+            copied.record(caller, now)
         return copied.is_above_share(caller, now)
 
     def _advance(self, now: float) -> float:
--- a/src/chivedoor/steering/distribution.py
+++ b/src/chivedoor/steering/distribution.py
@@ -6,6 +6,7 @@
 reported on each balancer.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -65,17 +66,21 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class DomainOption:
-    """A domain that a new flow may go to.
+    """Endpoints that a new flow may be restricted to.
 
     Attributes:
-        domain: The domain; None if the choice is left to the scores.
+        domain: The domain that the shares select; None if they select none that
+            can be used.
         probability: Probability of this option, 0 to 1.
         endpoints: The endpoints among which the flow is then placed.
+        spare: Those of other domains among them that have reported spare
+            capacity.
     """
 
     domain: ids.DomainId | None
     probability: float
     endpoints: Sequence[views.Endpoint]
+    spare: Sequence[views.Endpoint] = ()
 
 
 class Distribution:
@@ -126,7 +131,8 @@
     ) -> dict[ids.ServiceId, dict[ids.DomainId, float]]:
         """Decides which shares of new flows leave the local domain.
 
-        Called on each heartbeat of a candidate for the reader.
+        Called on each heartbeat of a candidate for the reader. Domains with
+        spare capacity are listed even if their share is 0.
         """
         if self._reports is None:
             return {}
@@ -135,20 +141,24 @@
             return {}
         remote = self._reports.list_remote(now)
         shares = {
-            service: decided
+            service: dict.fromkeys(self._list_spare(service, remote, now), 0.0)
+            | self._decide_service(service, local, remote, now)
             for service in local.demand
-            if (decided := self._decide_service(service, local, remote, now))
         }
         self._spillover.retain(local.demand)
         return shares
 
-    def choose_domain(
+    def select_endpoints(
         self,
         service: ids.ServiceId,
         endpoints: Sequence[views.Endpoint],
         now: float,
-    ) -> Sequence[views.Endpoint]:
-        """Returns the endpoints of the domain that a new flow goes to.
+    ) -> tuple[Sequence[views.Endpoint], Sequence[views.Endpoint]]:
+        """Returns the endpoints of the domains that a new flow may go to.
+
+        A flow that is not sent to another domain by its share may still go to
+        one that has spare capacity, if the endpoints of the local domain are
+        loaded more. That covers the time until the shares have followed.
 
         Args:
             service: The service of the flow.
@@ -156,25 +166,24 @@
             now: The current time, in seconds.
 
         Returns:
-            The endpoints of one domain; all of them without a recent decision,
-            or if that domain has none.
+            The endpoints, all of them without a recent decision or if the
+            domains have none; and those of other domains among them that have
+            reported spare capacity.
         """
         if (
             self._reports is None
             or self._reports.get_domain(self._domain, now) is None
         ):
-            return endpoints
+            return endpoints, ()
         shares = self._reports.list_shares(service, now)
         excluded = self._find_excluded(shares, endpoints, now)
-        if self._domain in excluded and not shares:
-            return endpoints
-        domain = domain_choice.choose_domain(
+        chosen = domain_choice.choose_domain(
             local=self._domain,
             shares=shares,
-            draw=self._generator.random() if shares else 0.0,
+            draw=self._generator.random() if any(shares.values()) else 0.0,
             excluded=excluded,
         )
-        return _keep_domain(endpoints, domain)
+        return self._select(endpoints, chosen, shares, excluded)
 
     def find_choices(
         self,
@@ -182,34 +191,35 @@
         endpoints: Sequence[views.Endpoint],
         now: float,
     ) -> list[DomainOption]:
-        """Returns what `choose_domain` may return, without any effect.
+        """Returns what `select_endpoints` may return, without any effect.
 
         Args:
-            service: As for `choose_domain`.
-            endpoints: As for `choose_domain`.
+            service: As for `select_endpoints`.
+            endpoints: As for `select_endpoints`.
             now: The current time, in seconds.
         """
         shares = (
             self._reports.peek_shares(service, now) if self._reports else None
         )
-        everything = DomainOption(
-            domain=None, probability=1.0, endpoints=endpoints
-        )
         if shares is None:
-            return [everything]
+            return [
+                DomainOption(domain=None, probability=1.0, endpoints=endpoints)
+            ]
         excluded = self._find_excluded(shares, endpoints, now)
-        if self._domain in excluded and not shares:
-            return [everything]
-        return [
-            DomainOption(
-                domain=domain,
-                probability=probability,
-                endpoints=_keep_domain(endpoints, domain),
+        options = []
+        for chosen, probability in domain_choice.compute_probabilities(
+            local=self._domain, shares=shares, excluded=excluded
+        ).items():
+            selected, spare = self._select(endpoints, chosen, shares, excluded)
+            options.append(
+                DomainOption(
+                    domain=None if chosen in excluded else chosen,
+                    probability=probability,
+                    endpoints=selected,
+                    spare=spare,
+                )
             )
-            for domain, probability in domain_choice.compute_probabilities(
-                local=self._domain, shares=shares, excluded=excluded
-            ).items()
-        ]
+        return options
 
     def _find_excluded(
         self,
@@ -226,6 +236,25 @@
             or self._suspicions.is_domain_suspect(domain, now)
         }
 
+    def _select(
+        self,
+        endpoints: Sequence[views.Endpoint],
+        chosen: ids.DomainId,
+        shares: Mapping[ids.DomainId, float],
+        excluded: Collection[ids.DomainId],
+    ) -> tuple[Sequence[views.Endpoint], Sequence[views.Endpoint]]:
+        """Returns the result of `select_endpoints` for a chosen domain."""
+        allowed = {self._domain, *shares}.difference(excluded)
+        if chosen != self._domain:
+            allowed = {chosen}
+        selected = [e for e in endpoints if e.domain in allowed]
+        if not selected:
+            return endpoints, ()
+        if self._domain in excluded:
+            # The whole demand of the local domain counts in the others.
+            return selected, ()
+        return selected, [e for e in selected if e.domain != self._domain]
+
     def explain(self, service: ids.ServiceId) -> spillover.Decision | None:
         """Returns the last decision of this balancer on a service."""
         return self._spillover.explain(service)
@@ -288,6 +317,24 @@
             self._observer.on_spillover(service, decision)
         return decided
 
+    def _list_spare(
+        self,
+        service: ids.ServiceId,
+        remote: Mapping[ids.DomainId, DomainReport],
+        now: float,
+    ) -> list[ids.DomainId]:
+        """Returns the other domains that have spare capacity.
+
+        A domain that reports no capacity has not served the service lately.
+        """
+        return [
+            domain
+            for domain, report in remote.items()
+            if domain not in self._view.domains_out
+            and not self._suspicions.is_domain_suspect(domain, now)
+            and _has_spare_capacity(report, service)
+        ]
+
     def _measure_capacity(
         self, service: ids.ServiceId, now: float
     ) -> demands.Capacity | None:
@@ -313,13 +360,6 @@
         ]
 
 
-def _keep_domain(
-    endpoints: Sequence[views.Endpoint], domain: ids.DomainId
-) -> Sequence[views.Endpoint]:
-    """Returns the endpoints of a domain, or all if it has none."""
-    return [e for e in endpoints if e.domain == domain] or endpoints
-
-
 def _make_load(
     report: DomainReport,
     service: ids.ServiceId,
@@ -334,6 +374,14 @@
     )
 
 
+def _has_spare_capacity(report: DomainReport, service: ids.ServiceId) -> bool:
+    capacity = report.capacity.get(service)
+    demand_per_s = sum(report.demand.get(service, {}).values())
+    return capacity is None or demand_per_s < capacity.requests_per_s * (
+        1.0 - const.SPILLOVER_RESERVE
+    )
+
+
 def _compute_mean(values: Iterable[float]) -> float:
     listed = list(values)
     return sum(listed) / len(listed) if listed else 0.0
--- a/src/chivedoor/steering/explanation.py
+++ b/src/chivedoor/steering/explanation.py
@@ -85,8 +85,8 @@
         exclusion: Why it does not go there; None if it may.
         score: The score; None where it does not count.
         expected_s: Expected delay, in seconds; None where it does not count.
-        tokens: Requests that this balancer may have in flight there; None if
-            the service is not short.
+        tokens: Requests that this balancer may have in flight there, without
+            those of more important routes; None if the service is not short.
         tokens_left_share: Share of them that is not in use, 0 to 1; None
             without tokens.
     """
@@ -110,10 +110,13 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Choice:
-    """Choice among the endpoints of one domain, or of all.
+    """Choice among the endpoints of one domain, or of several.
 
     Attributes:
-        domain: The domain; None if the choice is left to the scores.
+        domain: The domain that the shares select; None if the choice is left to
+            the scores.
+        spare: Other domains that the flow may go to as well, because they have
+            reported spare capacity.
         probability: Probability that the flow goes there, 0 to 1.
         method: How the endpoint is chosen.
         congested: Whether most delays are spent in queues.
@@ -122,6 +125,8 @@
             service is not short.
         limit: Part of the domain in the requests that the endpoints may hold;
             None if the service is not short.
+        left_share: Share of the capacity that more important routes leave, 0 to
+            1; None if the service is not short.
         refusal: Reason of a possible refusal.
         refusal_probability: Probability of it if this choice is made.
         expected_s: Shortest expected delay for which it is refused, in seconds.
@@ -130,10 +135,12 @@
     domain: ids.DomainId | None
     probability: float
     method: Method
+    spare: tuple[ids.DomainId, ...] = ()
     congested: bool = False
     short: bool = False
     in_flight: int | None = None
     limit: float | None = None
+    left_share: float | None = None
     refusal: verdicts.RefusalReason | None = None
     refusal_probability: float = 0.0
     expected_s: float | None = None
@@ -339,7 +346,9 @@
         route = self._steerer.view.routes[key]
         above_share = self._steerer.shortage.has_short_service(
             now
-        ) and self._steerer.callers.would_be_above_share(caller, now)
+        ) and self._steerer.callers.would_be_above_share(
+            caller, now, records=self._steerer.counts_load
+        )
         total = sum(weight for _, weight in route.weighted_services)
         services = tuple(
             self._explain_service(
@@ -477,7 +486,8 @@
             endpoints=option.endpoints, table=self._steerer.delay_table
         )
         congested = estimate.is_congested
-        if shortage.may_apply(
+        # The placement asks for no limits either while there is spare capacity.
+        if not option.spare and shortage.may_apply(
             route=route, service=service, congested=congested, now=now
         ):
             assessment = shortage.assess(
@@ -539,6 +549,7 @@
                 short=True,
                 in_flight=assessment.in_flight,
                 limit=assessment.limit,
+                left_share=assessment.left_share,
                 refusal=refusal and refusal.reason,
                 refusal_probability=1.0 if refusal else 0.0,
                 expected_s=refusal and refusal.expected_s,
@@ -594,6 +605,7 @@
                 domain=option.domain,
                 probability=option.probability,
                 method=Method.CONGESTED,
+                spare=_list_domains(option.spare),
                 congested=True,
                 refusal=verdicts.RefusalReason.OVERLOADED
                 if is_refusable
@@ -639,6 +651,7 @@
                 domain=option.domain,
                 probability=option.probability,
                 method=method,
+                spare=_list_domains(option.spare),
                 congested=estimate.is_congested,
             ),
             listed=option.endpoints,
@@ -706,18 +719,19 @@
         outcomes: Sequence[_Outcome],
         now: float,
     ) -> EndpointState:
-        # An endpoint takes part in one choice, or in the same one for several
-        # domains if these have no endpoint.
-        outcome = outcomes[0] if outcomes else None
+        outcome = _find_most_probable(outcomes) if outcomes else None
         assessment = outcome and outcome.assessment
         tokens = assessment and assessment.shares.get(endpoint.id)
-        in_flight = self._steerer.flows.count_in_flight(endpoint.id)
+        tokens_left_share = None
+        if assessment and tokens:
+            left = max(0, tokens - assessment.own[endpoint.id])
+            tokens_left_share = left / tokens
         return EndpointState(
             id=endpoint.id,
             address=endpoint.address,
             domain=endpoint.domain,
             slots=endpoint.slots,
-            in_flight=in_flight,
+            in_flight=self._steerer.flows.count_in_flight(endpoint.id),
             in_flight_elsewhere=self._steerer.peer_loads.get_count(endpoint.id),
             suspected=self._placement.is_doubtful(endpoint, now),
             full=self._steerer.full_endpoints.is_full(endpoint.id, now),
@@ -727,9 +741,7 @@
             score=outcome and outcome.scores.get(endpoint.id),
             expected_s=outcome and outcome.expected_s.get(endpoint.id),
             tokens=tokens,
-            tokens_left_share=max(0, tokens - in_flight) / tokens
-            if tokens
-            else None,
+            tokens_left_share=tokens_left_share,
         )
 
     def _find_exclusion(
@@ -755,7 +767,7 @@
             return Exclusion.FULL
         if not outcomes:
             return Exclusion.OTHER_DOMAIN
-        outcome = outcomes[0]
+        outcome = _find_most_probable(outcomes)
         if outcome.others is Exclusion.OTHER_PROBED:
             return outcome.others
         if self._placement.is_doubtful(endpoint, now) and any(
@@ -809,6 +821,20 @@
     )
 
 
+def _find_most_probable(outcomes: Sequence[_Outcome]) -> _Outcome:
+    """Returns the outcome of the choice that is made most often.
+
+    An endpoint of a domain with a share and spare capacity takes part in two.
+    """
+    return max(outcomes, key=lambda outcome: outcome.choice.probability)
+
+
+def _list_domains(
+    endpoints: Sequence[views.Endpoint],
+) -> tuple[ids.DomainId, ...]:
+    return tuple(sorted({endpoint.domain for endpoint in endpoints}))
+
+
 def _parse_port(text: str) -> int | None:
     if not text.isascii() or not text.isdigit() or len(text) > 5:
         return None
--- a/src/chivedoor/steering/placement.py
+++ b/src/chivedoor/steering/placement.py
@@ -35,8 +35,8 @@
     service: ids.ServiceId,
     endpoints: Sequence[views.Endpoint],
     now: float,
-) -> Sequence[views.Endpoint]:
-    return endpoints
+) -> tuple[Sequence[views.Endpoint], Sequence[views.Endpoint]]:
+    return endpoints, ()
 
 
 class Placement:
@@ -72,11 +72,11 @@
         self._delay_table = delay_table
         self._generator = generator
         self._congested_at: float | None = None
-        # Selects the endpoints of one domain; set after creation, because the
+        # Limits the domains of a flow; set after creation, because the
         # distribution uses this placement.
-        self.choose_domain: Callable[
+        self.select_endpoints: Callable[
             [ids.ServiceId, Sequence[views.Endpoint], float],
-            Sequence[views.Endpoint],
+            tuple[Sequence[views.Endpoint], Sequence[views.Endpoint]],
         ] = _keep_all
 
     def is_congested(self, now: float) -> bool:
@@ -216,11 +216,12 @@
         above_share: bool,
     ) -> views.Endpoint | verdicts.Refuse:
         served_domains = {endpoint.domain for endpoint in endpoints}
-        endpoints = self.choose_domain(service, endpoints, now)
+        endpoints, spare = self.select_endpoints(service, endpoints, now)
         estimate = delays.DelayEstimate(
             endpoints=endpoints, table=self._delay_table
         )
-        if self._shortage.may_apply(
+        # While another domain has spare capacity, the service is not short.
+        if not spare and self._shortage.may_apply(
             route=route,
             service=service,
             congested=estimate.is_congested,
--- a/src/chivedoor/steering/shortage.py
+++ b/src/chivedoor/steering/shortage.py
@@ -15,6 +15,7 @@
 number in flight has fallen.
 """
 
+import collections
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -28,8 +29,10 @@
 from chivedoor import ids
 from chivedoor.steering import capacity
 from chivedoor.steering import const
+from chivedoor.steering import delays
 from chivedoor.steering import flows as flow_tables
 from chivedoor.steering import reports
+from chivedoor.steering import segment as segments
 from chivedoor.steering import verdicts
 from chivedoor.steering import view as views
 
@@ -78,13 +81,17 @@
         service_s: Service times by endpoint, in seconds; 0 if not known.
         shares: Own tokens by endpoint: requests in flight that this balancer
             may have there.
-        own: Own requests in flight by endpoint.
+        own: Own requests in flight by endpoint, without those of more important
+            routes.
         in_flight: Known requests in flight at the candidates.
         limit: Part of the domain in the limits of the candidates.
         wait_s: Longest delay that the limits allow, in seconds.
         is_short: Whether the service is short of capacity.
         is_renewed: Whether the state lasts longer from now on.
+        left_share: Share of the capacity that more important routes leave, 0 to
+            1; the own tokens are that share of the limits.
         least_important: Whether no route of the service is less important.
+        is_large: Whether the demand of the route is much of the capacity.
         has_room: Whether the flow may exceed the own tokens.
         free: Candidates with own tokens left that the flow may use.
     """
@@ -98,14 +105,16 @@
     wait_s: float
     is_short: bool
     is_renewed: bool
+    left_share: float
     least_important: bool
+    is_large: bool
     has_room: bool
     free: Sequence[views.Endpoint]
 
     @property
     def is_weighted(self) -> bool:
         """Whether the flow goes to one of `free`, by the tokens left."""
-        return bool(self.free) and self.least_important
+        return bool(self.free) and (self.least_important or self.is_large)
 
     @property
     def is_refused(self) -> bool:
@@ -157,7 +166,11 @@
 
 
 class Shortage:
-    """Decides on new flows of services that are short of capacity."""
+    """Decides on new flows of services that are short of capacity.
+
+    Attributes:
+        capacity: Service times of the endpoints.
+    """
 
     def __init__(
         self,
@@ -175,7 +188,9 @@
         self._flows = flows
         self._peer_loads = peer_loads
         self._generator = generator
+        # Without members, no decision is made and no capacity is estimated.
         self._members: Members | None = None
+        self._demand: Mapping[ids.ServiceId, Mapping[int, float]] = {}
         self._waiting = False
         self._tokens: TokenCache = {}
         # Time until which a service counts as short.
@@ -187,6 +202,21 @@
             self._tokens.clear()
         self._members = members
 
+    def set_demand(
+        self, demand: Mapping[ids.ServiceId, Mapping[int, float]]
+    ) -> None:
+        """Sets the new flows a second of the domain.
+
+        Args:
+            demand: The rates by service and priority; empty if not known.
+        """
+        self._demand = demand
+
+    def update_capacity(self, table: delays.DelayTable) -> None:
+        """Updates the capacity estimates; called once per tick."""
+        if self._members is not None:
+            self.capacity.update(table, self._view.endpoints)
+
     def set_waiting(self, waiting: bool) -> None:
         """Sets whether a request of this balancer takes long already."""
         self._waiting = waiting
@@ -334,15 +364,37 @@
         candidates = local or endpoints
         service_s = capacity.estimate_service_times(candidates, self.capacity)
         wait_s = self._get_wait_share(route, service) * route.goal_s
+        parts = self._divide_domains(candidates, served_domains)
+        capacity_per_s = const.DELAY_WEIGHT_BIAS * sum(
+            e.slots
+            / max(service_s[e.id], const.MIN_SERVICE_S)
+            * parts[e.domain].domain
+            for e in candidates
+        )
+        demand = self._demand.get(service, {})
+        more_important_per_s = sum(
+            rate
+            for priority, rate in demand.items()
+            if priority < route.priority
+        )
+        left_share = max(0.0, 1.0 - more_important_per_s / capacity_per_s)
         limits = {
             e.id: capacity.compute_limit(
                 endpoint=e, service_s=service_s[e.id], wait_s=wait_s
             )
             for e in candidates
         }
-        parts = self._divide_domains(candidates, served_domains)
-        shares = _compute_shares(candidates, limits, parts, tokens)
-        own = {e.id: self._flows.count_in_flight(e.id) for e in candidates}
+        shares = _compute_shares(
+            candidates,
+            {
+                endpoint_id: left_share * limit
+                for endpoint_id, limit in limits.items()
+            },
+            parts,
+            tokens,
+        )
+        counted = self._count_own(route.priority)
+        own = {e.id: counted[e.id] for e in candidates}
         exhausted = sum(own.values()) >= sum(shares.values())
         # The loads of other domains are not known, only their parts.
         limit = sum(limits[e.id] * parts[e.domain].domain for e in candidates)
@@ -364,6 +416,12 @@
             if has_room or not above_share
             else []
         )
+        # A route that takes much of the capacity would fill the fast endpoints
+        # by old reports if each flow went to the one that looks best.
+        is_large = (
+            demand.get(route.priority, 0.0)
+            > const.SHORTAGE_LARGE_SHARE * capacity_per_s
+        )
         return Assessment(
             candidates=candidates,
             service_s=service_s,
@@ -374,7 +432,9 @@
             wait_s=wait_s,
             is_short=is_short,
             is_renewed=is_renewed,
+            left_share=left_share,
             least_important=least_important,
+            is_large=is_large,
             has_room=has_room,
             free=free,
         )
@@ -386,6 +446,24 @@
             for service, until in self._short_until.items()
             if until > now
         }
+        self._tokens = {
+            endpoint_id: tokens
+            for endpoint_id, tokens in self._tokens.items()
+            if endpoint_id in self._view.endpoints
+        }
+
+    def _count_own(self, priority: int) -> collections.Counter[ids.EndpointId]:
+        """Returns own requests in flight of no higher importance by endpoint.
+
+        Those of more important routes are already left out of the limits.
+        """
+        routes = self._view.routes
+        return collections.Counter(
+            flow.endpoint_id
+            for flow_id, flow in self._flows.iterate_active()
+            if (route := routes.get(segments.get_route(flow_id))) is not None
+            and route.priority >= priority
+        )
 
     def _choose_soonest(self, assessment: Assessment) -> views.Endpoint:
         """Returns the endpoint with the smallest expected delay of a few.
--- a/tests/cli/test_explanations.py
+++ b/tests/cli/test_explanations.py
@@ -113,6 +113,19 @@
     ] in rows
 
 
+async def test_reasons_of_a_choice_are_printed(async_run, async_serve) -> None:
+    """Guards against spare domains or scaled tokens that operators miss."""
+    page = json.loads(make_page(short=True))
+    (choice,) = page["services"][0]["choices"]
+    choice |= {"domain": "a", "spare": ["b", "c"], "left_share": 0.25}
+    address, _ = await async_serve(json.dumps(page))
+    result = await async_run(
+        "explain", "100.64.0.4:1056", "r", "--address", address
+    )
+    assert "to domain a or, with spare capacity, b, c: tokens" in result.out
+    assert ", more important routes leave 25.0%" in result.out
+
+
 async def test_shortage_is_printed_for_operators(
     async_run, async_serve
 ) -> None:
