--- a/src/chivedoor/cli/explanations.py
+++ b/src/chivedoor/cli/explanations.py
@@ -115,9 +115,6 @@
     )
     if choice["limit"] is not None:
         line += f", {choice['in_flight']} in flight of {choice['limit']:.1f}"
-    if choice["left_share"] is not None and choice["left_share"] < 1.0:
-        left = _format_share(choice["left_share"])
-        line += f", more important routes leave {left}"
     if choice["refusal"]:
         line += (
             f", refused {_format_share(choice['refusal_probability'])}: "
--- a/src/chivedoor/edge/forwarder.py
+++ b/src/chivedoor/edge/forwarder.py
@@ -32,6 +32,7 @@
         *,
         address: str,
         port: int,
+        domain: ids.DomainId,
         steerer: steerers.Steerer,
         log: log_writer.LogWriter,
         metrics: metrics_module.Metrics,
@@ -44,6 +45,7 @@
         Args:
             address: The local address that packets are sent to.
             port: The port of the packets, also at the callers.
+            domain: The failure domain of this balancer.
             steerer: Decides what is done with each packet.
             log: Writes a line for each decision.
             metrics: Counts packets and decisions.
@@ -55,6 +57,7 @@
         self.last_packet_at: float | None = None
         self.view_updater: view_updater_module.ViewUpdater | None = None
         self._caller_port = port
+        self._domain = domain
         self._steerer = steerer
         self._log = log
         self._metrics = metrics
@@ -195,6 +198,10 @@
     ) -> None:
         endpoint = verdict.endpoint
         self._metrics.count(metrics_module.Counter.FLOWS_PLACED)
+        if endpoint.domain != self._domain:
+            self._metrics.count(
+                metrics_module.Counter.FLOWS_PLACED_REMOTE, endpoint.domain
+            )
         if segment.retransmissions:
             self._metrics.count(metrics_module.Counter.HANDSHAKES_REPEATED)
         self._log.write(
@@ -214,7 +221,13 @@
         self, segment: segments.Segment, verdict: verdicts.Refuse
     ) -> None:
         reason = verdict.reason.value
+        context = verdict.context
         self._metrics.count(metrics_module.Counter.FLOWS_REFUSED, reason)
+        if context is not None:
+            self._metrics.count(
+                metrics_module.Counter.FLOWS_REFUSED_BY_PRIORITY,
+                f"{reason}/{context.priority}",
+            )
         self._log.write(
             log_writer.EventType.FLOW_REFUSED,
             flow=flow_names.format_flow(segment.flow),
@@ -223,6 +236,8 @@
             tag=segment.tag,
             expected_s=_round_seconds(verdict.expected_s),
             goal_s=verdict.goal_s,
+            service=verdict.service,
+            **_list_fields(context),
             version=self._steerer.view.version,
             view_age_s=self._get_view_age_s(),
         )
@@ -243,5 +258,22 @@
         )
 
 
+def _list_fields(
+    context: verdicts.RefusalContext | None,
+) -> dict[str, object]:
+    """Returns fields of a log line.
+
+    `dataclasses.asdict` copies values, which is slow for a line of each flow.
+    """
+    if context is None:
+        return {}
+    return {
+        "route": context.route,
+        "priority": context.priority,
+        "short": context.short,
+        "above_share": context.above_share,
+    }
+
+
 def _round_seconds(duration_s: float | None) -> float | None:
     return None if duration_s is None else round(duration_s, 3)
--- a/src/chivedoor/steering/distribution.py
+++ b/src/chivedoor/steering/distribution.py
@@ -107,6 +107,8 @@
         self._observer = observer
         self._spillover = spillover.Spillover(domain=domain)
         self._reports: DomainReports | None = None
+        # Decisions by service that the observer received last.
+        self._logged: dict[ids.ServiceId, spillover.Decision] = {}
 
     def set_reports(self, reports: DomainReports) -> None:
         """Sets the source of the reports."""
@@ -146,6 +148,11 @@
             for service in local.demand
         }
         self._spillover.retain(local.demand)
+        self._logged = {
+            service: decision
+            for service, decision in self._logged.items()
+            if service in local.demand
+        }
         return shares
 
     def select_endpoints(
@@ -166,12 +173,13 @@
             now: The current time, in seconds.
 
         Returns:
-            The endpoints, all of them without a recent decision or if the
-            domains have none; and those of other domains among them that have
-            reported spare capacity.
+            The endpoints, all of them without a recent decision or a goal, or
+            if no domain has one that can be relied on; and those of other
+            domains among them that have reported spare capacity.
         """
         if (
             self._reports is None
+            or not self._view.get_goal_s(service)
             or self._reports.get_domain(self._domain, now) is None
         ):
             return endpoints, ()
@@ -199,7 +207,9 @@
             now: The current time, in seconds.
         """
         shares = (
-            self._reports.peek_shares(service, now) if self._reports else None
+            self._reports.peek_shares(service, now)
+            if self._reports is not None and self._view.get_goal_s(service)
+            else None
         )
         if shares is None:
             return [
@@ -227,13 +237,11 @@
         endpoints: Sequence[views.Endpoint],
         now: float,
     ) -> set[ids.DomainId]:
-        """Returns the domains without an endpoint and those suspected."""
-        present = {endpoint.domain for endpoint in endpoints}
+        """Returns the domains without an endpoint that can be relied on."""
         return {
             domain
             for domain in (self._domain, *shares)
-            if domain not in present
-            or self._suspicions.is_domain_suspect(domain, now)
+            if not self._has_reliable_endpoint(domain, endpoints, now)
         }
 
     def _select(
@@ -266,20 +274,23 @@
         remote: Mapping[ids.DomainId, DomainReport],
         now: float,
     ) -> dict[ids.DomainId, float]:
-        usable = self._list_local(service, now)
+        usable = self._list_usable(service, self._domain, now)
         known = local.capacity.get(service)
         if usable and known is None:
             return {}
-        service_s = _compute_mean(
-            capacities.estimate_service_times(
-                self._view.get_endpoints(service), self._capacity
-            ).values()
+        load = _make_load(local, service, known if usable else None, usable)
+        # Fast endpoints complete most requests, so that the mean time of a
+        # slot follows from the capacity and not from the mean of endpoints.
+        service_s = (
+            const.SERVICE_UTILIZATION * load.slots / load.capacity_per_s
+            if load.capacity_per_s
+            else 0.0
         )
         transfer = local.transfers.get(service)
-        former = self._spillover.explain(service)
+        self._continue_shares(service, now)
         decided = self._spillover.decide(
             service=service,
-            local=_make_load(local, service, known if usable else None, usable),
+            local=load,
             remote={
                 domain: _make_load(
                     report,
@@ -287,11 +298,7 @@
                     report.capacity.get(service)
                     if domain not in self._view.domains_out
                     else None,
-                    [
-                        e
-                        for e in self._view.get_endpoints(service)
-                        if e.domain == domain
-                    ],
+                    self._list_usable(service, domain, now),
                 )
                 for domain, report in remote.items()
                 if not self._suspicions.is_domain_suspect(domain, now)
@@ -308,14 +315,52 @@
             else 0.0,
             now=now,
         )
+        self._report_change(service)
+        return decided
+
+    def _continue_shares(self, service: ids.ServiceId, now: float) -> None:
+        """Starts from the shares of the candidate that decided before."""
+        assert self._reports is not None
+        reported = {
+            domain: share
+            for domain, share in self._reports.list_shares(service, now).items()
+            if share > 0.0
+        }
+        if reported:
+            self._spillover.take_over(service, reported, now)
+
+    def _report_change(self, service: ids.ServiceId) -> None:
+        """Passes the last decision to the observer if it differs by enough.
+
+        It is compared with the last one that was passed, since shares change in
+        steps that are too small each.
+        """
         decision = self._spillover.explain(service)
+        former = self._logged.get(service)
         if decision is not None and (
             former is None
             or decision.reason is not former.reason
             or _has_moved(decision.get_shares(), former.get_shares())
         ):
+            self._logged[service] = decision
             self._observer.on_spillover(service, decision)
-        return decided
+
+    def _has_reliable_endpoint(
+        self,
+        domain: ids.DomainId,
+        endpoints: Iterable[views.Endpoint],
+        now: float,
+    ) -> bool:
+        """Returns whether a domain has an endpoint that is not suspected.
+
+        A domain becomes suspect with two suspected endpoints only, so that one
+        with a single endpoint never does.
+        """
+        return not self._suspicions.is_domain_suspect(domain, now) and any(
+            endpoint.domain == domain
+            and not self._suspicions.get_penalty(endpoint.id, domain, now)
+            for endpoint in endpoints
+        )
 
     def _list_spare(
         self,
@@ -338,7 +383,7 @@
     def _measure_capacity(
         self, service: ids.ServiceId, now: float
     ) -> demands.Capacity | None:
-        usable = self._list_local(service, now)
+        usable = self._list_usable(service, self._domain, now)
         service_s = capacities.estimate_service_times(usable, self._capacity)
         if not usable or not all(service_s.values()):
             return None
@@ -348,13 +393,14 @@
             in_flight=float(sum(map(self._placement.count_in_flight, usable))),
         )
 
-    def _list_local(
-        self, service: ids.ServiceId, now: float
+    def _list_usable(
+        self, service: ids.ServiceId, domain: ids.DomainId, now: float
     ) -> list[views.Endpoint]:
+        """Returns the warm endpoints of a domain that take new flows."""
         return [
             endpoint
             for endpoint in self._view.get_endpoints(service)
-            if endpoint.domain == self._domain
+            if endpoint.domain == domain
             and endpoint.cold_until <= now
             and self._placement.is_usable(endpoint)
         ]
@@ -382,11 +428,6 @@
     )
 
 
-def _compute_mean(values: Iterable[float]) -> float:
-    listed = list(values)
-    return sum(listed) / len(listed) if listed else 0.0
-
-
 def _has_moved(
     current: Mapping[ids.DomainId, float], former: Mapping[ids.DomainId, float]
 ) -> bool:
--- a/src/chivedoor/steering/explanation.py
+++ b/src/chivedoor/steering/explanation.py
@@ -85,8 +85,8 @@
         exclusion: Why it does not go there; None if it may.
         score: The score; None where it does not count.
         expected_s: Expected delay, in seconds; None where it does not count.
-        tokens: Requests that this balancer may have in flight there, without
-            those of more important routes; None if the service is not short.
+        tokens: Requests that this balancer may have in flight there; None if
+            the service is not short.
         tokens_left_share: Share of them that is not in use, 0 to 1; None
             without tokens.
     """
@@ -125,8 +125,6 @@
             service is not short.
         limit: Part of the domain in the requests that the endpoints may hold;
             None if the service is not short.
-        left_share: Share of the capacity that more important routes leave, 0 to
-            1; None if the service is not short.
         refusal: Reason of a possible refusal.
         refusal_probability: Probability of it if this choice is made.
         expected_s: Shortest expected delay for which it is refused, in seconds.
@@ -140,7 +138,6 @@
     short: bool = False
     in_flight: int | None = None
     limit: float | None = None
-    left_share: float | None = None
     refusal: verdicts.RefusalReason | None = None
     refusal_probability: float = 0.0
     expected_s: float | None = None
@@ -502,7 +499,7 @@
             )
             if assessment is not None and assessment.is_short:
                 return self._choose_in_shortage(
-                    route, option, assessment, congested
+                    route, service, option, assessment, congested
                 )
         if congested:
             return self._choose_congested(route, option, estimate, now)
@@ -511,6 +508,7 @@
     def _choose_in_shortage(
         self,
         route: views.Route,
+        service: ids.ServiceId,
         option: distributions.DomainOption,
         assessment: shortages.Assessment,
         congested: bool,
@@ -531,7 +529,7 @@
             )
         elif assessment.is_refused:
             method, others = Method.REFUSED, Exclusion.NO_ROOM
-            refusal = assessment.make_refusal(route.goal_s)
+            refusal = assessment.make_refusal(service, route.goal_s)
         else:
             method, others = Method.SOONEST, Exclusion.LONGER_DELAY
             probabilities = choice_probabilities.choose_soonest(
@@ -549,7 +547,6 @@
                 short=True,
                 in_flight=assessment.in_flight,
                 limit=assessment.limit,
-                left_share=assessment.left_share,
                 refusal=refusal and refusal.reason,
                 refusal_probability=1.0 if refusal else 0.0,
                 expected_s=refusal and refusal.expected_s,
--- a/src/chivedoor/steering/shortage.py
+++ b/src/chivedoor/steering/shortage.py
@@ -15,7 +15,6 @@
 number in flight has fallen.
 """
 
-import collections
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -31,8 +30,8 @@
 from chivedoor.steering import const
 from chivedoor.steering import delays
 from chivedoor.steering import flows as flow_tables
+from chivedoor.steering import observer as observers
 from chivedoor.steering import reports
-from chivedoor.steering import segment as segments
 from chivedoor.steering import verdicts
 from chivedoor.steering import view as views
 
@@ -68,8 +67,10 @@
     domain: float
 
 
-# Own tokens by endpoint, with the bounds that they were computed for.
-TokenCache = dict[ids.EndpointId, tuple[tuple[float, float], tuple[int, ...]]]
+# Own tokens by endpoint, with the slots and bounds that they were computed for.
+TokenCache = dict[
+    ids.EndpointId, tuple[tuple[int, float, float], tuple[int, ...]]
+]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -81,17 +82,13 @@
         service_s: Service times by endpoint, in seconds; 0 if not known.
         shares: Own tokens by endpoint: requests in flight that this balancer
             may have there.
-        own: Own requests in flight by endpoint, without those of more important
-            routes.
+        own: Own requests in flight by endpoint.
         in_flight: Known requests in flight at the candidates.
         limit: Part of the domain in the limits of the candidates.
         wait_s: Longest delay that the limits allow, in seconds.
         is_short: Whether the service is short of capacity.
         is_renewed: Whether the state lasts longer from now on.
-        left_share: Share of the capacity that more important routes leave, 0 to
-            1; the own tokens are that share of the limits.
         least_important: Whether no route of the service is less important.
-        is_large: Whether the demand of the route is much of the capacity.
         has_room: Whether the flow may exceed the own tokens.
         free: Candidates with own tokens left that the flow may use.
     """
@@ -105,16 +102,14 @@
     wait_s: float
     is_short: bool
     is_renewed: bool
-    left_share: float
     least_important: bool
-    is_large: bool
     has_room: bool
     free: Sequence[views.Endpoint]
 
     @property
     def is_weighted(self) -> bool:
         """Whether the flow goes to one of `free`, by the tokens left."""
-        return bool(self.free) and (self.least_important or self.is_large)
+        return bool(self.free) and self.least_important
 
     @property
     def is_refused(self) -> bool:
@@ -132,10 +127,13 @@
             for e in self.candidates
         ]
 
-    def make_refusal(self, goal_s: float) -> verdicts.Refuse:
+    def make_refusal(
+        self, service: ids.ServiceId, goal_s: float
+    ) -> verdicts.Refuse:
         """Returns the refusal of a flow with a goal, in seconds."""
         return verdicts.Refuse(
             reason=verdicts.RefusalReason.OVERLOADED,
+            service=service,
             expected_s=self.in_flight / max(1.0, self.limit) * self.wait_s,
             goal_s=goal_s,
         )
@@ -180,6 +178,7 @@
         flows: flow_tables.FlowTable,
         peer_loads: reports.PeerCounts,
         generator: random.Random,
+        observer: observers.Observer,
     ) -> None:
         """Creates a control that has no effect before `set_members`."""
         self.capacity = capacity.CapacityTable()
@@ -188,13 +187,15 @@
         self._flows = flows
         self._peer_loads = peer_loads
         self._generator = generator
+        self._observer = observer
         # Without members, no decision is made and no capacity is estimated.
         self._members: Members | None = None
-        self._demand: Mapping[ids.ServiceId, Mapping[int, float]] = {}
         self._waiting = False
         self._tokens: TokenCache = {}
         # Time until which a service counts as short.
         self._short_until: dict[ids.ServiceId, float] = {}
+        # Last measured loads of the services whose shortage was reported.
+        self._reported: dict[ids.ServiceId, observers.ServiceLoad] = {}
 
     def set_members(self, members: Members | None) -> None:
         """Sets the balancers that divide the limits; None if not known."""
@@ -202,16 +203,6 @@
             self._tokens.clear()
         self._members = members
 
-    def set_demand(
-        self, demand: Mapping[ids.ServiceId, Mapping[int, float]]
-    ) -> None:
-        """Sets the new flows a second of the domain.
-
-        Args:
-            demand: The rates by service and priority; empty if not known.
-        """
-        self._demand = demand
-
     def update_capacity(self, table: delays.DelayTable) -> None:
         """Updates the capacity estimates; called once per tick."""
         if self._members is not None:
@@ -251,6 +242,14 @@
         """Returns whether a service was short of capacity lately."""
         return self._short_until.get(service, now) > now
 
+    def list_short(self, now: float) -> list[ids.ServiceId]:
+        """Returns the services that were short of capacity lately."""
+        return [
+            service
+            for service, until in self._short_until.items()
+            if until > now
+        ]
+
     def decide(
         self,
         *,
@@ -294,12 +293,20 @@
             return None
         if assessment.is_renewed:
             self._short_until[service] = now + const.SHORTAGE_LIFETIME_S
+        self._report(
+            service,
+            observers.ServiceLoad(
+                in_flight=assessment.in_flight,
+                limit=assessment.limit,
+                share=sum(assessment.shares.values()),
+            ),
+        )
         if assessment.is_weighted:
             return self._generator.choices(
                 assessment.free, assessment.get_tokens_left()
             )[0]
         if assessment.is_refused:
-            return assessment.make_refusal(route.goal_s)
+            return assessment.make_refusal(service, route.goal_s)
         return self._choose_soonest(assessment)
 
     def assess(
@@ -364,37 +371,15 @@
         candidates = local or endpoints
         service_s = capacity.estimate_service_times(candidates, self.capacity)
         wait_s = self._get_wait_share(route, service) * route.goal_s
-        parts = self._divide_domains(candidates, served_domains)
-        capacity_per_s = const.DELAY_WEIGHT_BIAS * sum(
-            e.slots
-            / max(service_s[e.id], const.MIN_SERVICE_S)
-            * parts[e.domain].domain
-            for e in candidates
-        )
-        demand = self._demand.get(service, {})
-        more_important_per_s = sum(
-            rate
-            for priority, rate in demand.items()
-            if priority < route.priority
-        )
-        left_share = max(0.0, 1.0 - more_important_per_s / capacity_per_s)
         limits = {
             e.id: capacity.compute_limit(
                 endpoint=e, service_s=service_s[e.id], wait_s=wait_s
             )
             for e in candidates
         }
-        shares = _compute_shares(
-            candidates,
-            {
-                endpoint_id: left_share * limit
-                for endpoint_id, limit in limits.items()
-            },
-            parts,
-            tokens,
-        )
-        counted = self._count_own(route.priority)
-        own = {e.id: counted[e.id] for e in candidates}
+        parts = self._divide_domains(candidates, served_domains)
+        shares = _compute_shares(candidates, limits, parts, tokens)
+        own = {e.id: self._flows.count_in_flight(e.id) for e in candidates}
         exhausted = sum(own.values()) >= sum(shares.values())
         # The loads of other domains are not known, only their parts.
         limit = sum(limits[e.id] * parts[e.domain].domain for e in candidates)
@@ -416,12 +401,6 @@
             if has_room or not above_share
             else []
         )
-        # A route that takes much of the capacity would fill the fast endpoints
-        # by old reports if each flow went to the one that looks best.
-        is_large = (
-            demand.get(route.priority, 0.0)
-            > const.SHORTAGE_LARGE_SHARE * capacity_per_s
-        )
         return Assessment(
             candidates=candidates,
             service_s=service_s,
@@ -432,15 +411,16 @@
             wait_s=wait_s,
             is_short=is_short,
             is_renewed=is_renewed,
-            left_share=left_share,
             least_important=least_important,
-            is_large=is_large,
             has_room=has_room,
             free=free,
         )
 
     def expire(self, now: float) -> None:
-        """Removes services that are no longer short."""
+        """Removes services that are not short and endpoints that ended.
+
+        Called once a second, which bounds the reports of each service.
+        """
         self._short_until = {
             service: until
             for service, until in self._short_until.items()
@@ -451,19 +431,22 @@
             for endpoint_id, tokens in self._tokens.items()
             if endpoint_id in self._view.endpoints
         }
+        for service in self._reported.keys() - self._short_until.keys():
+            self._observer.on_shortage_ended(
+                service, self._reported.pop(service)
+            )
 
-    def _count_own(self, priority: int) -> collections.Counter[ids.EndpointId]:
-        """Returns own requests in flight of no higher importance by endpoint.
+    def _report(
+        self, service: ids.ServiceId, load: observers.ServiceLoad
+    ) -> None:
+        """Reports the beginning of a shortage, unless its end is due."""
+        if service not in self._reported:
+            self._observer.on_shortage_begun(service, load)
+        self._reported[service] = load
 
-        Those of more important routes are already left out of the limits.
-        """
-        routes = self._view.routes
-        return collections.Counter(
-            flow.endpoint_id
-            for flow_id, flow in self._flows.iterate_active()
-            if (route := routes.get(segments.get_route(flow_id))) is not None
-            and route.priority >= priority
-        )
+    def count_divided(self) -> int:
+        """Returns the number of endpoints whose limits are kept divided."""
+        return len(self._tokens)
 
     def _choose_soonest(self, assessment: Assessment) -> views.Endpoint:
         """Returns the endpoint with the smallest expected delay of a few.
@@ -541,27 +524,27 @@
     return {
         e.id: sum(
             number + 0.5 < limits[e.id]
-            for number in _get_tokens(
-                e, (parts[e.domain].start, parts[e.domain].end), tokens
-            )
+            for number in _get_tokens(e, parts[e.domain], tokens)
         )
         for e in candidates
     }
 
 
 def _get_tokens(
-    endpoint: views.Endpoint, bounds: tuple[float, float], cache: TokenCache
+    endpoint: views.Endpoint, part: _Part, cache: TokenCache
 ) -> tuple[int, ...]:
+    # An endpoint may restart under its id with other slots.
+    basis = (endpoint.slots, part.start, part.end)
     known = cache.get(endpoint.id)
-    if known is not None and known[0] == bounds:
+    if known is not None and known[0] == basis:
         return known[1]
     tokens = list_own_tokens(
         endpoint.id,
         tokens=round(endpoint.slots * const.MAX_REQUESTS_PER_SLOT),
-        start=bounds[0],
-        end=bounds[1],
+        start=part.start,
+        end=part.end,
     )
-    cache[endpoint.id] = bounds, tokens
+    cache[endpoint.id] = basis, tokens
     return tokens
 
 
