--- a/src/chivedoor/steering/distribution.py
+++ b/src/chivedoor/steering/distribution.py
@@ -6,9 +6,11 @@
 reported on each balancer.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 import random
 from typing import Protocol
 
@@ -56,6 +58,30 @@
     ) -> Mapping[ids.DomainId, float]:
         """Returns the shares of new flows that leave the local domain."""
 
+    def peek_shares(
+        self, service: ids.ServiceId, now: float
+    ) -> Mapping[ids.DomainId, float] | None:
+        """Returns these shares without any effect; None without a report."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class DomainOption:
+    """Endpoints that a new flow may be restricted to.
+
+    Attributes:
+        domain: The domain that the shares select; None if they select none that
+            can be used.
+        probability: Probability of this option, 0 to 1.
+        endpoints: The endpoints among which the flow is then placed.
+        spare: Those of other domains among them that have reported spare
+            capacity.
+    """
+
+    domain: ids.DomainId | None
+    probability: float
+    endpoints: Sequence[views.Endpoint]
+    spare: Sequence[views.Endpoint] = ()
+
 
 class Distribution:
     """Decides the shares of the domains, and applies them to new flows."""
@@ -158,18 +184,75 @@
         ):
             return endpoints, ()
         shares = self._reports.list_shares(service, now)
-        excluded = {
-            domain
-            for domain in (self._domain, *shares)
-            if not self._has_reliable_endpoint(domain, endpoints, now)
-        }
-        allowed = {self._domain, *shares} - excluded
+        excluded = self._find_excluded(shares, endpoints, now)
         chosen = domain_choice.choose_domain(
             local=self._domain,
             shares=shares,
             draw=self._generator.random() if any(shares.values()) else 0.0,
             excluded=excluded,
         )
+        return self._select(endpoints, chosen, shares, excluded)
+
+    def find_choices(
+        self,
+        service: ids.ServiceId,
+        endpoints: Sequence[views.Endpoint],
+        now: float,
+    ) -> list[DomainOption]:
+        """Returns what `select_endpoints` may return, without any effect.
+
+        Args:
+            service: As for `select_endpoints`.
+            endpoints: As for `select_endpoints`.
+            now: The current time, in seconds.
+        """
+        shares = (
+            self._reports.peek_shares(service, now)
+            if self._reports is not None and self._view.get_goal_s(service)
+            else None
+        )
+        if shares is None:
+            return [
+                DomainOption(domain=None, probability=1.0, endpoints=endpoints)
+            ]
+        excluded = self._find_excluded(shares, endpoints, now)
+        options = []
+        for chosen, probability in domain_choice.compute_probabilities(
+            local=self._domain, shares=shares, excluded=excluded
+        ).items():
+            selected, spare = self._select(endpoints, chosen, shares, excluded)
+            options.append(
+                DomainOption(
+                    domain=None if chosen in excluded else chosen,
+                    probability=probability,
+                    endpoints=selected,
+                    spare=spare,
+                )
+            )
+        return options
+
+    def _find_excluded(
+        self,
+        shares: Mapping[ids.DomainId, float],
+        endpoints: Sequence[views.Endpoint],
+        now: float,
+    ) -> set[ids.DomainId]:
+        """Returns the domains without an endpoint that can be relied on."""
+        return {
+            domain
+            for domain in (self._domain, *shares)
+            if not self._has_reliable_endpoint(domain, endpoints, now)
+        }
+
+    def _select(
+        self,
+        endpoints: Sequence[views.Endpoint],
+        chosen: ids.DomainId,
+        shares: Mapping[ids.DomainId, float],
+        excluded: Collection[ids.DomainId],
+    ) -> tuple[Sequence[views.Endpoint], Sequence[views.Endpoint]]:
+        """Returns the result of `select_endpoints` for a chosen domain."""
+        allowed = {self._domain, *shares}.difference(excluded)
         if chosen != self._domain:
             allowed = {chosen}
         selected = [e for e in endpoints if e.domain in allowed]
