steering: list the served domains only in a shortage

Cause: each new flow listed the domains of all endpoints, which only the shared limits use. Change: the list is made where they apply.

--- a/src/chivedoor/steering/placement.py
+++ b/src/chivedoor/steering/placement.py
@@ -217,8 +217,8 @@
         may_refuse: bool,
         above_share: bool,
     ) -> views.Endpoint | verdicts.Refuse:
-        served_domains = {endpoint.domain for endpoint in endpoints}
-        endpoints, spare = self.select_endpoints(service, endpoints, now)
+        warm = endpoints
+        endpoints, spare = self.select_endpoints(service, warm, now)
         estimate = delays.DelayEstimate(
             endpoints=endpoints, table=self._delay_table
         )
@@ -233,7 +233,7 @@
                 route=route,
                 service=service,
                 endpoints=self.omit_doubtful(endpoints, now),
-                served_domains=served_domains,
+                served_domains={endpoint.domain for endpoint in warm},
                 congested=estimate.is_congested,
                 may_refuse=may_refuse,
                 above_share=above_share,
