steering: count demand in requests instead of flows

Cause: the demand of a domain was counted in new flows and compared with its capacity in requests. On a service whose flows hold several requests, a domain reported spare capacity while it had none, so that others sent flows there and did not apply their own limits. Change: a request counts when it begins, and a refused flow counts as one; the format of the reports is the same. Measured: test_each_request_of_a_long_flow_counts fails before (no method that counts requests).

--- a/src/chivedoor/feed/load_reports.py
+++ b/src/chivedoor/feed/load_reports.py
@@ -47,7 +47,8 @@
         host: Its address.
         scope: Whether the report covers the balancer or its domain.
         balancers: Number of balancers that are included.
-        demand: New flows a second by service and priority, admitted or not.
+        demand: Requests a second by service and priority. A refused flow counts
+            as one.
         capacity: Capacity of the domain by service; empty for one balancer.
         handshakes: Completed handshakes by domain of the endpoint.
         transfers: Admitted flows and payload of callers by service.
@@ -225,7 +226,7 @@
     def list_demand(
         self, now: float
     ) -> Mapping[ids.ServiceId, Mapping[int, float]]:
-        """Returns new flows a second of the local domain.
+        """Returns requests a second of the local domain.
 
         They are listed by service and priority; empty without a report.
         """
--- a/src/chivedoor/steering/demand.py
+++ b/src/chivedoor/steering/demand.py
@@ -3,8 +3,10 @@
 The load pattern that this answers is a shortage in one failure domain while
 another one has capacity to spare. Requests that were answered show how much an
 endpoint serves but not how much is asked for, because refused callers leave no
-request. New flows are therefore counted before they are placed, and where they
-originate, so that a domain that sends flows away still knows its own demand.
+request. A refused flow is therefore counted as a request. Requests are counted
+where they originate, so that a domain that sends flows away still knows its own
+demand. Flows would be the wrong unit: some hold one request and others many,
+while the capacity is known in requests.
 
 All values are rates a second with exponential decay. Rates of several balancers
 can be added, while means cannot.
@@ -18,7 +20,6 @@
 
 from chivedoor import ids
 from chivedoor.steering import const
-from chivedoor.steering import view as views
 
 _Key = TypeVar("_Key", bound=Hashable)
 
@@ -100,10 +101,10 @@
 
 
 class Demand:
-    """Rates of new flows, handshakes and payload through this balancer."""
+    """Rates of requests, handshakes and payload through this balancer."""
 
     def __init__(self) -> None:
-        self._openings: DecayingRates[tuple[ids.ServiceId, int]] = (
+        self._requests: DecayingRates[tuple[ids.ServiceId, int]] = (
             DecayingRates()
         )
         self._handshakes: DecayingRates[ids.DomainId] = DecayingRates()
@@ -111,17 +112,11 @@
         self._flows: DecayingRates[ids.ServiceId] = DecayingRates()
         self._payload: DecayingRates[ids.ServiceId] = DecayingRates()
 
-    def record_opening(self, route: views.Route, now: float) -> None:
-        """Records an opening packet that is no copy, admitted or not.
-
-        A refused flow has no service, so each service of the route gets a part
-        according to its weight.
-        """
-        total = sum(weight for _, weight in route.weighted_services)
-        if total <= 0.0:
-            return
-        for service, weight in route.weighted_services:
-            self._openings.add((service, route.priority), weight / total, now)
+    def record_request(
+        self, service: ids.ServiceId, priority: int, now: float
+    ) -> None:
+        """Records a request that begins, or a new flow that is refused."""
+        self._requests.add((service, priority), 1.0, now)
 
     def record_admitted(self, service: ids.ServiceId, now: float) -> None:
         """Records a flow that is delivered to an endpoint of a service."""
@@ -145,9 +140,9 @@
             self._payload.add(service, float(payload_bytes), now)
 
     def list_demand(self, now: float) -> dict[ids.ServiceId, dict[int, float]]:
-        """Returns new flows a second by service and priority."""
+        """Returns requests a second by service and priority."""
         demand: dict[ids.ServiceId, dict[int, float]] = {}
-        for (service, priority), rate in self._openings.list_rates(now).items():
+        for (service, priority), rate in self._requests.list_rates(now).items():
             demand.setdefault(service, {})[priority] = rate
         return demand
 
--- a/src/chivedoor/steering/flows.py
+++ b/src/chivedoor/steering/flows.py
@@ -88,6 +88,8 @@
         observer: observers.Observer,
         on_reply: Callable[[segments.FlowId, ids.EndpointId, float], None]
         | None = None,
+        on_request: Callable[[segments.FlowId, ids.EndpointId, float], None]
+        | None = None,
     ) -> None:
         """Creates an empty table.
 
@@ -97,9 +99,12 @@
                 from a request to its reply. A reply that is acknowledged by
                 the next request is not reported, because the time includes a
                 pause of the caller.
+            on_request: Called with a flow, its endpoint and the current time in
+                seconds when a request begins.
         """
         self._observer = observer
         self._on_reply = on_reply
+        self._on_request = on_request
         self._flows: dict[segments.FlowId, Flow] = {}
         self._in_flight: dict[ids.EndpointId, int] = {}
         # Flows with a request or a handshake in flight.
@@ -250,6 +255,7 @@
         if working:
             self._active[segment.flow] = flow
             self._adjust_in_flight(endpoint_id, 1)
+            self._report_request(segment.flow, endpoint_id, now)
 
     def _record_progress(
         self, flow: Flow, segment: segments.Segment, now: float
@@ -289,6 +295,14 @@
             else:
                 self._active[flow_id] = flow
             self._adjust_in_flight(flow.endpoint_id, -1 if is_idle else 1)
+        if state is FlowState.WORKING:
+            self._report_request(flow_id, flow.endpoint_id, now)
+
+    def _report_request(
+        self, flow_id: segments.FlowId, endpoint_id: ids.EndpointId, now: float
+    ) -> None:
+        if self._on_request is not None:
+            self._on_request(flow_id, endpoint_id, now)
 
     def _adjust_in_flight(
         self, endpoint_id: ids.EndpointId, amount: int
--- a/src/chivedoor/steering/steerer.py
+++ b/src/chivedoor/steering/steerer.py
@@ -64,7 +64,7 @@
         shortage: Limits of services that are short of capacity.
         counts_load: Whether demand and callers are counted; only load reports
             and decisions based on them need that.
-        demand: Rates of new flows, handshakes and payload.
+        demand: Rates of requests, handshakes and payload.
         callers: Recent new flows by caller address.
         placement: Selects the endpoints of new flows.
         distribution: Distributes new flows to the failure domains.
@@ -91,7 +91,9 @@
         self._observer = observer or observers.NullObserver()
         self.view = views.View()
         self.flows = flow_tables.FlowTable(
-            observer=self._observer, on_reply=self._record_delay
+            observer=self._observer,
+            on_reply=self._record_delay,
+            on_request=self._record_request,
         )
         self.suspicions = suspicion.Suspicions()
         self.reachability = reachability.Reachability()
@@ -369,7 +371,6 @@
         if self._is_copy_of_open_flow(segment, now):
             return _DROPS[verdicts.DropReason.REPEATED_OPENING]
         if self.counts_load and not segment.retransmissions:
-            self.demand.record_opening(route, now)
             self.callers.record(segment.flow[segments.CALLER_ADDRESS], now)
         unanswered = self._find_unanswered(segment, now)
         above_share = self.shortage.has_short_service(
@@ -390,6 +391,10 @@
         if isinstance(endpoint, verdicts.Refuse):
             if segment.retransmissions:
                 return self._repeat_delivery(segment, now)
+            if self.counts_load and endpoint.service is not None:
+                self.demand.record_request(
+                    endpoint.service, route.priority, now
+                )
             endpoint.context = verdicts.RefusalContext(
                 route=route.name,
                 priority=route.priority,
@@ -565,6 +570,16 @@
                 load=self.placement.count_in_flight(endpoint) / endpoint.slots,
             )
 
+    def _record_request(
+        self, flow_id: segments.FlowId, endpoint_id: ids.EndpointId, now: float
+    ) -> None:
+        if not self.counts_load:
+            return
+        route = self.view.routes.get(segments.get_route(flow_id))
+        endpoint = self.view.endpoints.get(endpoint_id)
+        if route is not None and endpoint is not None:
+            self.demand.record_request(endpoint.service, route.priority, now)
+
     def _is_waiting(
         self, flow_id: segments.FlowId, flow: flow_tables.Flow, now: float
     ) -> bool:
