steering: no spare capacity in a domain whose slots are in use

Cause: when endpoints become slow, the capacity that a domain reports follows a second later, and its balancers counted as less loaded until then. While another domain reports spare capacity, limits in a shortage do not apply. Change: a domain has spare capacity only while its requests in flight leave a fifth of its slots free.

--- a/src/chivedoor/steering/distribution.py
+++ b/src/chivedoor/steering/distribution.py
@@ -30,7 +30,7 @@
     """Load of a failure domain, as one of its balancers reported it.
 
     Attributes:
-        demand: New flows a second by service and priority.
+        demand: Requests a second by service and priority.
         capacity: Capacity by service.
         handshakes: Completed handshakes by domain of the endpoint.
         transfers: Flows and payload by service.
@@ -377,7 +377,9 @@
             for domain, report in remote.items()
             if domain not in self._view.domains_out
             and not self._suspicions.is_domain_suspect(domain, now)
-            and _has_spare_capacity(report, service)
+            and _has_spare_capacity(
+                report, service, self._list_usable(service, domain, now)
+            )
         ]
 
     def _measure_capacity(
@@ -420,11 +422,25 @@
     )
 
 
-def _has_spare_capacity(report: DomainReport, service: ids.ServiceId) -> bool:
+def _has_spare_capacity(
+    report: DomainReport,
+    service: ids.ServiceId,
+    endpoints: Iterable[views.Endpoint],
+) -> bool:
+    """Returns whether a domain can take flows of others.
+
+    When endpoints become slow, their slots fill before any request shows it, so
+    that the reported capacity is too high at first.
+    """
     capacity = report.capacity.get(service)
+    if capacity is None:
+        return True
+    slots = sum(endpoint.slots for endpoint in endpoints)
     demand_per_s = sum(report.demand.get(service, {}).values())
-    return capacity is None or demand_per_s < capacity.requests_per_s * (
-        1.0 - const.SPILLOVER_RESERVE
+    return (
+        capacity.in_flight < const.SERVICE_UTILIZATION * slots
+        and demand_per_s
+        < (1.0 - const.SPILLOVER_RESERVE) * capacity.requests_per_s
     )
 
 
--- a/tests/steering/test_distribution.py
+++ b/tests/steering/test_distribution.py
@@ -292,6 +292,21 @@
     assert 0.2 < sum(shares.values()) <= 0.5
 
 
+@pytest.mark.parametrize(("in_flight", "spare"), [(7.0, {B, C}), (9.0, {C})])
+def test_domain_with_busy_slots_has_no_spare_capacity(
+    balancer: Balancer, in_flight: float, spare: set[ids.DomainId]
+) -> None:
+    """Guards against flows of others while reported speeds lag behind.
+
+    Domain b has 10 slots. When its endpoints become slow, the requests in
+    flight grow before a completed one lowers its capacity.
+    """
+    balancer.reports.domains[A] = FREE
+    balancer.reports.domains[B] = make_report(20.0, in_flight=in_flight)
+    shares = balancer.steerer.decide_shares(balancer.now)[SERVICE]
+    assert set(shares) == spare
+
+
 def test_domain_taken_out_gets_no_share(balancer: Balancer) -> None:
     """Guards against flows to a domain that an operator took out."""
     assert B in balancer.decide(20)
