steering: forget the slow phase of an endpoint that has recovered

Cause: delay sums are weighted by the delay, so that a slow request outweighs hundreds of fast ones, and an endpoint counted as slow for seconds after it had recovered; the few that had stayed fast were filled meanwhile. Change: once the mean recent delay, without a queue, is below half of the known service time, the earlier requests are dropped. Measured: test_endpoint_that_recovers_counts_as_fast_within_a_second fails before.

--- a/src/chivedoor/steering/capacity.py
+++ b/src/chivedoor/steering/capacity.py
@@ -69,7 +69,10 @@
                     incarnation=endpoint.incarnation, sums=delays.DelaySums()
                 ),
             )
-            record.sums.add(sums)
+            if _has_recovered(record.sums, sums):
+                record.sums = _make_even(sums)
+            else:
+                record.sums.add(sums)
         self._records = {
             endpoint_id: record
             for endpoint_id, record in self._records.items()
@@ -77,6 +80,33 @@
         }
 
 
+def _has_recovered(known: delays.DelaySums, recent: delays.DelaySums) -> bool:
+    """Returns whether an endpoint has become much faster.
+
+    Sums are weighted by the delay, so that a few slow requests would outweigh
+    the fast ones after them for seconds. An endpoint with a queue is left out:
+    it may turn requests away, which looks fast.
+    """
+    return (
+        recent.requests >= const.DELAY_PRIOR_REQUESTS
+        and recent.weighted_load_s
+        <= const.CAPACITY_MAX_RECOVERED_LOAD * recent.delay_s
+        and recent.delay_s / recent.requests
+        < const.CAPACITY_RECOVERED_SHARE * _compute_service_s(known)
+    )
+
+
+def _make_even(sums: delays.DelaySums) -> delays.DelaySums:
+    """Returns the sums of as many requests that all took the mean delay."""
+    mean_s = sums.delay_s / sums.requests
+    return delays.DelaySums(
+        requests=sums.requests,
+        delay_s=sums.delay_s,
+        squared_delay_s2=sums.delay_s * mean_s,
+        weighted_load_s=sums.delay_s,
+    )
+
+
 def estimate_service_times(
     endpoints: Iterable[views.Endpoint], table: CapacityTable
 ) -> dict[ids.EndpointId, float]:
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -176,6 +176,13 @@
 # Factor by which the sums of a capacity estimate decay on each tick of 0.25 s;
 # half of the weight is younger than half a second.
 CAPACITY_DECAY_PER_TICK: Final = 0.7
+# An endpoint has recovered, and its earlier requests do not count any more, if
+# its recent service time is below this share of the known one. Service times
+# vary by half of their mean.
+CAPACITY_RECOVERED_SHARE: Final = 0.5
+# Requests for each slot of an endpoint up to which a short delay shows its
+# speed. Endpoints of the known deployments reject from five on.
+CAPACITY_MAX_RECOVERED_LOAD: Final = 1.5
 # Endpoints of the known deployments hold five requests for each slot before
 # they reject. The rest is left to flows that other domains send.
 MAX_REQUESTS_PER_SLOT: Final = 3.5
--- a/tests/steering/test_capacity.py
+++ b/tests/steering/test_capacity.py
@@ -31,11 +31,12 @@
         requests: Sequence[tuple[views.Endpoint, float]],
         listed: Sequence[views.Endpoint] = ENDPOINTS,
         now: float = 0.0,
+        load: float = 0.5,
     ) -> None:
         """Records requests by endpoint and delay in seconds, and updates."""
         for endpoint, delay_s in requests:
             self.delays.record(
-                endpoint.id, delay_s=delay_s, goal_s=GOAL_S, load=0.5
+                endpoint.id, delay_s=delay_s, goal_s=GOAL_S, load=load
             )
         self.delays.update(now)
         self.capacity.update(
@@ -83,6 +84,34 @@
     assert recorder.compute_limit() < recorder.compute_limit(OTHERS[0])
 
 
+def test_endpoint_that_recovers_counts_as_fast_within_a_second(
+    recorder: Recorder,
+) -> None:
+    """Guards against flows that avoid an endpoint after its slow phase.
+
+    The others would be filled until it counts as fast again.
+    """
+    for _ in range(4):
+        recorder.tick([(FIRST, 9.0 * SERVICE_S) for _ in range(3)])
+    for _ in range(4):
+        recorder.tick([(FIRST, SERVICE_S) for _ in range(8)])
+    times_s = capacity.estimate_service_times(ENDPOINTS, recorder.capacity)
+    assert times_s[FIRST.id] < 2.0 * SERVICE_S
+
+
+def test_rejected_requests_do_not_show_a_recovery(recorder: Recorder) -> None:
+    """Guards against a slow endpoint that looks fast because it is full.
+
+    It turns requests away at once while five wait for each slot.
+    """
+    for _ in range(4):
+        recorder.tick([(FIRST, 9.0 * SERVICE_S) for _ in range(3)])
+    for _ in range(2):
+        recorder.tick([(FIRST, 0.002) for _ in range(20)], load=5.0)
+    times_s = capacity.estimate_service_times(ENDPOINTS, recorder.capacity)
+    assert times_s[FIRST.id] > 2.0 * SERVICE_S
+
+
 def test_restart_under_the_same_id_forgets(recorder: Recorder) -> None:
     """Guards against a new process that is judged by its predecessor."""
     for _ in range(4):
