steering: keep room by endpoint, and tokens of more important routes

Cause: in a shortage, a flow of a more important route was refused when the requests at all endpoints together reached the limits, although queues that open flows had filled at slow endpoints take no room from fast ones. Its flows all went to the endpoint that looked soonest in reports of up to a second, which filled it; so did flows of the least important route beyond their tokens. Change: room is counted by endpoint; flows of more important routes use the own tokens of endpoints where they are in time first; flows of the least important route beyond tokens are drawn by speed and room.

--- a/src/chivedoor/steering/explanation.py
+++ b/src/chivedoor/steering/explanation.py
@@ -514,29 +514,25 @@
         congested: bool,
     ) -> _Outcome:
         expected_s = {
-            e.id: self._steerer.shortage.compute_expected_s(
-                e, assessment.service_s[e.id]
-            )
+            e.id: assessment.compute_expected_s(e)
             for e in assessment.candidates
         }
-        free = [e.id for e in assessment.free]
+        tokens = assessment.get_tokens_left()
         refusal = None
         probabilities: Mapping[ids.EndpointId, float] = {}
-        if assessment.is_weighted:
-            method, others = Method.TOKENS, Exclusion.NO_TOKEN
-            probabilities = choice_probabilities.choose_by_weight(
-                dict(zip(free, assessment.get_tokens_left(), strict=True))
-            )
-        elif assessment.is_refused:
+        if assessment.is_refused:
             method, others = Method.REFUSED, Exclusion.NO_ROOM
             refusal = assessment.make_refusal(service, route.goal_s)
+        elif tokens:
+            method, others = Method.TOKENS, Exclusion.NO_TOKEN
+            probabilities = choice_probabilities.choose_by_weight(tokens)
         else:
             method, others = Method.SOONEST, Exclusion.LONGER_DELAY
             probabilities = choice_probabilities.choose_soonest(
                 expected_s,
-                dict(zip(expected_s, assessment.compute_speeds(), strict=True)),
+                assessment.compute_weights(),
                 draws=const.SHORTAGE_CHOICES,
-                free=frozenset(free),
+                free=frozenset(e.id for e in assessment.free),
             )
         return _Outcome(
             choice=Choice(
--- a/src/chivedoor/steering/shortage.py
+++ b/src/chivedoor/steering/shortage.py
@@ -13,6 +13,10 @@
 More important routes have larger limits. They still find room when the flows
 of less important routes have used theirs, and these are then refused until the
 number in flight has fallen.
+
+Room counts for each endpoint. Requests on flows that are open already cannot be
+limited and may fill the queues of slow endpoints far beyond the limits, while
+fast endpoints have room left.
 """
 
 from collections.abc import Collection
@@ -83,7 +87,9 @@
         shares: Own tokens by endpoint: requests in flight that this balancer
             may have there.
         own: Own requests in flight by endpoint.
-        in_flight: Known requests in flight at the candidates.
+        known: Requests in flight by endpoint, as far as known.
+        rooms: Requests that each endpoint may hold in addition, by the part of
+            the domain in its limit.
         limit: Part of the domain in the limits of the candidates.
         wait_s: Longest delay that the limits allow, in seconds.
         is_short: Whether the service is short of capacity.
@@ -97,7 +103,8 @@
     service_s: Mapping[ids.EndpointId, float]
     shares: Mapping[ids.EndpointId, int]
     own: Mapping[ids.EndpointId, int]
-    in_flight: int
+    known: Mapping[ids.EndpointId, int]
+    rooms: Mapping[ids.EndpointId, float]
     limit: float
     wait_s: float
     is_short: bool
@@ -107,25 +114,48 @@
     free: Sequence[views.Endpoint]
 
     @property
-    def is_weighted(self) -> bool:
-        """Whether the flow goes to one of `free`, by the tokens left."""
-        return bool(self.free) and self.least_important
+    def in_flight(self) -> int:
+        """Known requests in flight at the candidates."""
+        return sum(self.known.values())
 
     @property
     def is_refused(self) -> bool:
         """Whether the flow is refused if the service is short."""
         return not self.free and not self.has_room
 
-    def get_tokens_left(self) -> list[int]:
-        """Returns the own tokens left at each endpoint of `free`."""
-        return [self.shares[e.id] - self.own[e.id] for e in self.free]
+    def get_tokens_left(self) -> dict[ids.EndpointId, int]:
+        """Returns the own tokens left at the endpoints that the flow may use.
 
-    def compute_speeds(self) -> list[float]:
-        """Returns the requests a second that each candidate completes."""
-        return [
-            e.slots / max(self.service_s[e.id], const.MIN_SERVICE_S)
+        A flow of a more important route leaves out endpoints whose queue makes
+        it late. The result is empty if the flow is not placed by tokens.
+        """
+        return {
+            e.id: self.shares[e.id] - self.own[e.id]
+            for e in self.free
+            if self.least_important or self.compute_expected_s(e) <= self.wait_s
+        }
+
+    def compute_expected_s(self, endpoint: views.Endpoint) -> float:
+        """Returns the expected delay at a candidate, in seconds."""
+        return self.service_s[endpoint.id] * max(
+            1.0, (self.known[endpoint.id] + 1) / endpoint.slots
+        )
+
+    def compute_weights(self) -> dict[ids.EndpointId, float]:
+        """Returns the weights with which candidates are drawn beyond tokens.
+
+        They are the requests a second that an endpoint completes. For a flow of
+        the least important route, they also grow with the room. Otherwise,
+        after a shortage, all balancers would fill the endpoints that stayed
+        fast until the estimates of the others have recovered.
+        """
+        speeds = {
+            e.id: e.slots / max(self.service_s[e.id], const.MIN_SERVICE_S)
             for e in self.candidates
-        ]
+        }
+        if not self.least_important or not any(self.rooms.values()):
+            return speeds
+        return {e: speed * self.rooms[e] for e, speed in speeds.items()}
 
     def make_refusal(
         self, service: ids.ServiceId, goal_s: float
@@ -301,12 +331,11 @@
                 share=sum(assessment.shares.values()),
             ),
         )
-        if assessment.is_weighted:
-            return self._generator.choices(
-                assessment.free, assessment.get_tokens_left()
-            )[0]
         if assessment.is_refused:
             return assessment.make_refusal(service, route.goal_s)
+        tokens = assessment.get_tokens_left()
+        if tokens:
+            return self._draw(assessment.free, tokens)[0]
         return self._choose_soonest(assessment)
 
     def assess(
@@ -338,19 +367,6 @@
             tokens=dict(self._tokens),
         )
 
-    def compute_expected_s(
-        self, endpoint: views.Endpoint, service_s: float
-    ) -> float:
-        """Returns the expected delay at an endpoint in a shortage, in seconds.
-
-        Args:
-            endpoint: The endpoint.
-            service_s: Its service time, in seconds.
-        """
-        return service_s * max(
-            1.0, (self._count_in_flight(endpoint) + 1) / endpoint.slots
-        )
-
     def _assess(
         self,
         *,
@@ -383,7 +399,12 @@
         exhausted = sum(own.values()) >= sum(shares.values())
         # The loads of other domains are not known, only their parts.
         limit = sum(limits[e.id] * parts[e.domain].domain for e in candidates)
-        in_flight = sum(map(self._count_in_flight, candidates))
+        known = {e.id: self._count_in_flight(e) for e in candidates}
+        in_flight = sum(known.values())
+        rooms = {
+            e.id: max(0.0, limits[e.id] * parts[e.domain].domain - known[e.id])
+            for e in candidates
+        }
         is_detected = congested or (exhausted and self._waiting)
         is_short = is_detected or self.is_short(service, now)
         # Limits keep queues short, so that the delays alone would end the state
@@ -394,7 +415,9 @@
         least_important = self._is_least_important(route, service)
         lowers_room = least_important or above_share
         room_share = const.SHORTAGE_ROOM_SHARE if lowers_room else 1.0
-        has_room = not may_refuse or in_flight < room_share * limit
+        has_room = (
+            not may_refuse or sum(rooms.values()) > (1.0 - room_share) * limit
+        )
         # Callers above their share get what the others leave.
         free = (
             [e for e in candidates if own[e.id] < shares[e.id]]
@@ -406,7 +429,8 @@
             service_s=service_s,
             shares=shares,
             own=own,
-            in_flight=in_flight,
+            known=known,
+            rooms=rooms,
             limit=limit,
             wait_s=wait_s,
             is_short=is_short,
@@ -454,18 +478,31 @@
         The few are random, so that balancers do not choose the same one by the
         same reports, and fast endpoints are likely to be among them.
         """
-        compared = self._generator.choices(
+        compared = self._draw(
             assessment.candidates,
-            assessment.compute_speeds(),
-            k=const.SHORTAGE_CHOICES,
+            assessment.compute_weights(),
+            count=const.SHORTAGE_CHOICES,
         )
         if assessment.free:
             compared.append(self._generator.choice(assessment.free))
-        return min(
-            compared,
-            key=lambda e: self.compute_expected_s(
-                e, assessment.service_s[e.id]
-            ),
+        return min(compared, key=assessment.compute_expected_s)
+
+    def _draw(
+        self,
+        endpoints: Iterable[views.Endpoint],
+        weights: Mapping[ids.EndpointId, float],
+        count: int = 1,
+    ) -> list[views.Endpoint]:
+        """Returns random endpoints by weight; others than in it are not drawn.
+
+        Args:
+            endpoints: Endpoints to draw from, with repetition.
+            weights: Weight of each one.
+            count: Number of draws.
+        """
+        listed = list(endpoints)
+        return self._generator.choices(
+            listed, [weights.get(e.id, 0.0) for e in listed], k=count
         )
 
     def _divide_domains(
--- a/tests/steering/test_explanation.py
+++ b/tests/steering/test_explanation.py
@@ -281,6 +281,7 @@
     "short, important": lambda: make_short(priorities=(0, 1)),
     "short, refused": lambda: make_short(own=20),
     "short, above share": lambda: make_short(load=6, above_share=True),
+    "short, important, queues": lambda: make_short(load=90, priorities=(0, 1)),
     "short, important, no token": lambda: make_short(
         load=0, own=4, priorities=(0, 1)
     ),
@@ -369,7 +370,8 @@
         ("congested", "congested", "overloaded"),
         ("congested, all late", "congested", "overloaded"),
         ("short, least important", "tokens", None),
-        ("short, important", "soonest", None),
+        ("short, important", "tokens", None),
+        ("short, important, queues", "soonest", None),
         ("short, refused", "refused", "overloaded"),
         ("short, above share", "refused", "overloaded"),
         ("short, important, no token", "soonest", None),
--- a/tests/steering/test_shortage.py
+++ b/tests/steering/test_shortage.py
@@ -18,6 +18,7 @@
 from chivedoor import ids
 from chivedoor.steering import capacity
 from chivedoor.steering import const
+from chivedoor.steering import segment as segments
 from chivedoor.steering import shortage
 from chivedoor.steering import steerer as steerers
 from chivedoor.steering import verdicts
@@ -50,6 +51,7 @@
 MAX_LOSS = 0.05
 # Requests in time that may be missing at twice the demand.
 MAX_DROP = 0.05
+SEEDS = (1, 2, 3)
 
 
 @functools.cache
@@ -59,6 +61,7 @@
     policy: emulation.Policy = SHARED,
     *,
     recovers: bool = False,
+    seed: int = 1,
 ) -> emulation.Emulation:
     """Plays a quiet phase and a shortage.
 
@@ -68,6 +71,7 @@
         policy: Way in which demand above capacity is handled.
         recovers: Whether the same demand goes on with all endpoints at full
             speed.
+        seed: Seed of the run.
     """
     slow = dataclasses.replace(SLOW, load=load, important_load=important_load)
     recovery = dataclasses.replace(
@@ -77,15 +81,15 @@
         scenario=SCENARIO,
         phases=[QUIET, slow, *([recovery] if recovers else [])],
         policy=policy,
-        seed=1,
+        seed=seed,
     )
     run.run()
     return run
 
 
-def play_shortage() -> emulation.Emulation:
+def play_shortage(seed: int = 1) -> emulation.Emulation:
     """Plays a demand of 1.8 times the remaining capacity, and its end."""
-    return play(0.336, 0.032, recovers=True)
+    return play(0.336, 0.032, recovers=True, seed=seed)
 
 
 def compute_share(outcome: emulation.Outcome) -> float:
@@ -118,9 +122,10 @@
     assert important >= other
 
 
-def test_important_route_within_the_capacity_is_in_time() -> None:
+@pytest.mark.parametrize("seed", SEEDS)
+def test_important_route_within_the_capacity_is_in_time(seed: int) -> None:
     """Guards against an important route that shares the fate of the others."""
-    important, _ = compute_shares(play_shortage(), START_S + 2, END_S)
+    important, _ = compute_shares(play_shortage(seed), START_S + 2, END_S)
     assert important >= TARGET_IMPORTANT
 
 
@@ -137,6 +142,21 @@
     assert important >= compute_shares(observed, START_S, END_S)[0]
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_important_route_does_not_fill_the_fast_endpoints(seed: int) -> None:
+    """Guards against balancers that all choose by the same old reports.
+
+    The endpoints that look best then turn requests away, and the important
+    route fares worse in each second of its surge.
+    """
+    run = play(0.112, 0.10, seed=seed)
+    important, _ = compute_shares(run, START_S + 2, END_S)
+    assert important >= TARGET_IMPORTANT
+    for second in range(START_S + 2, END_S):
+        important, other = compute_shares(run, second, second + 1)
+        assert important >= other
+
+
 def test_few_requests_are_lost_below_capacity() -> None:
     """Guards against refusals while endpoints have free slots.
 
@@ -346,6 +366,40 @@
     assert not balancer.shortage.has_short_service(0.0)
 
 
+def test_queues_of_slow_endpoints_leave_room_at_the_others() -> None:
+    """Guards against refusals of the important route while there is room.
+
+    Requests on open flows fill nine slow endpoints far beyond their limits. The
+    tenth endpoint is idle.
+    """
+    endpoints = [conftest.make_endpoint(n, slots=2) for n in range(1, 11)]
+    # One balancer of a thousand owns no token.
+    balancer = make_balancer(A, 0, {A: 1_000}, endpoints)
+    configuration = views.Configuration(
+        version=ids.Version(2),
+        routes={
+            conftest.ROUTE: dataclasses.replace(ROUTE, priority=0),
+            segments.RouteKey(b"\x01\xbc\xc6\x12\x00\x01"): ROUTE,
+        },
+        services={conftest.SERVICE: views.ServiceLimits(warmup_per_s=0.0)},
+    )
+    balancer.view.apply(configuration, 0.0)
+    *slow, idle = endpoints
+    balancer.peer_loads.set_report(
+        ids.VmId("peer"), dict.fromkeys((e.id for e in slow), 20), 0.0
+    )
+    for endpoint in endpoints:
+        delay_s = LATE_S if endpoint is not idle else 0.02
+        for _ in range(20):
+            balancer.delay_table.record(
+                endpoint.id, delay_s=delay_s, goal_s=GOAL_S, load=1.0
+            )
+    balancer.update_delays(0.0)
+    verdict = balancer.decide(conftest.make_opening(conftest.make_flow(1)), 0.0)
+    assert isinstance(verdict, verdicts.Deliver)
+    assert verdict.endpoint == idle
+
+
 def test_route_without_goal_is_not_limited() -> None:
     """Guards against refusals that no setting of the operator asks for."""
     endpoints = [conftest.make_endpoint(1, slots=2)]
