steering: tell a recovery from requests of usual length

Cause: the known service time is weighted by the delay. With 3% of requests seven times as long as the others, it is 2.2 times their mean, so that the mean of the recent ones was below half of it at most times. Change: the mean of at least four requests has to be below a fifth.

--- a/src/chivedoor/steering/capacity.py
+++ b/src/chivedoor/steering/capacity.py
@@ -88,7 +88,7 @@
     it may turn requests away, which looks fast.
     """
     return (
-        recent.requests >= const.DELAY_PRIOR_REQUESTS
+        recent.requests >= const.CAPACITY_MIN_RECOVERED_REQUESTS
         and recent.weighted_load_s
         <= const.CAPACITY_MAX_RECOVERED_LOAD * recent.delay_s
         and recent.delay_s / recent.requests
--- a/src/chivedoor/steering/const.py
+++ b/src/chivedoor/steering/const.py
@@ -177,9 +177,11 @@
 # half of the weight is younger than half a second.
 CAPACITY_DECAY_PER_TICK: Final = 0.7
 # An endpoint has recovered, and its earlier requests do not count any more, if
-# its recent service time is below this share of the known one. Service times
-# vary by half of their mean.
-CAPACITY_RECOVERED_SHARE: Final = 0.5
+# the mean of at least so many recent requests is below this share of the known
+# service time. That time is weighted by the delay: it is 2.2 times the mean if
+# 3% of the requests take seven times as long as the others.
+CAPACITY_MIN_RECOVERED_REQUESTS: Final = 4.0
+CAPACITY_RECOVERED_SHARE: Final = 0.2
 # Requests for each slot of an endpoint up to which a short delay shows its
 # speed. Endpoints of the known deployments reject from five on.
 CAPACITY_MAX_RECOVERED_LOAD: Final = 1.5
--- a/tests/steering/test_capacity.py
+++ b/tests/steering/test_capacity.py
@@ -99,6 +99,22 @@
     assert times_s[FIRST.id] < 2.0 * SERVICE_S
 
 
+def test_requests_of_usual_length_do_not_show_a_recovery(
+    recorder: Recorder,
+) -> None:
+    """Guards against limits that grow whenever no long request completes.
+
+    One request in 20 takes seven times as long as the others.
+    """
+    for _ in range(8):
+        recorder.tick([(FIRST, 7.0 * SERVICE_S)] + [(FIRST, SERVICE_S)] * 19)
+    times_s = capacity.estimate_service_times(ENDPOINTS, recorder.capacity)
+    for _ in range(3):
+        recorder.tick([(FIRST, SERVICE_S)] * 8)
+    later_s = capacity.estimate_service_times(ENDPOINTS, recorder.capacity)
+    assert later_s[FIRST.id] > 0.6 * times_s[FIRST.id]
+
+
 def test_rejected_requests_do_not_show_a_recovery(recorder: Recorder) -> None:
     """Guards against a slow endpoint that looks fast because it is full.
 
