--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -24,6 +24,7 @@
 from chivedoor.edge import settings as settings_module
 from chivedoor.edge import view_updater as view_updater_module
 from chivedoor.edge import web
+from chivedoor.feed import const as feed_const
 from chivedoor.feed import coordinator
 from chivedoor.feed import follower as followers
 from chivedoor.feed import load_exchange
@@ -32,6 +33,7 @@
 from chivedoor.feed import peers as peer_sets
 from chivedoor.feed import records
 from chivedoor.feed import relay
+from chivedoor.feed import transfers
 from chivedoor.platform import store
 from chivedoor.steering import const as steering_const
 from chivedoor.steering import contacts
@@ -119,6 +121,7 @@
                 metrics_module.Timing.SOURCE_CALL
             ].observe,
             clock=clock,
+            observe_transfer=self._log_transfer,
         )
         self._source_lost = False
         # Last time at which this balancer itself, rather than a peer, had the
@@ -166,6 +169,7 @@
             records_table=self.view_updater.table,
             get_age_s=self.view_updater.get_age_s,
             clock=clock,
+            observe_transfer=self._log_transfer,
         )
         self._coordinator = coordinator.Coordinator(
             peers=self.peers,
@@ -178,6 +182,7 @@
             local_host=settings.address,
             peer_port=settings.peer_port,
             clock=clock,
+            observe_transfer=self._log_transfer,
         )
         self._readiness_server = web.WebServer(
             host=settings.readiness.host,
@@ -465,6 +470,24 @@
             view_age_s=self.view_updater.get_age_s(),
         )
 
+    def _log_transfer(self, transfer: transfers.Transfer) -> None:
+        if transfer.complete and transfer.duration_s < (
+            feed_const.SLOW_TRANSFER_S
+        ):
+            return
+        self.metrics.count(
+            metrics_module.Counter.TRANSFERS_SLOW, transfer.kind.value
+        )
+        self._log.write(
+            log_writer.EventType.TRANSFER_SLOW,
+            transfer=transfer.kind.value,
+            host=transfer.host,
+            size_bytes=transfer.size_bytes,
+            duration_s=round(transfer.duration_s, 3),
+            complete=transfer.complete,
+            view_age_s=self.view_updater.get_age_s(),
+        )
+
     def _log_reading_mode(
         self, mode: coordinator.ReadingMode, detail: str
     ) -> None:
--- a/src/chivedoor/edge/log_writer.py
+++ b/src/chivedoor/edge/log_writer.py
@@ -49,6 +49,7 @@
     FLOW_MOVED = "flow-moved"
     PACKET_DROPPED = "packet-dropped"
     READING = "reading-from"
+    TRANSFER_SLOW = "transfer-slow"
     SPILLOVER_CHANGED = "spillover-changed"
     SHORTAGE_BEGUN = "shortage-begun"
     SHORTAGE_ENDED = "shortage-ended"
--- a/src/chivedoor/edge/metrics.py
+++ b/src/chivedoor/edge/metrics.py
@@ -29,6 +29,8 @@
     RESTORATIONS = "restorations"
     SPILLOVER_CHANGES = "spillover_changes"
     SUSPICIONS = "suspicions"
+    # Split by what was transferred.
+    TRANSFERS_SLOW = "transfers_slow"
     UNUSABLE_RECORDS = "unusable_records"
 
 
--- a/src/chivedoor/feed/const.py
+++ b/src/chivedoor/feed/const.py
@@ -96,6 +96,8 @@
 FRAME_HEADER_BYTES: Final = 4
 MAX_FRAME_BYTES: Final = 8 * 1024 * 1024
 MAX_SUBSCRIBERS: Final = 400
+# Transfers that take longer, or that are broken off, are reported.
+SLOW_TRANSFER_S: Final = 0.5
 # Kernel buffer of a subscriber's connection. What it holds cannot be replaced
 # by newer changes any more.
 SUBSCRIBER_BUFFER_BYTES: Final = 64 * 1024
--- a/src/chivedoor/feed/coordinator.py
+++ b/src/chivedoor/feed/coordinator.py
@@ -9,6 +9,7 @@
 from chivedoor.feed import peers as peer_sets
 from chivedoor.feed import records
 from chivedoor.feed import relay
+from chivedoor.feed import transfers
 
 
 class ReadingMode(enum.Enum):
@@ -77,6 +78,7 @@
         local_host: str,
         peer_port: int,
         clock: Callable[[], float],
+        observe_transfer: transfers.Observer = transfers.ignore_transfer,
     ) -> None:
         """Creates a coordinator that does not read yet.
 
@@ -94,6 +96,7 @@
             local_host: The local address of subscriptions.
             peer_port: The port of the relays.
             clock: Returns the current time in seconds.
+            observe_transfer: Called with each frame from a peer.
         """
         self.mode = ReadingMode.STORE
         self._peers = peers
@@ -106,6 +109,7 @@
         self._local_host = local_host
         self._peer_port = peer_port
         self._clock = clock
+        self._observe_transfer = observe_transfer
         self._follower_task: asyncio.Task[None] | None = None
         # None also for a follower that has read the first view.
         self._follower_started_at: float | None = None
@@ -196,6 +200,7 @@
             deliver=self._deliver,
             on_end=self._on_end,
             clock=self._clock,
+            observe_transfer=self._observe_transfer,
         )
         self._connect_task = asyncio.create_task(
             self._subscription.async_open()
--- a/src/chivedoor/feed/relay.py
+++ b/src/chivedoor/feed/relay.py
@@ -10,6 +10,7 @@
 from chivedoor.feed import messages
 from chivedoor.feed import records
 from chivedoor.feed import table
+from chivedoor.feed import transfers
 
 
 class _FrameSplitter:
@@ -18,6 +19,11 @@
     def __init__(self) -> None:
         self._data = bytearray()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The number of bytes of an incomplete frame."""
+        return len(self._data)
+
     def feed(self, data: bytes) -> list[bytes]:
         """Adds bytes and returns the completed frames.
 
@@ -49,8 +55,10 @@
         records_table: table.RecordTable,
         get_age_s: Callable[[], float | None],
         clock: Callable[[], float],
+        observe_transfer: transfers.Observer = transfers.ignore_transfer,
     ) -> None:
         """Creates a relay with a closed port."""
+        self.observe_transfer = observe_transfer
         self._table = records_table
         self._get_age_s = get_age_s
         self._clock = clock
@@ -126,11 +134,14 @@
         self._transport: asyncio.Transport | None = None
         self._frames = _FrameSplitter()
         self._revision: records.Revision | None = None
-        # Time since which a frame is being sent, in seconds.
+        # Time since which a frame is being sent, in seconds, and its size.
         self._sending_since: float | None = None
+        self._sending_bytes = 0
+        self._host = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        self._host = self._transport.get_extra_info("peername")[0]
         self._transport.set_write_buffer_limits(high=0)
         self._transport.get_extra_info("socket").setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, const.SUBSCRIBER_BUFFER_BYTES
@@ -141,6 +152,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         self._transport = None
         self._relay.remove(self)
+        self._report_transfer(complete=False)
 
     def data_received(self, data: bytes) -> None:
         try:
@@ -154,6 +166,7 @@
         self._sending_since = self._relay.read_clock()
 
     def resume_writing(self) -> None:
+        self._report_transfer(complete=True)
         self._sending_since = None
         self.update()
 
@@ -169,12 +182,27 @@
         frame = self._relay.make_frame(self._revision)
         if frame is not None:
             self._revision = frame.batch.revision
-            self._transport.write(messages.encode_frame(frame))
+            data = messages.encode_frame(frame)
+            self._sending_bytes = len(data)
+            self._transport.write(data)
 
     def close(self) -> None:
         if self._transport is not None:
             self._transport.abort()
 
+    def _report_transfer(self, *, complete: bool) -> None:
+        if self._sending_since is None:
+            return
+        self._relay.observe_transfer(
+            transfers.Transfer(
+                kind=transfers.TransferKind.FRAME_SENT,
+                host=self._host,
+                size_bytes=self._sending_bytes,
+                duration_s=self._relay.read_clock() - self._sending_since,
+                complete=complete,
+            )
+        )
+
 
 class Subscription(asyncio.Protocol):
     """Receives changes from a reader.
@@ -193,6 +221,7 @@
         deliver: Callable[[records.Batch, float], None],
         on_end: Callable[["Subscription", str], None],
         clock: Callable[[], float],
+        observe_transfer: transfers.Observer = transfers.ignore_transfer,
     ) -> None:
         """Creates a subscription that is not connected.
 
@@ -206,6 +235,7 @@
             on_end: Called once with the subscription and a reason when it
                 ends, unless `close` was called.
             clock: Returns the current time in seconds.
+            observe_transfer: Called with each frame, complete or not.
         """
         self.host = host
         self._port = port
@@ -221,6 +251,9 @@
         # frame.
         self._min_offset_s: float | None = None
         self._ended = False
+        self._observe_transfer = observe_transfer
+        # Time of the first byte of an incomplete frame, in seconds.
+        self._receiving_since: float | None = None
 
     async def async_open(self) -> None:
         """Connects to the reader; a failure is reported through `on_end`."""
@@ -240,6 +273,9 @@
     def close(self) -> None:
         """Closes the subscription; `on_end` is not called afterwards."""
         self._ended = True
+        if self._receiving_since is not None:
+            self._report_transfer(self._frames.buffered_bytes, complete=False)
+            self._receiving_since = None
         if self._transport is not None:
             self._transport.abort()
 
@@ -258,11 +294,29 @@
 
     def data_received(self, data: bytes) -> None:
         """Handles frames; a malformed frame ends the subscription."""
+        if self._receiving_since is None:
+            self._receiving_since = self._clock()
         try:
             for body in self._frames.feed(data):
+                self._report_transfer(len(body), complete=True)
                 self._handle_frame(messages.decode_frame(body))
         except exceptions.MalformedAnswerError as error:
             self._end(str(error))
+        if not self._frames.buffered_bytes:
+            self._receiving_since = None
+
+    def _report_transfer(self, size_bytes: int, *, complete: bool) -> None:
+        now = self._clock()
+        since, self._receiving_since = self._receiving_since, now
+        self._observe_transfer(
+            transfers.Transfer(
+                kind=transfers.TransferKind.FRAME_RECEIVED,
+                host=self.host,
+                size_bytes=size_bytes,
+                duration_s=now - (now if since is None else since),
+                complete=complete,
+            )
+        )
 
     def _handle_frame(self, frame: messages.Frame) -> None:
         now = self._clock()
--- a/src/chivedoor/platform/store.py
+++ b/src/chivedoor/platform/store.py
@@ -18,6 +18,7 @@
 from chivedoor.feed import const as feed_const
 from chivedoor.feed import exceptions
 from chivedoor.feed import records
+from chivedoor.feed import transfers
 from chivedoor.platform import const
 
 _HTTP_OK = 200
@@ -41,6 +42,7 @@
         port: int,
         observe_call: Callable[[float], None],
         clock: Callable[[], float],
+        observe_transfer: transfers.Observer = transfers.ignore_transfer,
     ) -> None:
         """Creates a client; the first call opens the connection.
 
@@ -49,12 +51,14 @@
             port: The store's port.
             observe_call: Called with the duration of each call in seconds.
             clock: Returns the time in seconds.
+            observe_transfer: Called with each response, complete or not.
         """
         self.calls = 0
         # Latest era of the store that a response named.
         self._era = ids.Era(0)
         self._observe_call = observe_call
         self._clock = clock
+        self._observe_transfer = observe_transfer
         self._host = host
         self._port = port
         self._connection: _Connection | None = None
@@ -120,12 +124,15 @@
         """Sends a request and returns the era and the body of the response."""
         self.calls += 1
         sent_at = self._clock()
+        connection: _Connection | None = None
+        complete = False
         try:
             async with asyncio.timeout(timeout_s):
                 connection = await self._async_connect()
                 response = await connection.async_get(
                     f"{path}?{urllib.parse.urlencode(query)}"
                 )
+            complete = True
         except (OSError, TimeoutError) as error:
             self.close()
             raise exceptions.SourceUnreachableError(
@@ -136,6 +143,8 @@
             raise
         finally:
             self._observe_call(self._clock() - sent_at)
+            if connection is not None:
+                self._report_transfer(connection, complete=complete)
         if response.status == _HTTP_GONE:
             raise exceptions.HistoryLostError(path)
         if response.status != _HTTP_OK:
@@ -148,13 +157,30 @@
         self._era = era
         return era, _parse_response(response.body)
 
+    def _report_transfer(
+        self, connection: "_Connection", *, complete: bool
+    ) -> None:
+        if connection.first_byte_at is None:
+            return
+        self._observe_transfer(
+            transfers.Transfer(
+                kind=transfers.TransferKind.RESPONSE,
+                host=self._host,
+                size_bytes=connection.received_bytes,
+                duration_s=self._clock() - connection.first_byte_at,
+                complete=complete,
+            )
+        )
+
     async def _async_connect(self) -> "_Connection":
         if self._connection is not None and self._connection.is_open:
             return self._connection
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(feed_const.CONNECT_TIMEOUT_S):
             _, self._connection = await loop.create_connection(
-                lambda: _Connection(host=f"{self._host}:{self._port}"),
+                lambda: _Connection(
+                    host=f"{self._host}:{self._port}", clock=self._clock
+                ),
                 self._host,
                 self._port,
                 family=socket.AF_INET,
@@ -171,10 +197,18 @@
 
 
 class _Connection(asyncio.Protocol):
-    """An HTTP/1.1 connection for one request at a time."""
+    """An HTTP/1.1 connection for one request at a time.
 
-    def __init__(self, *, host: str) -> None:
+    Attributes:
+        received_bytes: Number of bytes of the current response.
+        first_byte_at: Time of its first byte, None before.
+    """
+
+    def __init__(self, *, host: str, clock: Callable[[], float]) -> None:
+        self.received_bytes = 0
+        self.first_byte_at: float | None = None
         self._host = host
+        self._clock = clock
         self._transport: asyncio.Transport | None = None
         self._response: asyncio.Future[_Response] | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -197,6 +231,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._era = None
         self._body.clear()
+        self.received_bytes = 0
+        self.first_byte_at = None
         self._transport.write(
             f"GET {request_target} HTTP/1.1\r\n"
             f"Host: {self._host}\r\n\r\n".encode()
@@ -214,6 +250,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; a malformed response fails the pending call."""
+        if self.first_byte_at is None:
+            self.first_byte_at = self._clock()
+        self.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
--- a/tests/feed/test_relay.py
+++ b/tests/feed/test_relay.py
@@ -10,6 +10,7 @@
 from chivedoor.feed import records
 from chivedoor.feed import relay
 from chivedoor.feed import table
+from chivedoor.feed import transfers
 from tests.feed import conftest
 
 
@@ -161,6 +162,35 @@
     assert len(ends) == 1
 
 
+async def test_frame_that_is_broken_off_is_reported(async_wait_until) -> None:
+    """Guards against logs that name a reader silent while its frame arrives."""
+    seen: list[transfers.Transfer] = []
+
+    async def async_send_part(incoming, outgoing) -> None:
+        outgoing.write((1_000).to_bytes(const.FRAME_HEADER_BYTES, "big"))
+        outgoing.write(b"x" * 100)
+
+    server = await asyncio.start_server(async_send_part, "127.0.0.1", 0)
+    subscription = relay.Subscription(
+        host="127.0.0.1",
+        port=server.sockets[0].getsockname()[1],
+        local_host="127.0.0.1",
+        revision=records.NO_REVISION,
+        deliver=lambda batch, at: None,
+        on_end=lambda _, reason: None,
+        clock=lambda: 200.0,
+        observe_transfer=seen.append,
+    )
+    await subscription.async_open()
+    await async_wait_until(lambda: subscription._frames.buffered_bytes > 100)
+    subscription.close()
+    server.close()
+    assert [(t.kind, t.complete) for t in seen] == [
+        (transfers.TransferKind.FRAME_RECEIVED, False)
+    ]
+    assert seen[0].size_bytes == 100 + const.FRAME_HEADER_BYTES
+
+
 async def test_refused_connection_is_reported(reader, subscribe) -> None:
     """Guards against a subscription that fails silently."""
     reader.relay.close()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,6 +9,7 @@
 from chivedoor.feed import exceptions
 from chivedoor.feed import full_read as full_reads
 from chivedoor.feed import records
+from chivedoor.feed import transfers as transfer_module
 from chivedoor.platform import const as platform_const
 from chivedoor.platform import store as stores
 from standins import store as store_stand_in
@@ -30,7 +31,12 @@
 
 
 @pytest.fixture
-async def store(stand_in, monkeypatch, durations):
+def transfers() -> list[transfer_module.Transfer]:
+    return []
+
+
+@pytest.fixture
+async def store(stand_in, monkeypatch, durations, transfers):
     monkeypatch.setattr(const, "READ_TIMEOUT_S", 0.5)
     monkeypatch.setattr(const, "WATCH_TIMEOUT_MARGIN_S", 0.3)
     opened = stores.StoreClient(
@@ -38,6 +44,7 @@
         port=stand_in.port,
         observe_call=durations.append,
         clock=time.monotonic,
+        observe_transfer=transfers.append,
     )
     yield opened
     opened.close()
@@ -186,3 +193,23 @@
     await stand_in.async_close()
     with pytest.raises(exceptions.SourceUnreachableError):
         await async_read_all(store)
+
+
+async def test_broken_transfer_is_reported_with_its_size(
+    store, stand_in, transfers
+) -> None:
+    """Guards against logs that hide a slow link behind a time-out.
+
+    A store that sends nothing and a link that is too slow for a response both
+    ended in the same error.
+    """
+    stand_in.fault = StoreFault.CUT_BODY
+    with pytest.raises(exceptions.SourceUnreachableError):
+        await async_read_all(store)
+    stand_in.fault = None
+    await async_read_all(store)
+    stand_in.fault = StoreFault.SILENT
+    with pytest.raises(exceptions.SourceUnreachableError):
+        await async_read_all(store)
+    assert [transfer.complete for transfer in transfers] == [False, True]
+    assert transfers[0].size_bytes > len(b'{"items": [')
