--- /dev/null
+++ b/standins/bandwidth.py
@@ -0,0 +1,40 @@
+"""Links of limited bandwidth, shared by all connections of a VM."""
+
+import asyncio
+import dataclasses
+
+
+class Direction:
+    """One direction of a link; passes bytes at a fixed rate."""
+
+    def __init__(self, *, bytes_per_s: float) -> None:
+        """Creates an idle direction."""
+        self._bytes_per_s = bytes_per_s
+        self._lock = asyncio.Lock()
+
+    async def async_pass(self, size: int) -> None:
+        """Waits until `size` bytes have passed, after those that came first."""
+        async with self._lock:
+            await asyncio.sleep(size / self._bytes_per_s)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Link:
+    """The link of a VM.
+
+    Attributes:
+        receiving: Direction towards the VM.
+        sending: Direction away from the VM.
+    """
+
+    receiving: Direction
+    sending: Direction
+
+
+def make_link(mbps: float) -> Link:
+    """Returns a link with the same bandwidth in both directions."""
+    bytes_per_s = mbps * 1e6 / 8
+    return Link(
+        receiving=Direction(bytes_per_s=bytes_per_s),
+        sending=Direction(bytes_per_s=bytes_per_s),
+    )
--- a/standins/echo/proxy.py
+++ b/standins/echo/proxy.py
@@ -6,9 +6,12 @@
 import socket
 import struct
 
+from standins import bandwidth
 from standins import link
 
 _CHUNK_BYTES = 65536
+# Connections share a slow link in turns of this size.
+_SLOW_LINK_CHUNK_BYTES = 8192
 _POLL_S = 0.02
 
 
@@ -33,12 +36,14 @@
         address: Listening address; the port is known once it is open.
         mode: How connections are treated at present.
         delay_s: Delay of answers in mode `DELAY`, in seconds.
+        link: Link that the answers pass; None without a limit.
     """
 
     def __init__(self, *, listen: link.Address, target: link.Address) -> None:
         """Creates a proxy that does not listen yet."""
         self.mode = ProxyMode.PASS
         self.delay_s = 0.0
+        self.link: bandwidth.Link | None = None
         self.address = listen
         self._target = target
         self._server: asyncio.Server | None = None
@@ -105,11 +110,14 @@
         writer: asyncio.StreamWriter,
         towards_target: bool,
     ) -> None:
-        while data := await reader.read(_CHUNK_BYTES):
+        chunk_bytes = _SLOW_LINK_CHUNK_BYTES if self.link else _CHUNK_BYTES
+        while data := await reader.read(chunk_bytes):
             while self._is_blocked(towards_target):
                 await asyncio.sleep(_POLL_S)
             if self.mode is ProxyMode.DELAY and not towards_target:
                 await asyncio.sleep(self.delay_s)
+            if self.link is not None and not towards_target:
+                await self.link.receiving.async_pass(len(data))
             writer.write(data)
             await writer.drain()
         with contextlib.suppress(OSError):
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -18,10 +18,13 @@
 import cappa
 
 from standins import administration
+from standins import bandwidth
 from standins import exceptions
 from standins import link
 
 _CHUNK_BYTES = 65536
+# Connections share a slow link in turns of this size.
+_SLOW_LINK_CHUNK_BYTES = 8192
 _CUT_POLL_S = 0.02
 
 
@@ -73,6 +76,8 @@
     def __init__(self, *, vms: list[Vm], seed: int):
         """Creates a relay without opening sockets."""
         self.faults = Faults()
+        # Links of limited bandwidth, by VM id; they hold up streams only.
+        self.links: dict[str, bandwidth.Link] = {}
         self._vms = {vm.address: vm for vm in vms}
         self._generator = random.Random(seed)
         self._sockets: dict[tuple[str, int], socket.socket] = {}
@@ -207,6 +212,9 @@
         ):
             await asyncio.sleep(_CUT_POLL_S)
 
+    def _get_chunk_bytes(self) -> int:
+        return _SLOW_LINK_CHUNK_BYTES if self.links else _CHUNK_BYTES
+
     async def _async_forward(
         self,
         source: Vm,
@@ -216,11 +224,15 @@
     ) -> None:
         """Forwards bytes until end of stream; holds them during a cut."""
         try:
-            while data := await reader.read(_CHUNK_BYTES):
+            while data := await reader.read(self._get_chunk_bytes()):
                 if self.faults.delay_s > 0:
                     await asyncio.sleep(self.faults.delay_s)
                 # TCP needs both directions, so a cut of either one blocks it.
                 await self._async_wait_while_cut(source, target)
+                if source.id in self.links:
+                    await self.links[source.id].sending.async_pass(len(data))
+                if target.id in self.links:
+                    await self.links[target.id].receiving.async_pass(len(data))
                 self._bytes[(source.id, target.id)] += len(data)
                 writer.write(data)
                 await writer.drain()
--- a/standins/store.py
+++ b/standins/store.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import contextlib
 import dataclasses
 import enum
 import json
@@ -197,18 +198,15 @@
         if fault_response is not None:
             return fault_response
         after = int(request.query["after"])
+        prefix = request.query["prefix"]
         wait_s = int(request.query["wait_ms"]) / 1000
-        changed = self._changed
-        if after == self._revision:
-            try:
-                async with asyncio.timeout(wait_s):
-                    await changed.wait()
-            except TimeoutError:
-                pass
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self._async_wait_for_change(prefix, after)
         # A revision above the current one was given out before a restoration.
         if not self._oldest <= after <= self._revision:
             return web.json_response({"error": "gone"}, status=410)
-        events = [c for c in self._history if c.revision > after]
+        events = self._list_changes(prefix, after)
         return web.json_response(
             {
                 "events": [_encode(change) for change in events],
@@ -216,6 +214,20 @@
             }
         )
 
+    async def _async_wait_for_change(self, prefix: str, after: int) -> None:
+        """Waits for a change of a prefix, or a loss of its history."""
+        while self._oldest <= after <= self._revision and not (
+            self._list_changes(prefix, after)
+        ):
+            await self._changed.wait()
+
+    def _list_changes(self, prefix: str, after: int) -> list[_Change]:
+        return [
+            change
+            for change in self._history
+            if change.revision > after and change.key.startswith(prefix)
+        ]
+
     async def _async_apply_fault(
         self, request: web.Request
     ) -> web.StreamResponse | None:
