--- a/src/chivedoor/feed/const.py
+++ b/src/chivedoor/feed/const.py
@@ -12,6 +12,16 @@
 # 4 ms, for a slow store.
 RESPONSE_TRANSIT_S: Final = 0.25
 READ_TIMEOUT_S: Final = 1.0
+# The time limits above and below hold for the start of a transfer. Once it has
+# begun, it goes on while bytes arrive: a configuration of 1 MiB takes 2.2 s on
+# the slowest known link of 5 Mbit/s, and a transfer that is broken off begins
+# with its first byte again.
+TRANSFER_STALL_S: Final = 1.0
+# A response that arrives more slowly is broken off. On the slowest known link,
+# the largest response takes half of this time while the link is half used.
+TRANSFER_MAX_S: Final = 10.0
+# A frame that takes longer no longer keeps a balancer from reading the store.
+FRAME_TRANSFER_MAX_S: Final = 2.5
 CONNECT_TIMEOUT_S: Final = 0.5
 # Changes arrive in groups. This delay lets one call collect a group. It is a
 # twelfth of the 3 s in which a configuration has to be in force, the tightest
--- a/src/chivedoor/feed/coordinator.py
+++ b/src/chivedoor/feed/coordinator.py
@@ -27,6 +27,7 @@
     view_age_s: float | None,
     reading_for_s: float | None,
     expecting_view: bool = False,
+    receiving: bool = False,
 ) -> ReadingMode:
     """Returns the source of changes.
 
@@ -42,12 +43,16 @@
             seconds; None if it does not read, or if it began without a view:
             then it leaves the store to a reader as soon as it finds one.
         expecting_view: Whether the first view is expected from a peer shortly.
+        receiving: Whether a frame from the reader is arriving. An own read
+            would load the link with the same bytes again.
     """
     if not reader_known:
         return ReadingMode.STORE
-    if subscribed and expecting_view and view_age_s is None:
+    if subscribed and (expecting_view or receiving) and view_age_s is None:
         return ReadingMode.PEER
-    stale = view_age_s is None or view_age_s > const.SELF_READ_VIEW_AGE_S
+    stale = view_age_s is None or (
+        view_age_s > const.SELF_READ_VIEW_AGE_S and not receiving
+    )
     if stale or not subscribed:
         return ReadingMode.BOTH
     if (
@@ -158,6 +163,8 @@
             if self._follower_started_at is None
             else now - self._follower_started_at,
             expecting_view=now < self._first_view_deadline,
+            receiving=self._subscription is not None
+            and self._subscription.is_receiving(now),
         )
         if mode is ReadingMode.PEER:
             self._stop_follower()
@@ -171,7 +178,7 @@
         """Unsubscribes from a reader that stalls on an open connection."""
         subscription = self._subscription
         silent = age_s is not None and age_s > const.READER_TIMEOUT_S
-        if subscription is None or not silent:
+        if subscription is None or not silent or subscription.is_receiving(now):
             return
         if now - self._subscribed_at > const.READER_TIMEOUT_S:
             self._peers.mark_failed(subscription.host, now)
--- a/src/chivedoor/feed/relay.py
+++ b/src/chivedoor/feed/relay.py
@@ -254,6 +254,7 @@
         self._observe_transfer = observe_transfer
         # Time of the first byte of an incomplete frame, in seconds.
         self._receiving_since: float | None = None
+        self._last_data_at = 0.0
 
     async def async_open(self) -> None:
         """Connects to the reader; a failure is reported through `on_end`."""
@@ -294,8 +295,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Handles frames; a malformed frame ends the subscription."""
+        self._last_data_at = self._clock()
         if self._receiving_since is None:
-            self._receiving_since = self._clock()
+            self._receiving_since = self._last_data_at
         try:
             for body in self._frames.feed(data):
                 self._report_transfer(len(body), complete=True)
@@ -305,6 +307,14 @@
         if not self._frames.buffered_bytes:
             self._receiving_since = None
 
+    def is_receiving(self, now: float) -> bool:
+        """Returns whether a frame is arriving at `now`, without a stall."""
+        return (
+            self._receiving_since is not None
+            and now - self._last_data_at < const.TRANSFER_STALL_S
+            and now - self._receiving_since < const.FRAME_TRANSFER_MAX_S
+        )
+
     def _report_transfer(self, size_bytes: int, *, complete: bool) -> None:
         now = self._clock()
         since, self._receiving_since = self._receiving_since, now
--- a/src/chivedoor/platform/store.py
+++ b/src/chivedoor/platform/store.py
@@ -121,16 +121,23 @@
     async def _async_get(
         self, path: str, query: Mapping[str, str], timeout_s: float
     ) -> tuple[ids.Era, Mapping[str, Any]]:
-        """Sends a request and returns the era and the body of the response."""
+        """Sends a request and returns the era and the body of the response.
+
+        Args:
+            path: The path of the call.
+            query: Its parameters.
+            timeout_s: Time limit for the beginning of the response, in seconds.
+        """
         self.calls += 1
         sent_at = self._clock()
         connection: _Connection | None = None
         complete = False
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as deadline:
                 connection = await self._async_connect()
                 response = await connection.async_get(
-                    f"{path}?{urllib.parse.urlencode(query)}"
+                    f"{path}?{urllib.parse.urlencode(query)}",
+                    deadline=deadline,
                 )
             complete = True
         except (OSError, TimeoutError) as error:
@@ -213,26 +220,38 @@
         self._response: asyncio.Future[_Response] | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._era: bytes | None = None
+        self._deadline: asyncio.Timeout | None = None
+        # Time by the event loop at which a transfer is broken off.
+        self._latest_end = 0.0
         self._body = bytearray()
 
     @property
     def is_open(self) -> bool:
         return self._transport is not None and not self._transport.is_closing()
 
-    async def async_get(self, request_target: str) -> _Response:
+    async def async_get(
+        self, request_target: str, *, deadline: asyncio.Timeout
+    ) -> _Response:
         """Sends a GET request and returns the response.
 
+        Args:
+            request_target: Path and query.
+            deadline: Time limit, which is extended while data arrives.
+
         Raises:
             FeedError: The connection was lost or the response is malformed.
         """
         if self._transport is None:
             raise exceptions.SourceUnreachableError("not connected")
-        self._response = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        self._response = loop.create_future()
         self._parser = httptools.HttpResponseParser(self)
         self._era = None
         self._body.clear()
         self.received_bytes = 0
         self.first_byte_at = None
+        self._deadline = deadline
+        self._latest_end = loop.time() + feed_const.TRANSFER_MAX_S
         self._transport.write(
             f"GET {request_target} HTTP/1.1\r\n"
             f"Host: {self._host}\r\n\r\n".encode()
@@ -253,6 +272,7 @@
         if self.first_byte_at is None:
             self.first_byte_at = self._clock()
         self.received_bytes += len(data)
+        self._extend_deadline()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -289,6 +309,17 @@
         if not self._parser.should_keep_alive():
             self.close()
 
+    def _extend_deadline(self) -> None:
+        deadline = self._deadline
+        if deadline is None or deadline.expired():
+            return
+        end = min(
+            asyncio.get_running_loop().time() + feed_const.TRANSFER_STALL_S,
+            self._latest_end,
+        )
+        if end > (deadline.when() or 0.0):
+            deadline.reschedule(end)
+
     def _fail(self, error: exceptions.FeedError) -> None:
         if self._response is not None and not self._response.done():
             self._response.set_exception(error)
--- a/standins/store.py
+++ b/standins/store.py
@@ -18,6 +18,7 @@
 PAGE_ITEMS: Final = 500
 SHUTDOWN_TIMEOUT_S: Final = 0.1
 ERA_HEADER: Final = "Store-Era"
+_TRICKLE_INTERVAL_S: Final = 0.05
 
 
 class StoreFault(enum.Enum):
@@ -30,6 +31,8 @@
     BROKEN_BODY = "broken-body"
     CUT_BODY = "cut-body"
     ENDLESS_BODY = "endless-body"
+    STALLED_BODY = "stalled-body"
+    TRICKLING_BODY = "trickling-body"
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -244,7 +247,12 @@
                 await asyncio.Event().wait()
             case StoreFault.BROKEN_BODY:
                 return web.Response(body=b'{"items": [{"key": 1}]}')
-            case StoreFault.CUT_BODY | StoreFault.ENDLESS_BODY:
+            case (
+                StoreFault.CUT_BODY
+                | StoreFault.ENDLESS_BODY
+                | StoreFault.STALLED_BODY
+                | StoreFault.TRICKLING_BODY
+            ):
                 return await self._async_send_partial_body(request)
         return None
 
@@ -258,6 +266,11 @@
             assert request.transport is not None
             request.transport.abort()
             return response
+        if self.fault is StoreFault.STALLED_BODY:
+            await asyncio.Event().wait()
+        while self.fault is StoreFault.TRICKLING_BODY:
+            await response.write(b" ")
+            await asyncio.sleep(_TRICKLE_INTERVAL_S)
         while True:
             await response.write(b" " * 65536)
 
--- a/tests/feed/test_coordinator.py
+++ b/tests/feed/test_coordinator.py
@@ -41,6 +41,19 @@
     assert mode is expected
 
 
+@pytest.mark.parametrize("age_s", [OLD_S, None])
+def test_store_is_not_read_while_a_frame_arrives(age_s) -> None:
+    """Guards against the same bytes twice on a link that is already full."""
+    mode = coordinator.choose_mode(
+        reader_known=True,
+        subscribed=True,
+        view_age_s=age_s,
+        reading_for_s=None,
+        receiving=True,
+    )
+    assert mode is PEER
+
+
 def test_changes_are_in_force_in_time_despite_silent_reader() -> None:
     """Guards against timeouts that add up to more than the 3 s allowed.
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,7 +12,9 @@
 from chivedoor.feed import transfers as transfer_module
 from chivedoor.platform import const as platform_const
 from chivedoor.platform import store as stores
+from standins import bandwidth
 from standins import store as store_stand_in
+from standins.echo import proxy
 
 StoreFault = store_stand_in.StoreFault
 
@@ -213,3 +215,52 @@
         await async_read_all(store)
     assert [transfer.complete for transfer in transfers] == [False, True]
     assert transfers[0].size_bytes > len(b'{"items": [')
+
+
+async def test_response_goes_on_while_bytes_arrive(
+    store, stand_in, monkeypatch
+) -> None:
+    """Guards against large responses that never fit into a time limit.
+
+    A transfer that is broken off begins with its first byte again, so that a
+    balancer behind a slow link never read the configuration.
+    """
+    monkeypatch.setattr(const, "READ_TIMEOUT_S", 0.2)
+    stand_in.put("op/config", {"x": "y" * 400_000})
+    slow = proxy.Proxy(
+        listen=("127.0.0.1", 0), target=("127.0.0.1", stand_in.port)
+    )
+    slow.link = bandwidth.make_link(mbps=5.0)
+    await slow.async_open()
+    behind = stores.StoreClient(
+        host="127.0.0.1",
+        port=slow.address[1],
+        observe_call=lambda duration_s: None,
+        clock=time.monotonic,
+    )
+    batch = await async_read_all(behind)
+    behind.close()
+    await slow.async_close()
+    assert len(batch.records) == 1
+
+
+async def test_stalled_response_is_broken_off(
+    store, stand_in, monkeypatch, durations
+) -> None:
+    """Guards against a read that waits for the rest of a response forever."""
+    monkeypatch.setattr(const, "TRANSFER_STALL_S", 0.3)
+    stand_in.fault = StoreFault.STALLED_BODY
+    with pytest.raises(exceptions.SourceUnreachableError):
+        await async_read_all(store)
+    assert durations[-1] < 2.0
+
+
+async def test_trickling_response_is_broken_off(
+    store, stand_in, monkeypatch, durations
+) -> None:
+    """Guards against a response that arrives for minutes."""
+    monkeypatch.setattr(const, "TRANSFER_MAX_S", 0.6)
+    stand_in.fault = StoreFault.TRICKLING_BODY
+    with pytest.raises(exceptions.SourceUnreachableError):
+        await async_read_all(store)
+    assert durations[-1] < 2.0
