--- a/src/chivedoor/feed/const.py
+++ b/src/chivedoor/feed/const.py
@@ -23,6 +23,14 @@
 # A frame that takes longer no longer keeps a balancer from reading the store.
 FRAME_TRANSFER_MAX_S: Final = 2.5
 CONNECT_TIMEOUT_S: Final = 0.5
+# Limit for a response with changes: the largest value of the known stores,
+# 1 MiB, as base64 with some entries. A response with several versions of it is
+# refused, and a full read returns the newest one only.
+MAX_WATCH_BYTES: Final = 1536 * 1024
+# After a transfer that took longer, the next read returns only the newest
+# values. A watch would also return the versions that were written meanwhile,
+# which takes longer each time if they come faster than the link carries them.
+NEWEST_ONLY_TRANSFER_S: Final = 0.25
 # Changes arrive in groups. This delay lets one call collect a group. It is a
 # twelfth of the 3 s in which a configuration has to be in force, the tightest
 # bound in the known deployments.
--- a/src/chivedoor/feed/exceptions.py
+++ b/src/chivedoor/feed/exceptions.py
@@ -30,5 +30,13 @@
     """
 
 
+class ResponseTooLargeError(FeedError):
+    """The source would return more than a read of all records.
+
+    It returns each change since a revision, also those that later ones have
+    replaced.
+    """
+
+
 class MalformedAnswerError(FeedError):
     """A response of the source or a message of a peer cannot be decoded."""
--- a/src/chivedoor/feed/follower.py
+++ b/src/chivedoor/feed/follower.py
@@ -13,7 +13,14 @@
 
 
 class Source(Protocol):
-    """Source of records."""
+    """Source of records.
+
+    Attributes:
+        transfer_s: Time from the first to the last byte of the last response,
+            in seconds.
+    """
+
+    transfer_s: float
 
     async def async_read_page(self, after: str) -> records.Page:
         """Reads the page that follows a key; "" reads the first page.
@@ -28,6 +35,7 @@
         """Waits up to `wait_s` seconds for changes after a revision.
 
         Raises:
+            ResponseTooLargeError: The changes are larger than a full read.
             FeedError: The changes could not be read.
         """
 
@@ -84,6 +92,9 @@
         self._get_max_delay_s = get_max_delay_s
         self._has_peers = has_peers
         self._revision: records.Revision | None = None
+        # Whether the next read is a full read, because the link is too slow for
+        # each change of large values.
+        self._newest_only = False
         # Whether the next wait is the first one after the first full read.
         self._starting = True
         # The full read in progress.
@@ -117,8 +128,9 @@
             self._source.close()
 
     async def _async_read(self) -> None:
-        if self._revision is None:
-            batch, sent_at = await self._async_read_all()
+        former = self._revision
+        if former is None or self._newest_only:
+            batch, sent_at, transfer_s = await self._async_read_all()
         else:
             wait_s = const.WATCH_WAIT_S
             if self._starting and self._has_peers():
@@ -128,20 +140,34 @@
                 wait_s = const.FIRST_WATCH_WAIT_S
             self._starting = False
             sent_at = self._clock()
-            batch = await self._source.async_wait(self._revision, wait_s)
-            # The source held nothing newer when it sent the response.
-            sent_at = max(sent_at, self._clock() - const.RESPONSE_TRANSIT_S)
+            try:
+                batch = await self._source.async_wait(former, wait_s)
+            except exceptions.ResponseTooLargeError:
+                self._newest_only = True
+                return
+            transfer_s = self._source.transfer_s
+            # The source held nothing newer when it began to respond.
+            sent_at = max(
+                sent_at, self._clock() - transfer_s - const.RESPONSE_TRANSIT_S
+            )
         self._revision = batch.revision
         self._deliver(batch, sent_at)
         self._set_state(FollowerState.FOLLOWING, "")
-        if batch.records:
+        # Changes that came during a slow transfer are read as one.
+        self._newest_only = (
+            transfer_s > const.NEWEST_ONLY_TRANSFER_S
+            and former is not None
+            and any(record.revision > former for record in batch.records)
+        )
+        if batch.records and not self._newest_only:
             await asyncio.sleep(const.WATCH_BATCH_DELAY_S)
 
-    async def _async_read_all(self) -> tuple[records.Batch, float]:
+    async def _async_read_all(self) -> tuple[records.Batch, float, float]:
         """Reads all pages; after a failure, resumes with the missing ones.
 
         Returns:
-            All records, and the time at which the first page was requested.
+            All records, the time at which the first page was requested, and
+            how long the transfer of the pages took, in seconds.
         """
         now = self._clock()
         full_read = self._full_read
@@ -151,18 +177,24 @@
         ):
             full_read = self._full_read = full_reads.FullRead(started_at=now)
         try:
-            while not full_read.add(
-                await self._source.async_read_page(full_read.after)
-            ):
-                pass
+            complete = False
+            while not complete:
+                page = await self._source.async_read_page(full_read.after)
+                full_read.transfer_s += self._source.transfer_s
+                complete = full_read.add(page)
         except (
             exceptions.HistoryLostError,
             exceptions.MalformedAnswerError,
+            exceptions.ResponseTooLargeError,
         ):
             self._full_read = None
             raise
         self._full_read = None
-        return full_read.make_batch(), full_read.started_at
+        return (
+            full_read.make_batch(),
+            full_read.started_at,
+            full_read.transfer_s,
+        )
 
     def _record_failure(self, error: exceptions.FeedError) -> None:
         self.failures += 1
--- a/src/chivedoor/feed/full_read.py
+++ b/src/chivedoor/feed/full_read.py
@@ -17,12 +17,14 @@
             consistent snapshot, so the records are only known to be current as
             of this time.
         after: The last key read; the next page starts after it.
+        transfer_s: How long the transfer of the pages took, in seconds.
     """
 
     def __init__(self, *, started_at: float) -> None:
         """Creates a full read without pages."""
         self.started_at = started_at
         self.after = ""
+        self.transfer_s = 0.0
         self._pages: list[records.Page] = []
 
     def add(self, page: records.Page) -> bool:
--- a/src/chivedoor/feed/table.py
+++ b/src/chivedoor/feed/table.py
@@ -1,12 +1,28 @@
 """Table of the latest record of each key."""
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 import itertools
 
 from chivedoor.feed import const
 from chivedoor.feed import records
 
 
+def _drop_replaced(
+    batch_records: Sequence[records.Record],
+) -> Iterable[records.Record]:
+    """Returns records without the values that later ones replace.
+
+    Decoding each of many large values would take longer than reading them.
+    """
+    newest = {record.key: index for index, record in enumerate(batch_records)}
+    return [
+        record
+        for index, record in enumerate(batch_records)
+        if record.value is None or newest[record.key] == index
+    ]
+
+
 class RecordTable:
     """Merges batches that may be outdated, duplicated or out of order.
 
@@ -31,7 +47,7 @@
         """
         if batch.revision.era < self.revision.era:
             return []
-        incoming: Iterable[records.Record] = batch.records
+        incoming = _drop_replaced(batch.records)
         if batch.complete:
             incoming = itertools.chain(incoming, self._list_missing(batch))
         changed = [record for record in incoming if self._apply(record)]
--- a/src/chivedoor/platform/store.py
+++ b/src/chivedoor/platform/store.py
@@ -33,6 +33,8 @@
 
     Attributes:
         calls: Number of calls made, including failed ones.
+        transfer_s: Time from the first to the last byte of the last response,
+            in seconds.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
             observe_transfer: Called with each response, complete or not.
         """
         self.calls = 0
+        self.transfer_s = 0.0
         # Latest era of the store that a response named.
         self._era = ids.Era(0)
         self._observe_call = observe_call
@@ -72,7 +75,10 @@
         """
         query = {"prefix": ""} | ({"after": after} if after else {})
         era, response = await self._async_get(
-            "/v1/kv-range", query, feed_const.READ_TIMEOUT_S
+            "/v1/kv-range",
+            query,
+            timeout_s=feed_const.READ_TIMEOUT_S,
+            max_bytes=const.MAX_BODY_BYTES,
         )
         return records.Page(
             records=_decode_items(response, "items", era),
@@ -92,6 +98,7 @@
         Raises:
             HistoryLostError: The changes since `after` are no longer available,
                 or the store was restored since then.
+            ResponseTooLargeError: The changes are larger than a full read.
             FeedError: As for `async_read_page`.
         """
         query = {
@@ -100,7 +107,10 @@
             "wait_ms": str(round(wait_s * 1000)),
         }
         era, response = await self._async_get(
-            "/v1/kv-watch", query, wait_s + feed_const.WATCH_TIMEOUT_MARGIN_S
+            "/v1/kv-watch",
+            query,
+            timeout_s=wait_s + feed_const.WATCH_TIMEOUT_MARGIN_S,
+            max_bytes=feed_const.MAX_WATCH_BYTES,
         )
         # A restored store may have passed the number of `after` again. The
         # changes since then would lack those in between.
@@ -119,7 +129,12 @@
             connection.close()
 
     async def _async_get(
-        self, path: str, query: Mapping[str, str], timeout_s: float
+        self,
+        path: str,
+        query: Mapping[str, str],
+        *,
+        timeout_s: float,
+        max_bytes: int,
     ) -> tuple[ids.Era, Mapping[str, Any]]:
         """Sends a request and returns the era and the body of the response.
 
@@ -127,6 +142,10 @@
             path: The path of the call.
             query: Its parameters.
             timeout_s: Time limit for the beginning of the response, in seconds.
+            max_bytes: Limit for the body of the response.
+
+        Raises:
+            FeedError: As for the callers.
         """
         self.calls += 1
         sent_at = self._clock()
@@ -138,6 +157,7 @@
                 response = await connection.async_get(
                     f"{path}?{urllib.parse.urlencode(query)}",
                     deadline=deadline,
+                    max_bytes=max_bytes,
                 )
             complete = True
         except (OSError, TimeoutError) as error:
@@ -169,12 +189,13 @@
     ) -> None:
         if connection.first_byte_at is None:
             return
+        self.transfer_s = self._clock() - connection.first_byte_at
         self._observe_transfer(
             transfers.Transfer(
                 kind=transfers.TransferKind.RESPONSE,
                 host=self._host,
                 size_bytes=connection.received_bytes,
-                duration_s=self._clock() - connection.first_byte_at,
+                duration_s=self.transfer_s,
                 complete=complete,
             )
         )
@@ -223,6 +244,7 @@
         self._deadline: asyncio.Timeout | None = None
         # Time by the event loop at which a transfer is broken off.
         self._latest_end = 0.0
+        self._max_bytes = 0
         self._body = bytearray()
 
     @property
@@ -230,13 +252,18 @@
         return self._transport is not None and not self._transport.is_closing()
 
     async def async_get(
-        self, request_target: str, *, deadline: asyncio.Timeout
+        self,
+        request_target: str,
+        *,
+        deadline: asyncio.Timeout,
+        max_bytes: int,
     ) -> _Response:
         """Sends a GET request and returns the response.
 
         Args:
             request_target: Path and query.
             deadline: Time limit, which is extended while data arrives.
+            max_bytes: Limit for the body.
 
         Raises:
             FeedError: The connection was lost or the response is malformed.
@@ -251,6 +278,7 @@
         self.received_bytes = 0
         self.first_byte_at = None
         self._deadline = deadline
+        self._max_bytes = max_bytes
         self._latest_end = loop.time() + feed_const.TRANSFER_MAX_S
         self._transport.write(
             f"GET {request_target} HTTP/1.1\r\n"
@@ -286,15 +314,16 @@
         )
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keeps the era of the store."""
+        """Keeps the era of the store; refuses a body that is too large."""
         if name.lower() == const.ERA_HEADER:
             self._era = value
+        elif name.lower() == b"content-length" and value.isdigit():
+            self._check_size(int(value))
 
     def on_body(self, body: bytes) -> None:
         """Appends to the body; a body that is too large fails the call."""
         self._body += body
-        if len(self._body) > const.MAX_BODY_BYTES:
-            self._fail(exceptions.MalformedAnswerError("body too large"))
+        self._check_size(len(self._body))
 
     def on_message_complete(self) -> None:
         """Completes the pending call."""
@@ -309,6 +338,14 @@
         if not self._parser.should_keep_alive():
             self.close()
 
+    def _check_size(self, size_bytes: int) -> None:
+        if size_bytes > self._max_bytes:
+            self._fail(
+                exceptions.ResponseTooLargeError(
+                    f"{size_bytes} bytes, limit {self._max_bytes}"
+                )
+            )
+
     def _extend_deadline(self) -> None:
         deadline = self._deadline
         if deadline is None or deadline.expired():
--- a/tests/feed/conftest.py
+++ b/tests/feed/conftest.py
@@ -109,6 +109,7 @@
             read.
         pages: Keys after which pages were requested.
         closed: Number of calls of `close`.
+        transfer_s: Duration of the transfer of each response.
     """
 
     def __init__(self) -> None:
@@ -118,6 +119,7 @@
         self.calls: list[int | None] = []
         self.pages: list[str] = []
         self.closed = 0
+        self.transfer_s = 0.0
 
     async def async_read_page(self, after: str) -> records.Page:
         self.pages.append(after)
--- a/tests/feed/test_follower.py
+++ b/tests/feed/test_follower.py
@@ -206,3 +206,92 @@
     await async_wait_until(lambda: len(source.calls) == 4)
     assert source.pages == ["", "a", ""]
     assert events[0] is followers.FollowerState.LOST
+
+
+def make_change(revision: int) -> records.Batch:
+    return conftest.make_batch(
+        conftest.make_record("k", b"v", revision), revision=revision
+    )
+
+
+async def test_newest_values_are_read_after_a_slow_transfer(
+    source, follow, async_wait_until
+) -> None:
+    """Guards against falling behind, with each version read on its own.
+
+    If versions come faster than the link carries them, each watch returns more
+    of them and takes longer than the one before.
+    """
+    source.transfer_s = const.NEWEST_ONLY_TRANSFER_S + 0.1
+    source.answers = [
+        make_page("k", 5, has_more=False),
+        make_change(6),
+        make_page("k", 9, has_more=False),
+        # Nothing has changed since, so the watch goes on.
+        make_page("k", 9, has_more=False),
+    ]
+    follow()
+    await async_wait_until(lambda: len(source.calls) == 5)
+    assert source.calls == [None, 5, None, None, 9]
+
+
+async def test_too_many_versions_cause_a_full_read_at_once(
+    source, events, follow, async_wait_until
+) -> None:
+    """Guards against a watch that fails until its history is lost.
+
+    With responses above the limit of 4 MiB, nothing was read for 18 s.
+    """
+    source.answers = [
+        make_page("k", 5, has_more=False),
+        exceptions.ResponseTooLargeError("9 MB"),
+        make_page("k", 9, has_more=False),
+    ]
+    follow()
+    await async_wait_until(lambda: len(source.calls) == 4)
+    assert source.calls == [None, 5, None, 9]
+    assert followers.FollowerState.LOST not in events
+
+
+async def test_page_that_is_too_large_is_retried_with_a_delay(
+    source, events, follow, async_wait_until
+) -> None:
+    """Guards against a busy loop of reads that cannot succeed."""
+    too_large = exceptions.ResponseTooLargeError("9 MB")
+    source.answers = [too_large, make_page("k", 5, has_more=False)]
+    follow()
+    await async_wait_until(lambda: len(source.calls) == 3)
+    assert events[0] is followers.FollowerState.LOST
+
+
+async def test_time_of_a_transfer_counts_as_age(
+    source, monkeypatch, async_wait_until
+) -> None:
+    """Guards against a view that claims to be younger than it is.
+
+    A response counted as a quarter of a second old, however long its body had
+    taken over a slow link.
+    """
+    monkeypatch.setattr(const, "WATCH_BATCH_DELAY_S", 0.0)
+    now = [100.0]
+    confirmed: list[float] = []
+
+    class SlowSource(conftest.Source):
+        async def async_wait(self, after, wait_s):
+            now[0] += 3.0
+            self.transfer_s = 2.0
+            return await super().async_wait(after, wait_s)
+
+    slow = SlowSource()
+    slow.answers = [make_page("k", 5, has_more=False), make_change(6)]
+    follower = followers.Follower(
+        source=slow,
+        deliver=lambda batch, at: confirmed.append(at),
+        on_state_change=lambda state, reason: None,
+        clock=lambda: now[0],
+        generator=random.Random(1),
+    )
+    task = asyncio.create_task(follower.async_run())
+    await async_wait_until(lambda: len(confirmed) == 2)
+    assert confirmed[1] == pytest.approx(101.0 - const.RESPONSE_TRANSIT_S)
+    task.cancel()
--- a/tests/feed/test_table.py
+++ b/tests/feed/test_table.py
@@ -66,6 +66,21 @@
     assert changed == []
 
 
+def test_only_the_newest_value_of_a_key_is_reported() -> None:
+    """Guards against decoding each of many large configurations."""
+    records_table = table.RecordTable()
+    changed = records_table.merge(
+        conftest.make_batch(
+            conftest.make_record("k", b"1", 1),
+            conftest.make_record("gone", None, 2),
+            conftest.make_record("k", b"2", 3),
+            conftest.make_record("gone", b"3", 4),
+            revision=4,
+        )
+    )
+    assert [record.value for record in changed] == [b"2", b"3"]
+
+
 def test_subscriber_behind_dropped_removals_gets_complete_batch() -> None:
     """Guards against removals that a subscriber never receives."""
     records_table = table.RecordTable()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -175,7 +175,7 @@
     """Guards against a response that exhausts the memory of a VM."""
     monkeypatch.setattr(platform_const, "MAX_BODY_BYTES", 1_000_000)
     stand_in.fault = StoreFault.ENDLESS_BODY
-    with pytest.raises(exceptions.FeedError):
+    with pytest.raises(exceptions.ResponseTooLargeError):
         await async_read_all(store)
 
 
@@ -264,3 +264,20 @@
     with pytest.raises(exceptions.SourceUnreachableError):
         await async_read_all(store)
     assert durations[-1] < 2.0
+
+
+@pytest.mark.parametrize("fault", [None, StoreFault.ENDLESS_BODY])
+async def test_watch_with_many_versions_is_refused(
+    store, stand_in, monkeypatch, fault
+) -> None:
+    """Guards against a link that is full of replaced configurations."""
+    batch = await async_read_all(store)
+    for number in range(10):
+        stand_in.put("op/config", {"version": number, "x": "y" * 20_000})
+    monkeypatch.setattr(const, "MAX_WATCH_BYTES", 100_000)
+    # The length of an endless body is not known beforehand.
+    stand_in.fault = fault
+    with pytest.raises(exceptions.ResponseTooLargeError):
+        await store.async_wait(batch.revision, 1.0)
+    stand_in.fault = None
+    assert len((await async_read_all(store)).records) == 1
