--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
+import functools
 import http
 import importlib
 import json
@@ -114,19 +115,23 @@
             reset_flows=self.forwarder.reset_flows,
         )
         self.forwarder.view_updater = self.view_updater
-        self._store = store.StoreClient(
-            host=settings.source.host,
-            port=settings.source.port,
-            observe_call=self.metrics.histograms[
-                metrics_module.Timing.SOURCE_CALL
-            ].observe,
-            clock=clock,
-            observe_transfer=self._log_transfer,
-        )
-        self._source_lost = False
-        # Last time at which this balancer itself, rather than a peer, had the
-        # view confirmed by the store.
-        self._source_read_at: float | None = None
+        self._stores = {
+            feed: store.StoreClient(
+                feed=feed,
+                host=settings.source.host,
+                port=settings.source.port,
+                observe_call=self.metrics.histograms[
+                    metrics_module.Timing.SOURCE_CALL
+                ].observe,
+                clock=clock,
+                observe_transfer=self._log_transfer,
+            )
+            for feed in records.Feed
+        }
+        self._lost_feeds: set[records.Feed] = set()
+        # Last time at which this balancer itself, rather than a peer, had each
+        # feed confirmed by the store.
+        self._source_read_at: dict[records.Feed, float] = {}
         self._generator = generator
         self._incarnation = round(time.time() * 1000)
         self._settled_at = clock() + const.SETTLING_DELAY_S
@@ -166,7 +171,7 @@
             clock=clock,
         )
         self._relay = relay.Relay(
-            records_table=self.view_updater.table,
+            tables=self.view_updater.tables,
             get_age_s=self.view_updater.get_age_s,
             clock=clock,
             observe_transfer=self._log_transfer,
@@ -177,8 +182,9 @@
             deliver=self._apply_batch,
             get_age_s=self.view_updater.get_age_s,
             get_read_age_s=self._get_read_age_s,
-            get_revision=lambda: self.view_updater.table.revision,
+            tables=self.view_updater.tables,
             on_mode_change=self._log_reading_mode,
+            on_subscription_end=self._log_subscription_end,
             local_host=settings.address,
             peer_port=settings.peer_port,
             clock=clock,
@@ -277,13 +283,20 @@
             "ready": self._ready,
             "view": self.steerer.view.dump_state(),
             "view_age_s": self.view_updater.get_age_s(),
-            "revision": self.view_updater.table.revision.number,
-            "era": self.view_updater.table.revision.era,
+            "feed_ages_s": {
+                feed.value: self.view_updater.get_age_s(feed)
+                for feed in records.Feed
+            },
+            "revision": self.view_updater.revision.number,
+            "era": self.view_updater.revision.era,
             "flows": len(self.steerer.flows),
             "in_flight": self.steerer.flows.list_in_flight(),
             "log": self._log.dump_state(),
-            "source_calls": self._store.calls,
-            "reading": self._coordinator.mode.value,
+            "source_calls": self._count_source_calls(),
+            "reading": {
+                feed.value: mode.value
+                for feed, mode in self._coordinator.modes.items()
+            },
             "peers": [peer.vm for peer in self.peers.list_live(now)],
             "load_reports": {
                 domain: dataclasses.asdict(report)
@@ -403,20 +416,26 @@
                 break
             await asyncio.sleep(const.DRAIN_CHECK_INTERVAL_S)
 
+    def _count_source_calls(self) -> int:
+        return sum(client.calls for client in self._stores.values())
+
     def _get_read_age_s(self) -> float | None:
-        if self._source_read_at is None:
+        """Returns the time since all feeds were read from the store."""
+        if len(self._source_read_at) < len(self._stores):
             return None
-        return self._clock() - self._source_read_at
+        return self._clock() - min(self._source_read_at.values())
 
     def _apply_source_batch(
-        self, batch: records.Batch, confirmed_at: float
+        self, feed: records.Feed, batch: records.Batch, confirmed_at: float
     ) -> None:
-        self._source_read_at = confirmed_at
-        self._apply_batch(batch, confirmed_at)
+        self._source_read_at[feed] = confirmed_at
+        self._apply_batch(feed, batch, confirmed_at)
 
-    def _apply_batch(self, batch: records.Batch, confirmed_at: float) -> None:
-        self.view_updater.apply_batch(batch, confirmed_at)
-        self._relay.publish()
+    def _apply_batch(
+        self, feed: records.Feed, batch: records.Batch, confirmed_at: float
+    ) -> None:
+        self.view_updater.apply_batch(feed, batch, confirmed_at)
+        self._relay.publish(feed)
         if not self._ready and self.view_updater.has_view:
             self._mark_ready()
 
@@ -430,8 +449,8 @@
         self._log.write(
             log_writer.EventType.READY,
             version=self.steerer.view.version,
-            revision=self.view_updater.table.revision.number,
-            era=self.view_updater.table.revision.era,
+            revision=self.view_updater.revision.number,
+            era=self.view_updater.revision.era,
             waited_s=round(waited_s, 3),
         )
         self._log.flush()
@@ -442,11 +461,11 @@
         self.steerer.record_contact(endpoint, result, self._clock())
         self.forwarder.reset_abandoned_flows()
 
-    def _make_follower(self) -> followers.Follower:
+    def _make_follower(self, feed: records.Feed) -> followers.Follower:
         return followers.Follower(
-            source=self._store,
-            deliver=self._apply_source_batch,
-            on_state_change=self._log_source_state,
+            source=self._stores[feed],
+            deliver=functools.partial(self._apply_source_batch, feed),
+            on_state_change=functools.partial(self._log_source_state, feed),
             clock=self._clock,
             generator=self._generator,
             get_max_delay_s=lambda: self.peers.get_max_retry_delay_s(
@@ -456,16 +475,17 @@
         )
 
     def _log_source_state(
-        self, state: followers.FollowerState, reason: str
+        self, feed: records.Feed, state: followers.FollowerState, reason: str
     ) -> None:
         lost = state is followers.FollowerState.LOST
-        if lost == self._source_lost:
+        if lost == (feed in self._lost_feeds):
             return
-        self._source_lost = lost
+        self._lost_feeds ^= {feed}
         self._log.write(
             log_writer.EventType.SOURCE_LOST
             if lost
             else log_writer.EventType.SOURCE_REGAINED,
+            feed=feed.value,
             reason=reason,
             view_age_s=self.view_updater.get_age_s(),
         )
@@ -489,13 +509,22 @@
         )
 
     def _log_reading_mode(
-        self, mode: coordinator.ReadingMode, detail: str
+        self, feed: records.Feed, mode: coordinator.ReadingMode, reader: str
     ) -> None:
         self._log.write(
             log_writer.EventType.READING,
+            feed=feed.value,
             mode=mode.value,
-            detail=detail,
+            detail=reader,
             peers=len(self.peers.list_live(self._clock())),
+            view_age_s=self.view_updater.get_age_s(feed),
+        )
+
+    def _log_subscription_end(self, host: str, reason: str) -> None:
+        self._log.write(
+            log_writer.EventType.SUBSCRIPTION_ENDED,
+            host=host,
+            reason=reason,
             view_age_s=self.view_updater.get_age_s(),
         )
 
@@ -510,7 +539,7 @@
             incarnation=self._incarnation,
             bandwidth_mbps=self._settings.bandwidth_mbps,
             read_age_s=self._get_read_age_s(),
-            revision=self.view_updater.table.revision.number,
+            revision=self.view_updater.revision.number,
             leaving=self._stopping.is_set(),
             in_flight=self._sum_in_flight()
             if summed
@@ -674,7 +703,9 @@
             metrics_module.Gauge.PACKETS_SEND_ERRORS: float(
                 counters.send_errors
             ),
-            metrics_module.Gauge.SOURCE_CALLS: float(self._store.calls),
+            metrics_module.Gauge.SOURCE_CALLS: float(
+                self._count_source_calls()
+            ),
             metrics_module.Gauge.PEERS: float(
                 len(self.peers.list_live(self._clock()))
             ),
--- a/src/chivedoor/edge/log_writer.py
+++ b/src/chivedoor/edge/log_writer.py
@@ -49,6 +49,7 @@
     FLOW_MOVED = "flow-moved"
     PACKET_DROPPED = "packet-dropped"
     READING = "reading-from"
+    SUBSCRIPTION_ENDED = "subscription-ended"
     TRANSFER_SLOW = "transfer-slow"
     SPILLOVER_CHANGED = "spillover-changed"
     SHORTAGE_BEGUN = "shortage-begun"
--- a/src/chivedoor/edge/view_updater.py
+++ b/src/chivedoor/edge/view_updater.py
@@ -18,9 +18,7 @@
     """Decodes batches of records and applies them to the view.
 
     Attributes:
-        table: The latest version of each record.
-        confirmed_at: Latest time at which the view was confirmed as current;
-            None before the first batch.
+        tables: The latest version of each record, by feed.
     """
 
     def __init__(
@@ -41,49 +39,87 @@
             clock: Returns the time in seconds.
             reset_flows: Called with each endpoint that is known to have ended.
         """
-        self.table = table.RecordTable()
-        self.confirmed_at: float | None = None
+        self.tables = {feed: table.RecordTable() for feed in records.Feed}
+        # Latest time at which each feed was confirmed as current.
+        self._confirmed_at: dict[records.Feed, float] = {}
         self._steerer = steerer
         self._log = log
         self._metrics = metrics
         self._clock = clock
         self._reset_flows = reset_flows
         self._view_complete_at: float | None = None
+        # Latest era of the source that any feed named.
+        self._era = ids.Era(0)
 
     @property
     def has_view(self) -> bool:
-        """Whether a configuration was applied."""
-        return bool(self._steerer.view.version)
+        """Whether all feeds were read and a configuration was applied."""
+        return bool(self._steerer.view.version) and (
+            self.confirmed_at is not None
+        )
 
-    def get_age_s(self) -> float | None:
-        """Returns the time since the last confirmation in seconds, or None."""
-        if self.confirmed_at is None:
+    @property
+    def confirmed_at(self) -> float | None:
+        """The time at which the whole view was last confirmed as current.
+
+        None before each feed was read.
+        """
+        if len(self._confirmed_at) < len(self.tables):
             return None
-        return round(self._clock() - self.confirmed_at, 3)
+        return min(self._confirmed_at.values())
 
-    def apply_batch(self, batch: records.Batch, confirmed_at: float) -> None:
-        """Applies a batch that was current at `confirmed_at`.
+    @property
+    def revision(self) -> records.Revision:
+        """The revision that all feeds have reached."""
+        return min(
+            records_table.revision for records_table in self.tables.values()
+        )
+
+    def get_age_s(self, feed: records.Feed | None = None) -> float | None:
+        """Returns the time since the last confirmation in seconds, or None.
+
+        Args:
+            feed: A feed; None for the whole view.
+        """
+        confirmed_at = (
+            self.confirmed_at if feed is None else self._confirmed_at.get(feed)
+        )
+        if confirmed_at is None:
+            return None
+        return round(self._clock() - confirmed_at, 3)
+
+    def apply_batch(
+        self, feed: records.Feed, batch: records.Batch, confirmed_at: float
+    ) -> None:
+        """Applies a batch of a feed that was current at `confirmed_at`.
 
         A batch of a former era is ignored.
         """
-        if batch.revision.era < self.table.revision.era:
+        records_table = self.tables[feed]
+        if batch.revision.era < records_table.revision.era:
             return
         now = self._clock()
         restored = (
-            self.confirmed_at is not None
-            and batch.revision.era > self.table.revision.era
+            feed in self._confirmed_at
+            and batch.revision.era > records_table.revision.era
         )
-        if restored:
+        # The other feed may have shown the restoration before.
+        if restored and batch.revision.era > self._era:
             self._record_restoration(batch.revision, now)
-        for record in self.table.merge(batch):
+        self._era = max(self._era, batch.revision.era)
+        for record in records_table.merge(batch):
             self._apply_record(record, now, restored=restored)
-        self.confirm(confirmed_at)
+        self.confirm(feed, confirmed_at)
 
-    def confirm(self, confirmed_at: float) -> None:
-        """Records that the view was current at `confirmed_at`."""
-        if self.confirmed_at is None or confirmed_at > self.confirmed_at:
-            self.confirmed_at = confirmed_at
-            self._steerer.confirm_view(confirmed_at)
+    def confirm(self, feed: records.Feed, confirmed_at: float) -> None:
+        """Records that a feed was current at `confirmed_at`."""
+        former = self.confirmed_at
+        self._confirmed_at[feed] = max(
+            confirmed_at, self._confirmed_at.get(feed, confirmed_at)
+        )
+        current = self.confirmed_at
+        if current is not None and (former is None or current > former):
+            self._steerer.confirm_view(current)
         self.update_freshness()
 
     def update_freshness(self) -> None:
@@ -95,23 +131,24 @@
         have ended are reset, and changes that a restored store reported are
         applied when they are due.
         """
-        if self.confirmed_at is None:
+        confirmed_at = self.confirmed_at
+        if confirmed_at is None:
             return
         now = self._clock()
-        for change in self._steerer.restorations.pop_due(self.confirmed_at):
-            self._apply_change(change, self.table.revision, now)
-        current = now - self.confirmed_at < const.VIEW_MAX_AGE_S
+        for change in self._steerer.restorations.pop_due(confirmed_at):
+            self._apply_change(change, self.revision, now)
+        current = now - confirmed_at < const.VIEW_MAX_AGE_S
         if current and self._view_complete_at is None:
             self._view_complete_at = now + steering_const.LAPSED_ENTRY_RETURN_S
             self._log.write(
                 log_writer.EventType.VIEW_CURRENT,
-                **_describe_revision(self.table.revision),
+                **_describe_revision(self.revision),
             )
         elif not current and self._view_complete_at is not None:
             self._view_complete_at = None
             self._log.write(
                 log_writer.EventType.VIEW_STALE,
-                **_describe_revision(self.table.revision),
+                **_describe_revision(self.revision),
                 age_s=self.get_age_s(),
             )
         self._steerer.set_view_complete_at(self._view_complete_at)
@@ -129,8 +166,8 @@
         self._log.write(
             log_writer.EventType.SOURCE_RESTORED,
             **_describe_revision(revision),
-            former_era=self.table.revision.era,
-            former_revision=self.table.revision.number,
+            former_era=self.revision.era,
+            former_revision=self.revision.number,
             version=self._steerer.view.version,
             view_age_s=self.get_age_s(),
         )
--- a/src/chivedoor/feed/const.py
+++ b/src/chivedoor/feed/const.py
@@ -113,6 +113,15 @@
 
 FRAME_HEADER_BYTES: Final = 4
 MAX_FRAME_BYTES: Final = 8 * 1024 * 1024
+# Changes below this size are sent uncompressed.
+MIN_COMPRESSED_BYTES: Final = 256
+# Values of at least this size are sent as differences if the subscriber has an
+# earlier one.
+LARGE_VALUE_BYTES: Final = 4096
+# Number of large values that a reader keeps to make differences, and of
+# differences that it keeps for other subscribers.
+MAX_BASES: Final = 4
+MAX_ENCODED_BATCHES: Final = 16
 MAX_SUBSCRIBERS: Final = 400
 # Transfers that take longer, or that are broken off, are reported.
 SLOW_TRANSFER_S: Final = 0.5
--- a/src/chivedoor/feed/coordinator.py
+++ b/src/chivedoor/feed/coordinator.py
@@ -1,14 +1,18 @@
 """Selection between reading the store and subscribing to a peer."""
 
 import asyncio
+import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 import enum
+import functools
 
 from chivedoor.feed import const
 from chivedoor.feed import follower as followers
 from chivedoor.feed import peers as peer_sets
 from chivedoor.feed import records
 from chivedoor.feed import relay
+from chivedoor.feed import table
 from chivedoor.feed import transfers
 
 
@@ -63,8 +67,8 @@
     return ReadingMode.PEER
 
 
-class Coordinator:
-    """Runs the follower of the store and the subscription to a peer.
+class _FeedReader:
+    """Reads a feed from the store while no reader delivers it in time.
 
     Attributes:
         mode: Current source of changes.
@@ -73,13 +77,69 @@
     def __init__(
         self,
         *,
-        peers: peer_sets.Peers,
         make_follower: Callable[[], followers.Follower],
-        deliver: Callable[[records.Batch, float], None],
-        get_age_s: Callable[[], float | None],
+        records_table: table.RecordTable,
+        clock: Callable[[], float],
+    ) -> None:
+        self.mode = ReadingMode.STORE
+        self._make_follower = make_follower
+        self._table = records_table
+        self._clock = clock
+        self._task: asyncio.Task[None] | None = None
+        # None also for a follower that has read the first view.
+        self._started_at: float | None = None
+
+    def get_reading_for_s(self) -> float | None:
+        """Returns the argument of `choose_mode` with this name."""
+        if self._started_at is None:
+            return None
+        return self._clock() - self._started_at
+
+    def apply_mode(self, mode: ReadingMode) -> bool:
+        """Starts or stops to read; returns whether the mode changed."""
+        if mode is ReadingMode.PEER:
+            self.stop()
+        elif self._task is None:
+            self._start()
+        former, self.mode = self.mode, mode
+        return mode is not former
+
+    def stop(self) -> None:
+        """Stops to read."""
+        task, self._task = self._task, None
+        self._started_at = None
+        if task is not None:
+            task.cancel()
+
+    def check(self) -> None:
+        """Raises the exception that ended the follower, if any."""
+        if self._task is not None and self._task.done():
+            self._task.result()
+
+    def _start(self) -> None:
+        follower = self._make_follower()
+        revision = self._table.revision
+        has_view = revision != records.NO_REVISION
+        follower.restart_at(revision if has_view else None)
+        self._task = asyncio.create_task(follower.async_run())
+        if has_view:
+            self._started_at = self._clock()
+
+
+class Coordinator:
+    """Runs the followers of the store and the subscription to a peer."""
+
+    def __init__(
+        self,
+        *,
+        peers: peer_sets.Peers,
+        make_follower: Callable[[records.Feed], followers.Follower],
+        deliver: Callable[[records.Feed, records.Batch, float], None],
+        get_age_s: Callable[[records.Feed], float | None],
         get_read_age_s: Callable[[], float | None],
-        get_revision: Callable[[], records.Revision],
-        on_mode_change: Callable[[ReadingMode, str], None],
+        tables: Mapping[records.Feed, table.RecordTable],
+        on_mode_change: Callable[[records.Feed, ReadingMode, str], None],
+        on_subscription_end: Callable[[str, str], None],
         local_host: str,
         peer_port: int,
         clock: Callable[[], float],
@@ -89,42 +149,52 @@
 
         Args:
             peers: The known peers.
-            make_follower: Returns a new follower of the store.
-            deliver: Called with each batch from a peer and the time at which
-                it was known to be current.
-            get_age_s: Returns the age of the view in seconds.
+            make_follower: Returns a new follower of a feed of the store.
+            deliver: Called with each batch of a feed from a peer and the time
+                at which it was known to be current.
+            get_age_s: Returns the age of a feed of the view in seconds.
             get_read_age_s: Returns the time since this balancer last read the
                 store itself, in seconds.
-            get_revision: Returns the revision of the view.
-            on_mode_change: Called with the mode and a detail when the mode
-                changes or a subscription ends.
+            tables: The records of the view.
+            on_mode_change: Called with a feed, its mode and the reader's id
+                when the mode changes.
+            on_subscription_end: Called with the reader's address and a reason
+                when a subscription ends.
             local_host: The local address of subscriptions.
             peer_port: The port of the relays.
             clock: Returns the current time in seconds.
             observe_transfer: Called with each frame from a peer.
         """
-        self.mode = ReadingMode.STORE
         self._peers = peers
-        self._make_follower = make_follower
         self._deliver = deliver
         self._get_age_s = get_age_s
         self._get_read_age_s = get_read_age_s
-        self._get_revision = get_revision
+        self._tables = tables
         self._on_mode_change = on_mode_change
+        self._on_subscription_end = on_subscription_end
         self._local_host = local_host
         self._peer_port = peer_port
         self._clock = clock
         self._observe_transfer = observe_transfer
-        self._follower_task: asyncio.Task[None] | None = None
-        # None also for a follower that has read the first view.
-        self._follower_started_at: float | None = None
+        self._readers = {
+            feed: _FeedReader(
+                make_follower=functools.partial(make_follower, feed),
+                records_table=tables[feed],
+                clock=clock,
+            )
+            for feed in records.Feed
+        }
         self._subscription: relay.Subscription | None = None
         self._connect_task: asyncio.Task[None] | None = None
         self._retry_at = 0.0
-        self._subscribed_at = 0.0
         # Time until which the first view is expected from a peer.
         self._first_view_deadline = 0.0
 
+    @property
+    def modes(self) -> dict[records.Feed, ReadingMode]:
+        """The current source of changes of each feed."""
+        return {feed: reader.mode for feed, reader in self._readers.items()}
+
     async def async_run(self) -> None:
         """Runs until cancelled."""
         try:
@@ -132,9 +202,11 @@
             while True:
                 self.coordinate()
                 await asyncio.sleep(const.COORDINATION_INTERVAL_S)
-                self._check_follower()
+                for reader in self._readers.values():
+                    reader.check()
         finally:
-            self._stop_follower()
+            for reader in self._readers.values():
+                reader.stop()
             self._unsubscribe()
 
     async def _async_wait_for_reader(self) -> None:
@@ -149,38 +221,35 @@
             await asyncio.sleep(const.STARTUP_PEER_POLL_S)
 
     def coordinate(self) -> None:
-        """Selects the mode and applies it."""
+        """Selects the source of each feed and applies it."""
         now = self._clock()
-        age_s = self._get_age_s()
-        self._check_subscription(age_s, now)
-        reader = self._peers.find_reader(now, self._get_read_age_s())
-        self._choose_subscription(reader, now)
-        mode = choose_mode(
-            reader_known=reader is not None,
-            subscribed=self._subscription is not None,
-            view_age_s=age_s,
-            reading_for_s=None
-            if self._follower_started_at is None
-            else now - self._follower_started_at,
-            expecting_view=now < self._first_view_deadline,
-            receiving=self._subscription is not None
-            and self._subscription.is_receiving(now),
+        self._check_subscription(now)
+        peer = self._peers.find_reader(now, self._get_read_age_s())
+        self._choose_subscription(peer, now)
+        receiving = (
+            self._subscription is not None
+            and self._subscription.is_receiving(now)
         )
-        if mode is ReadingMode.PEER:
-            self._stop_follower()
-        else:
-            self._start_follower()
-        if mode is not self.mode:
-            self.mode = mode
-            self._on_mode_change(mode, reader.vm if reader is not None else "")
-
-    def _check_subscription(self, age_s: float | None, now: float) -> None:
+        for feed, reader in self._readers.items():
+            mode = choose_mode(
+                reader_known=peer is not None,
+                subscribed=self._subscription is not None,
+                view_age_s=self._get_age_s(feed),
+                reading_for_s=reader.get_reading_for_s(),
+                expecting_view=now < self._first_view_deadline,
+                receiving=receiving,
+            )
+            if reader.apply_mode(mode):
+                self._on_mode_change(
+                    feed, mode, peer.vm if peer is not None else ""
+                )
+
+    def _check_subscription(self, now: float) -> None:
         """Unsubscribes from a reader that stalls on an open connection."""
         subscription = self._subscription
-        silent = age_s is not None and age_s > const.READER_TIMEOUT_S
-        if subscription is None or not silent or subscription.is_receiving(now):
+        if subscription is None or subscription.is_receiving(now):
             return
-        if now - self._subscribed_at > const.READER_TIMEOUT_S:
+        if now - subscription.last_frame_at > const.READER_TIMEOUT_S:
             self._peers.mark_failed(subscription.host, now)
             self._unsubscribe()
             self._retry_at = 0.0
@@ -198,12 +267,20 @@
             return
         self._unsubscribe()
         self._retry_at = now + const.SUBSCRIPTION_RETRY_S
-        self._subscribed_at = now
         self._subscription = relay.Subscription(
             host=reader.host,
             port=self._peer_port,
             local_host=self._local_host,
-            revision=self._get_revision(),
+            revisions={
+                feed: records_table.revision
+                for feed, records_table in self._tables.items()
+            },
+            large_values=collections.ChainMap(
+                *(
+                    records_table.find_large_values()
+                    for records_table in self._tables.values()
+                )
+            ),
             deliver=self._deliver,
             on_end=self._on_end,
             clock=self._clock,
@@ -218,31 +295,10 @@
             self._subscription = None
             self._peers.mark_failed(subscription.host, self._clock())
             self._retry_at = 0.0
-            self._on_mode_change(self.mode, reason)
+            self._on_subscription_end(subscription.host, reason)
             self.coordinate()
 
     def _unsubscribe(self) -> None:
         subscription, self._subscription = self._subscription, None
         if subscription is not None:
             subscription.close()
-
-    def _start_follower(self) -> None:
-        if self._follower_task is None:
-            follower = self._make_follower()
-            revision = self._get_revision()
-            has_view = revision != records.NO_REVISION
-            follower.restart_at(revision if has_view else None)
-            self._follower_task = asyncio.create_task(follower.async_run())
-            if has_view:
-                self._follower_started_at = self._clock()
-
-    def _stop_follower(self) -> None:
-        follower_task, self._follower_task = self._follower_task, None
-        self._follower_started_at = None
-        if follower_task is not None:
-            follower_task.cancel()
-
-    def _check_follower(self) -> None:
-        """Raises the exception that ended the follower, if any."""
-        if self._follower_task is not None and self._follower_task.done():
-            self._follower_task.result()
--- a/src/chivedoor/feed/messages.py
+++ b/src/chivedoor/feed/messages.py
@@ -10,6 +10,7 @@
 import cbor2
 
 from chivedoor import ids
+from chivedoor.feed import compression
 from chivedoor.feed import const
 from chivedoor.feed import exceptions
 from chivedoor.feed import load_reports
@@ -22,6 +23,9 @@
 _DISCOVERY_REQUEST = 2
 _DISCOVERY_REPLY = 3
 _LOAD_REPORT = 4
+# Version of the stream between a reader and its subscribers. Either side closes
+# a stream of another version, and the subscriber reads the store meanwhile.
+_STREAM_VERSION = 2
 _HEARTBEAT_FIELDS = tuple(
     field.name for field in dataclasses.fields(peers.Heartbeat)
 )
@@ -100,17 +104,52 @@
     """Changes that a reader sends to its subscribers.
 
     Attributes:
+        feed: The feed that the changes belong to.
         batch: The changes.
         age_s: Age of the reader's view when the frame was sent, in seconds.
         sent_at: Send time by the reader's clock, in seconds; comparable only
             with other frames of the same connection.
     """
 
+    feed: records.Feed
     batch: records.Batch
     age_s: float
     sent_at: float
 
 
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class EncodedBatch:
+    """A batch that is encoded once for many subscribers.
+
+    Attributes:
+        revision: As in the batch.
+        complete: As in the batch.
+        compressed: Whether the records are compressed.
+        encoded_records: The records.
+        digests: Digests of the large values among them, by key.
+    """
+
+    digests: Mapping[str, int]
+    revision: records.Revision
+    complete: bool
+    compressed: bool
+    encoded_records: bytes
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class SubscriptionRequest:
+    """Request for the changes since the revisions that a subscriber has.
+
+    Attributes:
+        revisions: The revision of each feed.
+        digests: Digests of the large values that the subscriber has, by key.
+            They may be the base of differences.
+    """
+
+    revisions: Mapping[records.Feed, records.Revision]
+    digests: Mapping[str, int]
+
+
 @functools.singledispatch
 def encode_message(message: Message) -> bytes:
     """Encodes a message as a datagram."""
@@ -220,45 +259,94 @@
     raise exceptions.MalformedAnswerError("unknown message type")
 
 
-def encode_frame(frame: Frame) -> bytes:
-    """Encodes a frame with a length prefix."""
-    batch = frame.batch
-    body = cbor2.dumps(
+def encode_batch(
+    batch: records.Batch, bases: Mapping[str, bytes]
+) -> EncodedBatch:
+    """Encodes the records of a batch.
+
+    Args:
+        batch: The batch.
+        bases: Large values that the subscriber has, by key.
+    """
+    encoded = cbor2.dumps(
         [
-            frame.sent_at,
-            frame.age_s,
-            _encode_revision(batch.revision),
-            batch.complete,
             [
-                [
-                    record.key,
-                    record.value,
-                    _encode_revision(record.revision),
-                ]
-                for record in batch.records
-            ],
+                record.key,
+                _encode_value(record.value, bases.get(record.key)),
+                _encode_revision(record.revision),
+            ]
+            for record in batch.records
         ]
     )
-    return len(body).to_bytes(const.FRAME_HEADER_BYTES, "big") + body
+    compressed = len(encoded) >= const.MIN_COMPRESSED_BYTES
+    return EncodedBatch(
+        digests={
+            record.key: compression.compute_digest(record.value)
+            for record in batch.records
+            if record.value is not None
+            and len(record.value) >= const.LARGE_VALUE_BYTES
+        },
+        revision=batch.revision,
+        complete=batch.complete,
+        compressed=compressed,
+        encoded_records=compression.compress(encoded)
+        if compressed
+        else encoded,
+    )
 
 
-def decode_frame(body: bytes) -> Frame:
+def encode_frame(
+    feed: records.Feed, batch: EncodedBatch, *, age_s: float, sent_at: float
+) -> bytes:
+    """Encodes a frame with a length prefix; arguments as in `Frame`."""
+    return _add_length(
+        cbor2.dumps(
+            [
+                _STREAM_VERSION,
+                feed.value,
+                sent_at,
+                age_s,
+                _encode_revision(batch.revision),
+                batch.complete,
+                batch.compressed,
+                batch.encoded_records,
+            ]
+        )
+    )
+
+
+def decode_frame(body: bytes, bases: Mapping[str, bytes]) -> Frame:
     """Decodes a frame without the length prefix.
 
+    Args:
+        body: The frame.
+        bases: The large values that the reader knows this subscriber has, by
+            key.
+
     Raises:
-        MalformedAnswerError: The bytes are not a valid frame.
+        MalformedAnswerError: The bytes are not a valid frame, or a difference
+            refers to a value that is not among `bases`.
     """
     match _load(body):
         case [
+            int(version),
+            str(feed),
             float(sent_at),
             float(age_s),
             revision,
             bool(complete),
-            list(items),
-        ]:
+            bool(compressed),
+            bytes(encoded_records),
+        ] if version == _STREAM_VERSION:
             return Frame(
+                feed=_decode_feed(feed),
                 batch=records.Batch(
-                    records=tuple(map(_decode_record, items)),
+                    records=_decode_records(
+                        compression.decompress(encoded_records)
+                        if compressed
+                        else encoded_records,
+                        bases,
+                    ),
                     revision=_decode_revision(revision),
                     complete=complete,
                 ),
@@ -268,19 +356,49 @@
     raise exceptions.MalformedAnswerError("invalid frame")
 
 
-def encode_subscription(revision: records.Revision) -> bytes:
-    """Encodes a subscription to the changes after a revision."""
-    body = cbor2.dumps(_encode_revision(revision))
-    return len(body).to_bytes(const.FRAME_HEADER_BYTES, "big") + body
+def encode_subscription(request: SubscriptionRequest) -> bytes:
+    """Encodes a subscription with a length prefix."""
+    return _add_length(
+        cbor2.dumps(
+            [
+                _STREAM_VERSION,
+                {
+                    feed.value: _encode_revision(revision)
+                    for feed, revision in request.revisions.items()
+                },
+                dict(request.digests),
+            ]
+        )
+    )
 
 
-def decode_subscription(body: bytes) -> records.Revision:
-    """Decodes the revision of a subscription.
+def decode_subscription(body: bytes) -> SubscriptionRequest:
+    """Decodes a subscription without the length prefix.
 
     Raises:
-        MalformedAnswerError: The bytes are not a valid revision.
+        MalformedAnswerError: The bytes are not a valid subscription.
     """
-    return _decode_revision(_load(body))
+    match _load(body):
+        case [int(version), dict(revisions), dict(digests)] if (
+            version == _STREAM_VERSION
+        ):
+            if not all(
+                type(key) is str and type(digest) is int
+                for key, digest in digests.items()
+            ):
+                raise exceptions.MalformedAnswerError("digests")
+            return SubscriptionRequest(
+                revisions={
+                    _decode_feed(feed): _decode_revision(revision)
+                    for feed, revision in revisions.items()
+                },
+                digests=digests,
+            )
+    raise exceptions.MalformedAnswerError("invalid subscription")
+
+
+def _add_length(body: bytes) -> bytes:
+    return len(body).to_bytes(const.FRAME_HEADER_BYTES, "big") + body
 
 
 def _load(data: bytes) -> Any:
@@ -496,15 +614,50 @@
     raise exceptions.MalformedAnswerError("name")
 
 
-def _decode_record(value: Any) -> records.Record:
+def _decode_feed(value: Any) -> records.Feed:
+    try:
+        return records.Feed(value)
+    except ValueError as error:
+        raise exceptions.MalformedAnswerError("feed") from error
+
+
+def _decode_records(
+    encoded: bytes, bases: Mapping[str, bytes]
+) -> tuple[records.Record, ...]:
+    items = _load(encoded)
+    if type(items) is not list:
+        raise exceptions.MalformedAnswerError("records")
+    return tuple(_decode_record(item, bases) for item in items)
+
+
+def _decode_record(value: Any, bases: Mapping[str, bytes]) -> records.Record:
     match value:
-        case [str(key), bytes() | None as content, revision]:
+        case [str(key), content, revision]:
             return records.Record(
-                key=key, value=content, revision=_decode_revision(revision)
+                key=key,
+                value=_decode_value(content, bases.get(key)),
+                revision=_decode_revision(revision),
             )
     raise exceptions.MalformedAnswerError("record")
 
 
+def _encode_value(value: bytes | None, base: bytes | None) -> Any:
+    if value is None or base is None or len(value) < const.LARGE_VALUE_BYTES:
+        return value
+    return [compression.compute_digest(base), compression.compress(value, base)]
+
+
+def _decode_value(value: Any, base: bytes | None) -> bytes | None:
+    match value:
+        case bytes() | None:
+            return value
+        case [int(digest), bytes(difference)] if (
+            base is not None and compression.compute_digest(base) == digest
+        ):
+            return compression.decompress(difference, base)
+    raise exceptions.MalformedAnswerError("value")
+
+
 def _encode_revision(revision: records.Revision) -> list[int]:
     return [revision.era, revision.number]
 
--- a/src/chivedoor/feed/records.py
+++ b/src/chivedoor/feed/records.py
@@ -1,11 +1,23 @@
 """Keys and raw values of the store."""
 
 import dataclasses
+import enum
 from typing import Final
 
 from chivedoor import ids
 
 
+class Feed(enum.Enum):
+    """Part of the store that is read and confirmed on its own.
+
+    A large configuration delays no change of an endpoint.
+    """
+
+    ENDPOINTS = "endpoints"
+    # Also the failure domains that are taken out.
+    CONFIGURATION = "configuration"
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True, order=True)
 class Revision:
     """Point in the history of the store; later ones are greater.
--- a/src/chivedoor/feed/table.py
+++ b/src/chivedoor/feed/table.py
@@ -81,6 +81,15 @@
             complete=complete,
         )
 
+    def find_large_values(self) -> dict[str, bytes]:
+        """Returns the values that are sent as differences, by key."""
+        return {
+            key: record.value
+            for key, record in self._records.items()
+            if record.value is not None
+            and len(record.value) >= const.LARGE_VALUE_BYTES
+        }
+
     def _apply(self, record: records.Record) -> bool:
         known = self._records.get(record.key)
         newest = (
--- a/src/chivedoor/platform/items.py
+++ b/src/chivedoor/platform/items.py
@@ -15,11 +15,12 @@
 
 from chivedoor import ids
 from chivedoor.feed import records
+from chivedoor.platform import const
 from chivedoor.platform import packets
 from chivedoor.steering import segment as segments
 from chivedoor.steering import view as views
 
-_ENDPOINT_PREFIX = "servers/"
+_ENDPOINT_PREFIX = const.FEED_PREFIXES[records.Feed.ENDPOINTS]
 _EVACUATION_PREFIX = "op/evacuate/"
 _CONFIGURATION_KEY = "op/config"
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
--- a/src/chivedoor/platform/store.py
+++ b/src/chivedoor/platform/store.py
@@ -1,4 +1,4 @@
-"""HTTP client of the platform's store, with a single connection."""
+"""HTTP client of a feed of the platform's store, with a single connection."""
 
 import asyncio
 import base64
@@ -26,7 +26,7 @@
 
 
 class StoreClient:
-    """Reads keys and waits for changes.
+    """Reads the keys of a feed and waits for changes.
 
     A failed call closes the connection and the next call opens a new one, so
     an unresponsive connection is never reused.
@@ -40,6 +40,7 @@
     def __init__(
         self,
         *,
+        feed: records.Feed,
         host: str,
         port: int,
         observe_call: Callable[[float], None],
@@ -49,6 +50,7 @@
         """Creates a client; the first call opens the connection.
 
         Args:
+            feed: The feed that is read.
             host: The store's address.
             port: The store's port.
             observe_call: Called with the duration of each call in seconds.
@@ -59,6 +61,7 @@
         self.transfer_s = 0.0
         # Latest era of the store that a response named.
         self._era = ids.Era(0)
+        self._prefix = const.FEED_PREFIXES[feed]
         self._observe_call = observe_call
         self._clock = clock
         self._observe_transfer = observe_transfer
@@ -73,7 +76,7 @@
             FeedError: The store did not respond, refused the request or sent
                 an invalid response.
         """
-        query = {"prefix": ""} | ({"after": after} if after else {})
+        query = {"prefix": self._prefix} | ({"after": after} if after else {})
         era, response = await self._async_get(
             "/v1/kv-range",
             query,
@@ -81,7 +84,7 @@
             max_bytes=const.MAX_BODY_BYTES,
         )
         return records.Page(
-            records=_decode_items(response, "items", era),
+            records=self._decode_items(response, "items", era),
             revision=_get_revision(response, "store_revision", era),
             has_more=bool(response.get("has_more")),
         )
@@ -102,7 +105,7 @@
             FeedError: As for `async_read_page`.
         """
         query = {
-            "prefix": "",
+            "prefix": self._prefix,
             "after": str(after.number),
             "wait_ms": str(round(wait_s * 1000)),
         }
@@ -117,7 +120,7 @@
         if era != after.era:
             raise exceptions.HistoryLostError(f"store restored, era {era}")
         return records.Batch(
-            records=_decode_items(response, "events", era),
+            records=self._decode_items(response, "events", era),
             revision=_get_revision(response, "store_revision", era),
             complete=False,
         )
@@ -128,6 +131,17 @@
         if connection is not None:
             connection.close()
 
+    def _decode_items(
+        self, response: Mapping[str, Any], name: str, era: ids.Era
+    ) -> tuple[records.Record, ...]:
+        items = response.get(name)
+        if not isinstance(items, list):
+            raise exceptions.MalformedAnswerError(name)
+        decoded = (_decode_item(item, era) for item in items)
+        return tuple(
+            record for record in decoded if record.key.startswith(self._prefix)
+        )
+
     async def _async_get(
         self,
         path: str,
@@ -382,15 +396,6 @@
     return response
 
 
-def _decode_items(
-    response: Mapping[str, Any], name: str, era: ids.Era
-) -> tuple[records.Record, ...]:
-    items = response.get(name)
-    if not isinstance(items, list):
-        raise exceptions.MalformedAnswerError(name)
-    return tuple(_decode_item(item, era) for item in items)
-
-
 def _decode_item(item: Any, era: ids.Era) -> records.Record:
     if not isinstance(item, dict) or not isinstance(item.get("key"), str):
         raise exceptions.MalformedAnswerError("key")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -42,6 +42,7 @@
     monkeypatch.setattr(const, "READ_TIMEOUT_S", 0.5)
     monkeypatch.setattr(const, "WATCH_TIMEOUT_MARGIN_S", 0.3)
     opened = stores.StoreClient(
+        feed=records.Feed.ENDPOINTS,
         host="127.0.0.1",
         port=stand_in.port,
         observe_call=durations.append,
@@ -74,14 +75,14 @@
 
 async def test_watch_returns_changes_and_removals(store, stand_in) -> None:
     """Guards against decoding deletions as empty values."""
-    stand_in.put("a", {"n": 1})
+    stand_in.put("servers/a", {"n": 1})
     batch = await async_read_all(store)
-    stand_in.put("b", {"n": 2})
-    stand_in.remove("a")
+    stand_in.put("servers/b", {"n": 2})
+    stand_in.remove("servers/a")
     batch = await store.async_wait(batch.revision, 1.0)
     assert [(r.key, r.value) for r in batch.records] == [
-        ("b", b'{"n": 2}'),
-        ("a", None),
+        ("servers/b", b'{"n": 2}'),
+        ("servers/a", None),
     ]
     assert not batch.complete
 
@@ -99,7 +100,7 @@
 async def test_lost_history_raises_history_lost_error(store, stand_in) -> None:
     """Guards against retrying a watch that can never succeed."""
     batch = await async_read_all(store)
-    stand_in.put("a", {})
+    stand_in.put("servers/a", {})
     stand_in.forget_history()
     with pytest.raises(exceptions.HistoryLostError):
         await store.async_wait(batch.revision, 0.05)
@@ -114,24 +115,24 @@
     would return later changes only.
     """
     copy = stand_in.make_copy()
-    stand_in.put("a", {"n": 1})
+    stand_in.put("servers/a", {"n": 1})
     batch = await async_read_all(store)
     stand_in.restore(copy)
     with pytest.raises(exceptions.HistoryLostError):
         await store.async_wait(batch.revision, 0.05)
     for number in range(3):
-        stand_in.put("b", {"n": number})
+        stand_in.put("servers/b", {"n": number})
     with pytest.raises(exceptions.HistoryLostError):
         await store.async_wait(batch.revision, 0.05)
     again = await async_read_all(store)
     assert again.revision > batch.revision
-    assert [record.key for record in again.records] == ["b"]
+    assert [record.key for record in again.records] == ["servers/b"]
 
 
 async def test_store_without_eras_is_followed(store, stand_in) -> None:
     """Guards against refusing a store that names no era."""
     stand_in.era = None
-    stand_in.put("a", {})
+    stand_in.put("servers/a", {})
     batch = await async_read_all(store)
     assert batch.revision == records.Revision(era=ids.Era(0), number=2)
     assert (await store.async_wait(batch.revision, 0.05)).records == ()
@@ -162,7 +163,7 @@
     store, stand_in, fault, error
 ) -> None:
     """Guards against reusing a connection after a failed call."""
-    stand_in.put("a", {"n": 1})
+    stand_in.put("servers/a", {"n": 1})
     stand_in.fault = fault
     with pytest.raises(error):
         await async_read_all(store)
@@ -233,6 +234,7 @@
     slow.link = bandwidth.make_link(mbps=5.0)
     await slow.async_open()
     behind = stores.StoreClient(
+        feed=records.Feed.CONFIGURATION,
         host="127.0.0.1",
         port=slow.address[1],
         observe_call=lambda duration_s: None,
@@ -273,7 +275,7 @@
     """Guards against a link that is full of replaced configurations."""
     batch = await async_read_all(store)
     for number in range(10):
-        stand_in.put("op/config", {"version": number, "x": "y" * 20_000})
+        stand_in.put("servers/i-1", {"version": number, "x": "y" * 20_000})
     monkeypatch.setattr(const, "MAX_WATCH_BYTES", 100_000)
     # The length of an endless body is not known beforehand.
     stand_in.fault = fault
@@ -281,3 +283,14 @@
         await store.async_wait(batch.revision, 1.0)
     stand_in.fault = None
     assert len((await async_read_all(store)).records) == 1
+
+
+async def test_each_client_reads_its_own_feed(store, stand_in) -> None:
+    """Guards against changes of endpoints that wait for a configuration."""
+    stand_in.put("op/config", {"version": 1})
+    stand_in.put("servers/a", {"n": 1})
+    batch = await async_read_all(store)
+    assert [record.key for record in batch.records] == ["servers/a"]
+    stand_in.put("op/config", {"version": 2})
+    batch = await store.async_wait(batch.revision, 0.05)
+    assert batch.records == ()
