--- a/src/chivedoor/feed/coordinator.py
+++ b/src/chivedoor/feed/coordinator.py
@@ -54,8 +54,10 @@
         return ReadingMode.STORE
     if subscribed and (expecting_view or receiving) and view_age_s is None:
         return ReadingMode.PEER
+    # An own read that has begun is not broken off for a frame.
+    waiting = receiving and reading_for_s is None
     stale = view_age_s is None or (
-        view_age_s > const.SELF_READ_VIEW_AGE_S and not receiving
+        view_age_s > const.SELF_READ_VIEW_AGE_S and not waiting
     )
     if stale or not subscribed:
         return ReadingMode.BOTH
--- a/standins/store.py
+++ b/standins/store.py
@@ -41,6 +41,11 @@
     value: bytes | None
     revision: int
     created: int
+    # As JSON. Large values are part of many responses.
+    encoded: str = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.encoded = json.dumps(_encode(self))
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -185,12 +190,10 @@
             key for key in self._items if key.startswith(prefix) and key > after
         )
         page = keys[: self.page_items]
-        return web.json_response(
-            {
-                "items": [_encode(self._items[key]) for key in page],
-                "has_more": len(keys) > len(page),
-                "store_revision": self._revision,
-            }
+        return self._make_response(
+            "items",
+            [self._items[key] for key in page],
+            has_more=len(keys) > len(page),
         )
 
     async def _async_get_watch(
@@ -210,11 +213,16 @@
         if not self._oldest <= after <= self._revision:
             return web.json_response({"error": "gone"}, status=410)
         events = self._list_changes(prefix, after)
-        return web.json_response(
-            {
-                "events": [_encode(change) for change in events],
-                "store_revision": self._revision,
-            }
+        return self._make_response("events", events)
+
+    def _make_response(
+        self, name: str, changes: list[_Change], **fields: object
+    ) -> web.Response:
+        encoded = ",".join(change.encoded for change in changes)
+        rest = json.dumps(fields | {"store_revision": self._revision})
+        return web.Response(
+            text=f'{{"{name}": [{encoded}], {rest[1:]}',
+            content_type="application/json",
         )
 
     async def _async_wait_for_change(self, prefix: str, after: int) -> None:
--- a/tests/edge/test_slow_links.py
+++ b/tests/edge/test_slow_links.py
@@ -124,7 +124,7 @@
     async def async_open(self) -> None:
         await self.store.async_open(self._make_host(4, 0))
         self.store.put("servers/" + ENDPOINT_ID, make_entry("ready"))
-        self.write_configuration(1, 50_000)
+        self.write_configuration(1, make_configuration(1, 50_000))
         for number, mbps in enumerate(self._speeds):
             self._relay.links[f"vm-{number}"] = bandwidth.make_link(mbps)
         await self._relay.async_open()
@@ -147,8 +147,7 @@
         await self._relay.async_close()
         await self.store.async_close()
 
-    def write_configuration(self, version: int, size_bytes: int) -> None:
-        data = make_configuration(version, size_bytes)
+    def write_configuration(self, version: int, data: bytes) -> None:
         self.store.put(entries.CONFIGURATION_KEY, data)
         self.written_at[version] = time.monotonic()
 
@@ -255,7 +254,7 @@
     the first byte again.
     """
     domain = await open_domain(fast=fast, slow=slow)
-    domain.write_configuration(2, MAX_VALUE_BYTES)
+    domain.write_configuration(2, make_configuration(2, MAX_VALUE_BYTES))
     await domain.async_wait(BOUND_S)
     assert max(domain.list_delays_s(2)) <= BOUND_S
 
@@ -265,11 +264,15 @@
     open_domain, fast: int, slow: int
 ) -> None:
     """Guards against changes that wait behind each of many configurations."""
-    domain = await open_domain(fast=fast, slow=slow)
     versions = range(2, 32)
+    # Made beforehand: the store and the links are emulated in this process.
+    configurations = [
+        make_configuration(version, MAX_VALUE_BYTES) for version in versions
+    ]
+    domain = await open_domain(fast=fast, slow=slow)
     leaving_at = 0.0
-    for version in versions:
-        domain.write_configuration(version, MAX_VALUE_BYTES)
+    for version, data in zip(versions, configurations, strict=True):
+        domain.write_configuration(version, data)
         if version == versions[len(versions) // 2]:
             domain.store.put("servers/" + ENDPOINT_ID, make_entry("draining"))
             leaving_at = time.monotonic()
@@ -289,7 +292,7 @@
 ) -> None:
     """Guards against a transfer that begins too late after the reader ended."""
     domain = await open_domain(fast=1, slow=4)
-    domain.write_configuration(2, MAX_VALUE_BYTES)
+    domain.write_configuration(2, make_configuration(2, MAX_VALUE_BYTES))
     await domain.async_wait(after_s)
     domain.balancers[0].process.pause()
     await domain.async_wait(BOUND_S - after_s)
--- a/tests/feed/test_coordinator.py
+++ b/tests/feed/test_coordinator.py
@@ -54,6 +54,18 @@
     assert mode is PEER
 
 
+def test_own_read_goes_on_while_a_frame_arrives() -> None:
+    """Guards against a transfer that is broken off shortly before its end."""
+    mode = coordinator.choose_mode(
+        reader_known=True,
+        subscribed=True,
+        view_age_s=OLD_S,
+        reading_for_s=LONG_S,
+        receiving=True,
+    )
+    assert mode is BOTH
+
+
 def test_changes_are_in_force_in_time_despite_silent_reader() -> None:
     """Guards against timeouts that add up to more than the 3 s allowed.
 
