--- a/src/chivedoor/edge/application.py
+++ b/src/chivedoor/edge/application.py
@@ -204,6 +204,8 @@
         self._stopping = asyncio.Event()
         self._created_at = clock()
         self._ready = False
+        # Whether other balancers have a newer view that callers need.
+        self._behind = False
         # Whether a service was congested on the last tick.
         self._congested = False
 
@@ -280,7 +282,8 @@
         return {
             "vm": self._settings.vm,
             "domain": self._settings.domain,
-            "ready": self._ready,
+            "ready": self._is_ready(),
+            "behind": self._behind,
             "view": self.steerer.view.dump_state(),
             "view_age_s": self.view_updater.get_age_s(),
             "feed_ages_s": {
@@ -358,6 +361,7 @@
             now = self._clock()
             self.forwarder.observe_time(now)
             self.view_updater.update_freshness()
+            self._update_behind(now)
             self.steerer.reachability.set_large_domain(
                 self.peers.is_large_domain()
             )
@@ -392,6 +396,32 @@
             position=position,
         )
 
+    def _update_behind(self, now: float) -> None:
+        """Decides whether callers are better served by other balancers.
+
+        A balancer that is cut off hears of no reader and goes on serving.
+        """
+        age_s = self.view_updater.get_age_s()
+        if age_s is None:
+            return
+        limit_s = (
+            const.VIEW_MAX_AGE_S if self._behind else const.BEHIND_VIEW_AGE_S
+        )
+        behind = age_s > limit_s and self.peers.has_active_reader(now)
+        if behind is self._behind:
+            return
+        self._behind = behind
+        self._log.write(
+            log_writer.EventType.VIEW_BEHIND
+            if behind
+            else log_writer.EventType.VIEW_CAUGHT_UP,
+            version=self.steerer.view.version,
+            view_age_s=age_s,
+        )
+
+    def _is_ready(self) -> bool:
+        return self._ready and not self._behind
+
     def _report_congestion(self, now: float) -> None:
         """Sends a heartbeat at once when a service becomes congested."""
         congested = self.steerer.placement.is_congested(now)
@@ -636,7 +666,7 @@
     def _handle_readiness_request(self, path: str) -> web.Response | None:
         if path != const.READINESS_PATH:
             return None
-        ready = self._ready and not self._stopping.is_set()
+        ready = self._is_ready() and not self._stopping.is_set()
         return web.Response(
             status=http.HTTPStatus.OK
             if ready
@@ -690,7 +720,7 @@
         exposition = importlib.import_module("chivedoor.edge.exposition")
         counters = self.forwarder.counters
         gauges = {
-            metrics_module.Gauge.READY: float(self._ready),
+            metrics_module.Gauge.READY: float(self._is_ready()),
             metrics_module.Gauge.FLOWS: float(len(self.steerer.flows)),
             metrics_module.Gauge.VIEW_AGE_SECONDS: self.view_updater.get_age_s()
             or 0.0,
--- a/src/chivedoor/edge/const.py
+++ b/src/chivedoor/edge/const.py
@@ -19,6 +19,13 @@
 # covers one waiting read with its timeout margin and leaves room for one retry.
 VIEW_MAX_AGE_S: Final = 2.0
 
+# A balancer whose view is older than this, while another one of its domain
+# reads the store, reports itself as unready until its view is younger than
+# `VIEW_MAX_AGE_S` again. The fabric removes it within a second, so that its
+# callers reach balancers with a newer view within the 5 s in which a
+# configuration has to be in force in large domains.
+BEHIND_VIEW_AGE_S: Final = 3.0
+
 TICK_INTERVAL_S: Final = 0.25
 EXPIRY_INTERVAL_TICKS: Final = 4
 
--- a/src/chivedoor/edge/log_writer.py
+++ b/src/chivedoor/edge/log_writer.py
@@ -33,6 +33,8 @@
     RECORD_OUTDATED = "record-outdated"
     VIEW_STALE = "view-stale"
     VIEW_CURRENT = "view-current"
+    VIEW_BEHIND = "view-behind"
+    VIEW_CAUGHT_UP = "view-caught-up"
     RECORD_UNUSABLE = "record-unusable"
     CONFIGURATION = "configuration-applied"
     DOMAIN_OUT = "domain-out"
