--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -78,6 +78,8 @@
         duration_s=duration_s,
         count=fault_count,
     ) + fault_kinds.draw_restorations(seed, duration_s=duration_s)
+    if fault_kinds.draw_large_configurations(seed):
+        deployment.use_large_configurations()
     try:
         await deployment.async_open()
         deployment.start_load(flows_per_s)
--- a/soak/const.py
+++ b/soak/const.py
@@ -49,6 +49,12 @@
 WARMUP_PER_S: Final = 4.0
 COLD_S: Final = 4.0
 
+# Part of the seeds with large configurations, their routes without traffic
+# (840 KB), and the links of all balancers, a seventh of those of small sites.
+LARGE_CONFIGURATIONS_SHARE: Final = 0.35
+IDLE_ROUTES: Final = 8_000
+SLOW_LINK_MBPS: Final = 50.0
+
 # Interval of the flows on changed routes through each balancer.
 PROBE_INTERVAL_S: Final = 1.0
 # These flows use the probe routes of this many latest versions.
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -13,6 +13,7 @@
 from soak import history as histories
 from soak import probes
 from soak import promises
+from standins import bandwidth
 from standins import processes
 from standins import relay
 from standins import store as stores
@@ -146,6 +147,7 @@
         self.restorations = 0
         self.version = 0
         self.routes = set(ROUTES) - {SPARE_ROUTE}
+        self._idle_routes: list[dict[str, Any]] = []
         self._folder = folder
         self._block = block
         self._domain_of: dict[str, str] = {}
@@ -235,6 +237,25 @@
         await self.relay.async_close()
         await self.store.async_close()
 
+    def use_large_configurations(self) -> None:
+        """Adds many routes without traffic and limits the balancers' links.
+
+        Called before `async_open`.
+        """
+        self._idle_routes = [
+            entries.make_route(
+                name=f"idle-{number}",
+                address=(f"198.19.{number // 250}.{number % 250}", 443),
+                service="main",
+                kind=callers.RequestKind.IDEMPOTENT.value,
+            )
+            for number in range(const.IDLE_ROUTES)
+        ]
+        for balancer in self.balancers.values():
+            link = bandwidth.make_link(const.SLOW_LINK_MBPS)
+            self.relay.links[balancer.vm] = link
+            balancer.store_proxy.link = link
+
     def start_load(self, flows_per_s: float) -> None:
         """Opens flows at this total rate, spread over all failure domains."""
         for group in self._callers:
@@ -391,7 +412,8 @@
                     kind=callers.RequestKind.IDEMPOTENT.value,
                 )
                 for name, (route, service) in sorted(present.items())
-            ],
+            ]
+            + self._idle_routes,
             services=("main", "mesh"),
             warmup_per_s=const.WARMUP_PER_S,
         )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -158,6 +158,27 @@
     removals_s: float
 
 
+# The draws of a seed depend on the number of these.
+_STORE_FAULTS = (
+    stores.StoreFault.BUSY,
+    stores.StoreFault.MANY,
+    stores.StoreFault.CLOSE,
+    stores.StoreFault.SILENT,
+    stores.StoreFault.BROKEN_BODY,
+    stores.StoreFault.CUT_BODY,
+    stores.StoreFault.ENDLESS_BODY,
+)
+
+
+def draw_large_configurations(seed: int) -> bool:
+    """Returns whether a seed has large configurations on slow links.
+
+    Drawn by a generator of its own, as the restorations are.
+    """
+    generator = random.Random(f"{seed}/links")
+    return generator.random() < const.LARGE_CONFIGURATIONS_SHARE
+
+
 def draw_faults(
     generator: random.Random,
     *,
@@ -195,7 +216,7 @@
         ),
         lambda: FailingStore(
             **timing,
-            fault=draw(tuple(stores.StoreFault)),
+            fault=draw(_STORE_FAULTS),
             lapse=generator.random() < 0.5,
         ),
         lambda: LostHistory(**timing),
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -144,3 +144,10 @@
     assert after == before
     for endpoint in deployment.endpoints:
         await endpoint.async_close()
+
+
+def test_large_configurations_are_seeded() -> None:
+    """Guards against a kind of run that differs between runs of a seed."""
+    drawn = [faults.draw_large_configurations(seed) for seed in range(60)]
+    assert drawn == [faults.draw_large_configurations(n) for n in range(60)]
+    assert 10 < sum(drawn) < 40
