--- a/bench/feed.py
+++ b/bench/feed.py
@@ -18,8 +18,7 @@
 from chivedoor.feed import messages
 from chivedoor.feed import records
 from chivedoor.platform import items
-
-_KEY = "op/config"
+from standins.echo import entries
 
 
 def make_configuration(routes: int, version: int) -> bytes:
@@ -33,25 +32,29 @@
         for _ in range(routes)
     ]
     names[routes // 2] = f"r-version-{version}"
+    # As in the known deployments, each route also has limits and a goal.
+    fields = {
+        "timeout_ms": 2178,
+        "target_latency_ms": 326,
+        "priority": 2,
+        "max_attempts": 2,
+    }
     return json.dumps(
-        {
-            "version": version,
-            "routes": [
-                {
-                    "name": name,
-                    "host": f"198.18.{number // 250}.{number % 250}",
-                    "prefix": "/443/",
-                    "type": "idempotent",
-                    "timeout_ms": 2178,
-                    "target_latency_ms": 326,
-                    "priority": 2,
-                    "service": "huvo11a",
-                    "max_attempts": 2,
-                }
+        entries.make_configuration(
+            version=version,
+            routes=[
+                entries.make_route(
+                    name=name,
+                    address=(f"198.18.{number // 250}.{number % 250}", 443),
+                    service="huvo11a",
+                    kind="idempotent",
+                )
+                | fields
                 for number, name in enumerate(names)
             ],
-            "services": [{"name": "huvo11a", "warmup_per_s": 0.0}],
-        },
+            services=["huvo11a"],
+            warmup_per_s=0.0,
+        ),
         separators=(",", ":"),
     ).encode()
 
@@ -59,7 +62,9 @@
 def make_batch(value: bytes, number: int) -> records.Batch:
     """Returns a batch that holds a configuration."""
     revision = records.Revision(era=ids.Era(1), number=number)
-    record = records.Record(key=_KEY, value=value, revision=revision)
+    record = records.Record(
+        key=entries.CONFIGURATION_KEY, value=value, revision=revision
+    )
     return records.Batch(records=(record,), revision=revision, complete=False)
 
 
@@ -73,12 +78,16 @@
     started_at = time.perf_counter()
     whole = messages.encode_batch(batch, {})
     whole_at = time.perf_counter()
-    difference = messages.encode_batch(batch, {_KEY: former})
+    difference = messages.encode_batch(
+        batch, {entries.CONFIGURATION_KEY: former}
+    )
     difference_at = time.perf_counter()
     frame = messages.encode_frame(
         records.Feed.CONFIGURATION, difference, age_s=0.0, sent_at=0.0
     )
-    messages.decode_frame(frame[const.FRAME_HEADER_BYTES :], {_KEY: former})
+    messages.decode_frame(
+        frame[const.FRAME_HEADER_BYTES :], {entries.CONFIGURATION_KEY: former}
+    )
     items.decode_record(batch.records[0], 0.0)
     decoded_at = time.perf_counter()
     sent_bytes = len(value) * 4 / 3
