--- a/src/chivedoor/feed/messages.py
+++ b/src/chivedoor/feed/messages.py
@@ -129,11 +129,11 @@
         digests: Digests of the large values among them, by key.
     """
 
-    digests: Mapping[str, int]
     revision: records.Revision
     complete: bool
     compressed: bool
     encoded_records: bytes
+    digests: Mapping[str, int]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/tests/edge/test_view_behind.py
+++ b/tests/edge/test_view_behind.py
@@ -31,12 +31,10 @@
             await asyncio.sleep(INTERVAL_S)
 
 
-async def test_balancer_with_an_old_view_leaves_the_rotation(edge) -> None:
-    """Guards against flows by an old view while others have a newer one.
+async def async_fall_behind(edge: conftest.EdgeProcess) -> asyncio.Task[None]:
+    """Starts a balancer that loses the store; returns the task of the reader.
 
-    A balancer placed flows by a configuration of 10 s before, although another
-    one of its domain had the current one. Once it hears of no reader, it may
-    be cut off, and serves again.
+    The balancer is unready when this returns.
     """
     port = conftest.find_free_port()
     edge.write_settings(peer_port=port)
@@ -47,6 +45,17 @@
     edge.store.fault = store_stand_in.StoreFault.SILENT
     reader = asyncio.create_task(async_send_as_reader(port))
     await edge.async_wait_ready(503)
+    return reader
+
+
+async def test_balancer_with_an_old_view_leaves_the_rotation(edge) -> None:
+    """Guards against flows by an old view while others have a newer one.
+
+    A balancer placed flows by a configuration of 10 s before, although another
+    one of its domain had the current one. Once it hears of no reader, it may
+    be cut off, and serves again.
+    """
+    reader = await async_fall_behind(edge)
     reader.cancel()
     with contextlib.suppress(asyncio.CancelledError):
         await reader
@@ -55,15 +64,7 @@
 
 async def test_balancer_returns_when_its_view_is_current(edge) -> None:
     """Guards against balancers that stay away after they have caught up."""
-    port = conftest.find_free_port()
-    edge.write_settings(peer_port=port)
-    edge.publish_configuration()
-    edge.publish_endpoint()
-    await edge.async_start()
-    await edge.async_wait_ready()
-    edge.store.fault = store_stand_in.StoreFault.SILENT
-    reader = asyncio.create_task(async_send_as_reader(port))
-    await edge.async_wait_ready(503)
+    reader = await async_fall_behind(edge)
     edge.store.fault = None
     await edge.async_wait_ready()
     reader.cancel()
