--- a/review/testbed/testbed.py
+++ b/review/testbed/testbed.py
@@ -9,8 +9,6 @@
 import asyncio
 import base64
 import collections
-import contextlib
-import functools
 import json
 import os
 import pathlib
@@ -259,102 +257,6 @@
         ]
 
 
-class Links:
-    """Links between the machines, which can be cut.
-
-    Each machine listens on its own address and is known to the others by
-    another one. Here, traffic to the known address is passed on.
-    """
-
-    def __init__(self) -> None:
-        """Creates links without machines."""
-        self.cut: set[frozenset[str]] = set()
-        self._by_host: dict[str, Machine] = {}
-        self._sockets: dict[str, socket.socket] = {}
-        self._servers: list[asyncio.Server] = []
-        self._tasks: set[asyncio.Task] = set()
-
-    async def async_open(self, machines: list["Machine"]) -> None:
-        """Opens the known addresses of all machines."""
-        loop = asyncio.get_running_loop()
-        port = INTERNAL_PORTS[0]
-        self._by_host = {machine.host: machine for machine in machines}
-        for machine in machines:
-            opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            opened.setblocking(False)
-            opened.bind((machine.known_host, port))
-            self._sockets[machine.name] = opened
-            loop.add_reader(opened.fileno(), self._pass_datagrams, machine)
-            self._servers.append(
-                await asyncio.start_server(
-                    functools.partial(self._async_pass_stream, machine),
-                    machine.known_host,
-                    port,
-                )
-            )
-
-    def close(self) -> None:
-        """Closes all sockets."""
-        for opened in self._sockets.values():
-            asyncio.get_running_loop().remove_reader(opened.fileno())
-            opened.close()
-        for server in self._servers:
-            server.close()
-        for task in self._tasks:
-            task.cancel()
-
-    def _is_cut(self, first: "Machine", second: "Machine") -> bool:
-        return frozenset((first.name, second.name)) in self.cut
-
-    def _pass_datagrams(self, target: "Machine") -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                data, sender = self._sockets[target.name].recvfrom(65536)
-                source = self._by_host.get(sender[0])
-                if source is None or self._is_cut(source, target):
-                    continue
-                self._sockets[source.name].sendto(
-                    data, (target.host, INTERNAL_PORTS[0])
-                )
-
-    async def _async_pass_stream(
-        self, target: "Machine", reader, writer
-    ) -> None:
-        task = asyncio.current_task()
-        self._tasks.add(task)
-        source = self._by_host[writer.get_extra_info("peername")[0]]
-        upstream = None
-        try:
-            while self._is_cut(source, target):
-                await asyncio.sleep(0.02)
-            upstream_reader, upstream = await asyncio.open_connection(
-                target.host,
-                INTERNAL_PORTS[0],
-                local_addr=(source.known_host, 0),
-            )
-            await asyncio.gather(
-                self._async_forward(source, target, reader, upstream),
-                self._async_forward(source, target, upstream_reader, writer),
-            )
-        except (OSError, asyncio.CancelledError):
-            # The machine is gone, or the case has ended.
-            pass
-        finally:
-            self._tasks.discard(task)
-            for opened in (writer, upstream):
-                if opened is not None:
-                    opened.transport.abort()
-
-    async def _async_forward(self, source, target, reader, writer) -> None:
-        while data := await reader.read(65536):
-            # Bytes are held up, as by a partition.
-            while self._is_cut(source, target):
-                await asyncio.sleep(0.02)
-            writer.write(data)
-            await writer.drain()
-        writer.transport.abort()
-
-
 class Machine:
     """An edge machine with its process."""
 
@@ -364,10 +266,7 @@
         self.zone = zone
         self.host = bed.make_host(10 + number, index)
         self.store_host = bed.make_host(20 + number, index)
-        self.known_host = (
-            bed.make_host(60 + number, index) if bed.links else self.host
-        )
-        self.control = f"{self.known_host}:{CONTROL_PORT}"
+        self.control = f"{self.host}:{CONTROL_PORT}"
         self.node = fabric.Node(
             id=self.name,
             domain=zone,
@@ -401,13 +300,9 @@
             "platform": {"address": f"{self.store_host}:{STORE_PORT}"},
         }
         settings = self._bed.folder / f"{self.name}.ini"
-        text = render((ROOT / role["template"]).read_text(), fields)
-        if self.known_host != self.host:
-            # A setting of the product that the users' platform doesn't need.
-            text = text.replace(
-                "[peers]\n", f"[peers]\naddress = {self.known_host}\n"
-            )
-        settings.write_text(text)
+        settings.write_text(
+            render((ROOT / role["template"]).read_text(), fields)
+        )
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 role["run"].split(),
@@ -509,6 +404,14 @@
             self.endpoint.build_entry(cold_ms=round(cold_s * 1000)),
         )
 
+    def write_remaining(self, ends_at: float) -> None:
+        """Writes the entry with the time for which it is still cold."""
+        left_s = max(0.0, ends_at - time.monotonic())
+        self._bed.store.put(
+            f"servers/{self.id}",
+            self.endpoint.build_entry(cold_ms=round(left_s * 1000)),
+        )
+
     def warm_up(self, cold_s: float) -> None:
         """Registers as cold, and as warm once that is over."""
         self.write_entry(cold_s)
@@ -574,14 +477,11 @@
         self,
         folder: pathlib.Path,
         machines_per_zone: int,
-        *,
-        with_links: bool = False,
     ) -> None:
         self.record = Record(folder / "record.txt")
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.block, self._reservation = _reserve_block()
         self.store = Store(self.record)
-        self.links = Links() if with_links else None
         self.servers: list[Server] = []
         self.machines = [
             Machine(self, zone, index + 1)
@@ -624,25 +524,27 @@
         task.add_done_callback(self._tasks.discard)
 
     async def async_open(
-        self, seeds: list[Machine], running: list[Machine] | None = None
+        self, seeds: list[str], running: list[Machine] | None = None
     ) -> None:
         """Opens the stand-ins, starts machines and waits for them."""
         running = self.machines if running is None else running
         for machine in self.machines:
             await self.store.async_listen(machine.name, machine.store_host)
-        if self.links is not None:
-            await self.links.async_open(self.machines)
         for machine in running:
-            machine.start([seed.control for seed in seeds])
+            machine.start(seeds)
         self.fabric.start()
         for group in self.callers.values():
             await group.async_open()
+        await self.async_wait_ready(running)
+
+    async def async_wait_ready(self, machines: list[Machine]) -> None:
+        """Waits until the routers have put machines into rotation."""
         ends_at = time.monotonic() + 20.0
-        while not all(machine.node.in_rotation for machine in running):
+        while not all(machine.node.in_rotation for machine in machines):
             if time.monotonic() > ends_at:
                 raise CannotRun("the machines did not become ready")
             await asyncio.sleep(0.1)
-        self.record.write("all started machines are ready")
+        self.record.write(f"{len(machines)} machines are ready")
 
     async def async_close(self) -> None:
         """Ends all processes and closes all stand-ins."""
@@ -657,8 +559,6 @@
         for server in self.servers:
             await server.async_close()
         self.store.close()
-        if self.links is not None:
-            self.links.close()
         self._reservation.close()
         self.record.close()
         if os.environ.get("KEEP_LOGS"):
@@ -852,13 +752,11 @@
     async_play,
     folder: pathlib.Path,
     machines_per_zone: int,
-    *,
-    with_links: bool = False,
 ) -> None:
     """Plays a case and exits with its verdict."""
 
     async def async_main() -> int:
-        bed = Testbed(folder, machines_per_zone, with_links=with_links)
+        bed = Testbed(folder, machines_per_zone)
         try:
             async with asyncio.timeout(110.0):
                 return await async_play(
