--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,13 +1,14 @@
 """A zone is taken back while one answer of the store is lost."""
 
 import asyncio
+import os
 import pathlib
 
 import testbed
 
 from standins.echo import callers
 
-WARMUP_PER_S = 4.0
+WARMUP_PER_S = float(os.environ.get("WARMUP_PER_S", "4"))
 WARMUP_S = 5.0
 SERVICE = "auralizer"
 ZONE = "a"
@@ -31,7 +32,7 @@
         for _ in range(2)
     ]
     emptied = [s for s in servers if s.endpoint.domain == ZONE]
-    seeds = [m for m in bed.machines if m.name.endswith("-1")]
+    seeds = [m.control for m in bed.machines if m.name.endswith("-1")]
     await bed.async_open(seeds)
     bed.start_load(
         callers.Load(
