--- a/review/testbed/testbed.py
+++ b/review/testbed/testbed.py
@@ -756,6 +756,12 @@
     """Plays a case and exits with its verdict."""
 
     async def async_main() -> int:
+        main_task = asyncio.current_task()
+        assert main_task is not None
+        # The processes are ended also when the case itself is stopped.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, main_task.cancel
+        )
         bed = Testbed(folder, machines_per_zone)
         try:
             async with asyncio.timeout(110.0):
