review: case 6 within the limit for stale seeds

The added machines now start with seeds that left just before, and their settings files name living ones 1 s later, without a signal (seed_staleness_s is 3). Before, the seeds had never been there and stayed so.

--- a/review/testbed/testbed.py
+++ b/review/testbed/testbed.py
@@ -71,6 +71,12 @@
         self._file.close()
 
 
+def _read_role() -> dict:
+    """Returns the role of the deploy file."""
+    deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+    return deploy["roles"]["edge"]
+
+
 def render(template: str, fields: dict) -> str:
     """Fills a template as DEPLOY.md tells, as far as ours needs it."""
 
@@ -277,10 +283,13 @@
         self.process: subprocess.Popen | None = None
         self._bed = bed
 
-    def start(self, seeds: list[str]) -> None:
-        """Starts the role of the deploy file."""
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        role = deploy["roles"]["edge"]
+    def write_settings(self, seeds: list[str]) -> pathlib.Path:
+        """Fills the template of the settings; a running process gets no signal.
+
+        Returns:
+            The settings file.
+        """
+        role = _read_role()
         fields = {
             "node_name": self.name,
             "role": "edge",
@@ -303,6 +312,13 @@
         settings.write_text(
             render((ROOT / role["template"]).read_text(), fields)
         )
+        self._bed.record.write(f"settings of {self.name}: seeds {seeds}")
+        return settings
+
+    def start(self, seeds: list[str]) -> None:
+        """Starts the role of the deploy file."""
+        settings = self.write_settings(seeds)
+        role = _read_role()
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 role["run"].split(),
@@ -318,7 +334,7 @@
                 stdout=log,
                 stderr=log,
             )
-        self._bed.record.write(f"{self.name} started, seeds {seeds}")
+        self._bed.record.write(f"{self.name} started")
 
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
@@ -326,6 +342,16 @@
         self._bed.record.write(f"{self.name} gets {number.name}")
         self.process.send_signal(number)
 
+    async def async_leave(self) -> None:
+        """Stops the process as planned and waits for its end."""
+        self.send_signal(signal.SIGTERM)
+        assert self.process is not None
+        ends_at = time.monotonic() + GRACE_S
+        while self.process.poll() is None and time.monotonic() < ends_at:
+            await asyncio.sleep(0.05)
+        self.kill()
+        self._bed.record.write(f"{self.name} has left")
+
     def kill(self) -> None:
         """Ends the process if it runs."""
         if self.process is not None and self.process.poll() is None:
